--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Targets for developers. CI runs "make test" through .ci/run.
+GO ?= go
+TEST_TIMEOUT ?= 20m
+
+.PHONY: build demo test format lint unit generate clean
+
+build:
+	$(GO) build -o bin/ ./cmd/... ./standin/cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+test: format lint unit
+
+format:
+	@unformatted=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "gofmt needed:"; echo "$$unformatted"; exit 1; fi
+
+lint:
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+unit:
+	./scripts/test.sh -race -timeout $(TEST_TIMEOUT) ./...
+
+generate:
+	$(GO) run ./tools/protogen
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,79 @@
+// Package rendezvous ranks nodes for a key by highest-random-weight hashing.
+//
+// Every process that knows the same nodes computes the same order, and a node that joins or leaves
+// moves only the keys that it gains or loses.
+package rendezvous
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Hash returns the hash of a name, for use with Score.
+func Hash(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+// Score returns the rank value of a node for a key; the highest score is the first choice.
+func Score(key, node uint64) uint64 {
+	h := key ^ (node * 0x9e3779b97f4a7c15)
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	h ^= h >> 31
+	return h
+}
+
+// WeightedScore returns a score whose chance of being the highest is proportional to weight.
+func WeightedScore(key, node uint64, weight float64) float64 {
+	unit := (float64(Score(key, node)>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(unit)
+}
+
+// First returns the node with the highest score for the key, and false when there are no nodes.
+func First(key string, nodes []string) (string, bool) {
+	if len(nodes) == 0 {
+		return "", false
+	}
+	k := Hash(key)
+	best := nodes[0]
+	score := Score(k, Hash(best))
+	for _, node := range nodes[1:] {
+		s := Score(k, Hash(node))
+		if s > score || (s == score && node < best) {
+			best, score = node, s
+		}
+	}
+	return best, true
+}
+
+// Order returns the nodes sorted by falling score for the key.
+func Order(key string, nodes []string) []string {
+	type scored struct {
+		node  string
+		score uint64
+	}
+	k := Hash(key)
+	ranked := make([]scored, len(nodes))
+	for i, node := range nodes {
+		ranked[i] = scored{node, Score(k, Hash(node))}
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		}
+		return strings.Compare(a.node, b.node)
+	})
+	order := make([]string, len(nodes))
+	for i := range ranked {
+		order[i] = ranked[i].node
+	}
+	return order
+}
