Add the thin request path: entry, gate and the packages between them

An entry authenticates the caller, picks a target, asks the gate that owns it, and relays the answer only when it is whole.

--- /dev/null
+++ b/cmd/amaranth-gate/main.go
@@ -0,0 +1,39 @@
+// Command amaranth-gate runs one gate daemon.
+package main
+
+import (
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/amaranthlb/amaranthlb/internal/daemon"
+	"github.com/amaranthlb/amaranthlb/internal/gate"
+	"github.com/amaranthlb/amaranthlb/internal/settings"
+)
+
+type arguments struct {
+	Settings string `arg:"--settings,required" help:"YAML settings file" placeholder:"FILE"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+}
+
+func (arguments) Description() string {
+	return "Runs one gate of the router fleet. SIGTERM drains it; a second signal ends it at once."
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	s, err := settings.LoadGate(args.Settings)
+	if err != nil {
+		os.Exit(daemon.BadSettings(err))
+	}
+	if args.Check {
+		return
+	}
+	log := daemon.NewLogger(s.Common)
+	gateDaemon, err := gate.New(s, log)
+	if err != nil {
+		os.Exit(daemon.BadSettings(err))
+	}
+	os.Exit(daemon.Run(log, gateDaemon.Run))
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,65 @@
+// Package daemon holds what both daemons do around their work: logging, signals and exit codes.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthlb/amaranthlb/internal/settings"
+)
+
+// Exit codes of the daemons.
+const (
+	ExitGood        = 0
+	ExitFailed      = 1
+	ExitBadSettings = 2
+)
+
+// NewLogger returns the logger of a daemon.
+func NewLogger(s settings.Common) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(os.Stderr)
+	if s.Log.JSON {
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	}
+	if level, err := logrus.ParseLevel(s.Log.Level); err == nil {
+		logger.SetLevel(level)
+	}
+	return logger.WithFields(logrus.Fields{"name": s.Name, "zone": s.Zone})
+}
+
+// BadSettings prints why nothing was started, one line for each wrong field, and returns the exit code.
+func BadSettings(err error) int {
+	for line := range strings.Lines(trace.UserMessage(err)) {
+		fmt.Fprintln(os.Stderr, strings.TrimRight(line, "\n"))
+	}
+	return ExitBadSettings
+}
+
+// Run runs a daemon until SIGTERM or SIGINT, which ends its context so that it drains. A second signal ends the
+// process at once.
+func Run(log *logrus.Entry, run func(context.Context) error) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		log.Error("second signal: stopping without finishing the work in flight")
+		os.Exit(ExitFailed)
+	}()
+	if err := run(ctx); err != nil {
+		log.WithError(err).Error("daemon failed")
+		return ExitFailed
+	}
+	return ExitGood
+}
--- /dev/null
+++ b/internal/entry/answer.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/placement"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/stream"
+)
+
+const (
+	headerLastEventID = "Last-Event-ID"
+	eventStream       = "text/event-stream"
+	// maximumBuffered bounds an answer that is held back until it is known to be whole.
+	maximumBuffered = 8 << 20
+)
+
+// answer writes one request's answer to the caller.
+//
+// An event stream goes out as it arrives, with an id on each event, and ends with [DONE] only when it is whole. Any
+// other answer is held back until it is whole, so that a failure can still become an error or a retry.
+type answer struct {
+	entry   *Entry
+	caller  *caller
+	request *request
+
+	admitted *pb.Admitted
+	// streamID is the sealed first part of event ids.
+	streamID string
+	started  bool
+	buffer   []byte
+	line     []byte
+	events   int64
+	checksum uint64
+}
+
+func newAnswer(e *Entry, c *caller, request *request) *answer {
+	return &answer{entry: e, caller: c, request: request}
+}
+
+// begun reports whether the caller has seen any byte.
+func (a *answer) begun() bool { return a.started }
+
+// accept handles one event of a gate; done means that the answer is whole.
+func (a *answer) accept(event *pb.ServeEvent, verifier *stream.Verifier) (done bool, err error) {
+	switch body := event.Event.(type) {
+	case *pb.ServeEvent_Admitted:
+		return false, a.acceptAdmitted(body.Admitted)
+	case *pb.ServeEvent_Chunk:
+		fresh, fault := verifier.Chunk(event.RequestId, body.Chunk.Sequence, body.Chunk.Data)
+		if fault != nil {
+			return false, broken(fault)
+		}
+		if !fresh {
+			return false, nil
+		}
+		return false, a.acceptChunk(body.Chunk)
+	case *pb.ServeEvent_End:
+		if fault := verifier.End(event.RequestId, body.End.Count, body.End.Checksum); fault != nil {
+			return false, broken(fault)
+		}
+		a.events, a.checksum = body.End.Count, body.End.Checksum
+		return true, nil
+	case *pb.ServeEvent_Refusal:
+		return false, refusalOf(body.Refusal)
+	}
+	return false, &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: "the gate sent an unknown event"}
+}
+
+func broken(fault *stream.Fault) error {
+	return &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: fault.Error()}
+}
+
+func (a *answer) acceptAdmitted(admitted *pb.Admitted) error {
+	a.admitted = admitted
+	a.buffer = a.buffer[:0]
+	return nil
+}
+
+func (a *answer) streaming() bool {
+	return strings.HasPrefix(a.admitted.ContentType, eventStream)
+}
+
+func (a *answer) acceptChunk(chunk *pb.Chunk) error {
+	if a.admitted == nil {
+		return &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: "a chunk came before the answer's head"}
+	}
+	if a.streaming() {
+		return a.writeEvent(chunk)
+	}
+	if len(a.buffer)+len(chunk.Data) > maximumBuffered {
+		return &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: "the answer is too large"}
+	}
+	a.buffer = append(a.buffer, chunk.Data...)
+	return nil
+}
+
+// writeEvent sends one event with its id to the caller.
+func (a *answer) writeEvent(chunk *pb.Chunk) error {
+	if !a.started {
+		if err := a.startStream(); err != nil {
+			return err
+		}
+	}
+	line := append(a.line[:0], "id: "...)
+	line = append(line, a.streamID...)
+	line = append(line, '.')
+	line = strconv.AppendInt(line, chunk.Sequence, 10)
+	line = append(line, "\ndata: "...)
+	line = append(line, chunk.Data...)
+	line = append(line, "\n\n"...)
+	a.line = line
+	return a.write(line)
+}
+
+func (a *answer) write(data []byte) error {
+	if _, err := a.caller.Response().Write(data); err != nil {
+		return &Refusal{Reason: reason.CallerGone, Ran: reason.Unknown, Message: err.Error()}
+	}
+	a.caller.Response().Flush()
+	return nil
+}
+
+func (a *answer) startStream() error {
+	streamID, err := a.entry.sealer.Seal(placement.Token{
+		Kind:     placement.Stream,
+		Customer: a.request.customer.Name,
+		Pool:     a.request.pool.Name,
+		Target:   a.admitted.Target,
+		Request:  a.request.id,
+		Expires:  time.Now().Add(streamExpiry),
+	})
+	if err != nil {
+		return err
+	}
+	a.streamID = streamID
+	a.setHeaders(eventStream)
+	a.caller.Response().Header().Set("Cache-Control", "no-cache")
+	a.caller.Response().WriteHeader(http.StatusOK)
+	a.started = true
+	return nil
+}
+
+func (a *answer) setHeaders(contentType string) {
+	header := a.caller.Response().Header()
+	header.Set("Content-Type", contentType)
+	header.Set(headerRequestID, a.request.id)
+	if token := a.placementToken(); token != "" {
+		header.Set(headerPlacement, token)
+	}
+}
+
+// placementToken seals where the chat's prefix is now.
+func (a *answer) placementToken() string {
+	if a.request.chat == "" {
+		return ""
+	}
+	token, err := a.entry.sealer.Seal(placement.Token{
+		Kind:     placement.Chat,
+		Customer: a.request.customer.Name,
+		Pool:     a.request.pool.Name,
+		Target:   a.admitted.Target,
+		Version:  a.request.pool.Version,
+		Chat:     a.request.chat,
+		Expires:  time.Now().Add(placementExpiry),
+	})
+	if err != nil {
+		return ""
+	}
+	return token
+}
+
+// endEvent is the last event of a stream before [DONE]. Its form is a completion chunk without choices.
+type endEvent struct {
+	Object    string     `json:"object"`
+	Choices   []struct{} `json:"choices"`
+	Placement string     `json:"placement,omitempty"`
+	Events    int64      `json:"events"`
+	Checksum  string     `json:"checksum"`
+}
+
+// finish completes a whole answer.
+func (a *answer) finish() error {
+	a.entry.meters.Answered()
+	if !a.streaming() {
+		a.setHeaders(a.admitted.ContentType)
+		return a.caller.Blob(int(a.admitted.Status), a.admitted.ContentType, a.buffer)
+	}
+	if !a.started {
+		if err := a.startStream(); err != nil {
+			return err
+		}
+	}
+	end, err := json.Marshal(endEvent{
+		Object:    "chat.completion.chunk",
+		Choices:   []struct{}{},
+		Placement: a.placementToken(),
+		Events:    a.events,
+		Checksum:  strconv.FormatUint(a.checksum, 16),
+	})
+	if err != nil {
+		return err
+	}
+	return a.write([]byte("data: " + string(end) + "\n\ndata: [DONE]\n\n"))
+}
+
+// fail ends a request without a whole answer: with a status when nothing was sent, else with an error event.
+func (a *answer) fail(refusal *Refusal) error {
+	if !a.started {
+		return refusal
+	}
+	a.entry.meters.Refused(refusal.Reason, refusal.Ran)
+	body, err := json.Marshal(refusal.body())
+	if err != nil {
+		return err
+	}
+	return a.write([]byte("event: error\ndata: " + string(body) + "\n\n"))
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,160 @@
+// Package entry is the daemon that ends callers' connections.
+//
+// An entry keeps nothing but requests in flight and snapshots of the catalogue, the view and the loads. It chooses
+// the target of a request, asks the gate that owns the target, and retries only where nothing ran or where the
+// request may be repeated and the caller has seen no byte. A stream that breaks at a gate is resumed through another
+// gate; what can't be completed ends with an explicit error.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/placement"
+	"github.com/amaranthlb/amaranthlb/internal/platform"
+	"github.com/amaranthlb/amaranthlb/internal/routing"
+	"github.com/amaranthlb/amaranthlb/internal/rpc"
+	"github.com/amaranthlb/amaranthlb/internal/settings"
+	"github.com/amaranthlb/amaranthlb/internal/telemetry"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	// unreadyDelay is how long a stopping entry goes on accepting, so that the balancer's health check has
+	// taken it out before its listener closes.
+	unreadyDelay = 1500 * time.Millisecond
+)
+
+// Entry is one entry daemon.
+type Entry struct {
+	settings *settings.Entry
+	log      *logrus.Entry
+	meters   *telemetry.Meters
+	clock    control.Clock
+	loop     *control.Loop
+	platform *platform.Client
+	control  *rpc.Dialer
+	traffic  *rpc.Dialer
+	sealer   *placement.Codec
+
+	// state belongs to the control goroutine.
+	state    controlState
+	snapshot atomic.Pointer[Snapshot]
+	draining atomic.Bool
+}
+
+// Snapshot is what traffic goroutines read of the control state. It is immutable.
+type Snapshot struct {
+	Catalogue *catalogue.Catalogue
+	View      *membership.View
+	Routes    *routing.Table
+}
+
+// New returns an entry that has not started yet.
+func New(s *settings.Entry, log *logrus.Entry) (*Entry, error) {
+	meters, err := telemetry.New()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var tlsConfig *tls.Config
+	if s.TLS.Enabled() {
+		tlsConfig, err = rpc.TLSConfig(rpc.TLSFiles{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority})
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	clock := control.NewClock()
+	return &Entry{
+		settings: s,
+		log:      log,
+		meters:   meters,
+		clock:    clock,
+		loop:     control.NewLoop(clock),
+		platform: platform.NewClient(s.Platform.Address),
+		control:  rpc.NewDialer(rpc.Control, tlsConfig, meters),
+		traffic:  rpc.NewDialer(rpc.Traffic, tlsConfig, meters),
+		sealer:   placement.NewCodec(s.FleetKeys),
+		state:    newControlState(),
+	}, nil
+}
+
+// Run serves callers until the context ends, then drains: it turns unready, and finishes the requests in flight
+// within the drain limit.
+func (e *Entry) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	listener, err := net.Listen("tcp", e.settings.Listen)
+	if err != nil {
+		return trace.Wrap(err, "listening")
+	}
+	admin, err := telemetry.StartAdmin(e.settings.Admin, e.meters, telemetry.Probe{Ready: e.ready, Status: e.status})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	e.startControl(serving)
+	server := &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	e.log.Info("entry started")
+
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		return trace.Wrap(err)
+	}
+	err = e.drain(server)
+	stop()
+	_ = admin.Close(context.WithoutCancel(ctx))
+	return trace.Wrap(err)
+}
+
+func (e *Entry) drain(server *http.Server) error {
+	e.draining.Store(true)
+	e.log.Info("entry is draining")
+	time.Sleep(unreadyDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Timing.DrainLimit))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return trace.LimitExceeded("requests were still running after the drain limit of %s", time.Duration(e.settings.Timing.DrainLimit))
+	}
+	e.log.Info("entry has finished its work")
+	return nil
+}
+
+func (e *Entry) ready() (bool, string) {
+	if e.draining.Load() {
+		return false, "draining"
+	}
+	if e.snapshot.Load() == nil {
+		return false, "no catalogue and view yet"
+	}
+	return true, ""
+}
+
+// Status is the entry's state for operators.
+type Status struct {
+	Name     string           `json:"name"`
+	Zone     string           `json:"zone"`
+	Draining bool             `json:"draining"`
+	Revision uint64           `json:"catalogue_revision"`
+	View     *membership.View `json:"view"`
+}
+
+func (e *Entry) status() any {
+	status := Status{Name: e.settings.Name, Zone: e.settings.Zone, Draining: e.draining.Load()}
+	if snapshot := e.snapshot.Load(); snapshot != nil {
+		status.Revision = snapshot.Catalogue.Revision
+		status.View = snapshot.View
+	}
+	return status
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,180 @@
+// Package gate is the daemon that owns targets.
+//
+// A gate is the only admitter of new work to the targets that it owns. It answers entries over drpc, sends requests
+// to targets over HTTP, and relays answers as numbered chunks. When it is killed, its streams break at the entries,
+// which resume them through another gate; when it is stopped, it finishes what it has admitted.
+package gate
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/platform"
+	"github.com/amaranthlb/amaranthlb/internal/rpc"
+	"github.com/amaranthlb/amaranthlb/internal/settings"
+	"github.com/amaranthlb/amaranthlb/internal/target"
+	"github.com/amaranthlb/amaranthlb/internal/telemetry"
+)
+
+// Gate is one gate daemon.
+type Gate struct {
+	settings *settings.Gate
+	log      *logrus.Entry
+	meters   *telemetry.Meters
+	clock    control.Clock
+	loop     *control.Loop
+	self     membership.Gate
+	tls      *tls.Config
+	targets  *target.Client
+	platform *platform.Client
+	control  *rpc.Dialer
+	traffic  *rpc.Dialer
+
+	// state belongs to the control goroutine.
+	state    controlState
+	snapshot atomic.Pointer[Snapshot]
+	draining atomic.Bool
+
+	admission admission
+	inFlight  inFlight
+}
+
+// Snapshot is what traffic goroutines read of the control state. It is immutable.
+type Snapshot struct {
+	Catalogue *catalogue.Catalogue
+	View      *membership.View
+	// Owned lists the targets that this gate owns.
+	Owned map[string]bool
+}
+
+// New returns a gate that has not started yet.
+func New(s *settings.Gate, log *logrus.Entry) (*Gate, error) {
+	meters, err := telemetry.New()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	g := &Gate{
+		settings: s,
+		log:      log,
+		meters:   meters,
+		clock:    control.NewClock(),
+		targets:  target.NewClient(),
+		platform: platform.NewClient(s.Platform.Address),
+		self: membership.Gate{
+			Name:        s.Name,
+			Address:     s.Listen,
+			Zone:        s.Zone,
+			Region:      s.Region,
+			Incarnation: control.NewIncarnation(),
+		},
+	}
+	if s.TLS.Enabled() {
+		g.tls, err = rpc.TLSConfig(rpc.TLSFiles{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority})
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	g.loop = control.NewLoop(g.clock)
+	g.control = rpc.NewDialer(rpc.Control, g.tls, meters)
+	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters)
+	return g, nil
+}
+
+// Run serves until the context ends, then drains: it finishes the admitted requests within the drain limit.
+func (g *Gate) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	listener, err := net.Listen("tcp", g.settings.Listen)
+	if err != nil {
+		return trace.Wrap(err, "listening")
+	}
+	mux := drpcmux.New()
+	if err := g.register(mux); err != nil {
+		return trace.Wrap(err)
+	}
+	admin, err := telemetry.StartAdmin(g.settings.Admin, g.meters, telemetry.Probe{Ready: g.ready, Status: g.status})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- rpc.Serve(serving, listener, mux, g.tls, g.meters) }()
+	g.startControl(serving)
+	g.log.WithField("incarnation", g.self.Incarnation).Info("gate started")
+
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		return trace.Wrap(err)
+	}
+	err = g.drain()
+	stop()
+	_ = admin.Close(context.WithoutCancel(ctx))
+	g.targets.Close()
+	return trace.Wrap(err)
+}
+
+func (g *Gate) register(mux *drpcmux.Mux) error {
+	if err := pb.DRPCRegisterTraffic(mux, &trafficServer{gate: g}); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(pb.DRPCRegisterControl(mux, &controlServer{gate: g}))
+}
+
+// drain stops taking new work and waits for the work in flight.
+func (g *Gate) drain() error {
+	g.draining.Store(true)
+	g.log.WithField("in_flight", g.inFlight.count()).Info("gate is draining")
+	limit := time.Duration(g.settings.Timing.DrainLimit)
+	if !g.inFlight.wait(limit) {
+		return trace.LimitExceeded("%d requests were still running after the drain limit of %s", g.inFlight.count(), limit)
+	}
+	g.log.Info("gate has finished its work")
+	return nil
+}
+
+func (g *Gate) ready() (bool, string) {
+	if g.draining.Load() {
+		return false, "draining"
+	}
+	if g.snapshot.Load() == nil {
+		return false, "no catalogue and view yet"
+	}
+	return true, ""
+}
+
+// Status is the gate's state for operators.
+type Status struct {
+	Name     string           `json:"name"`
+	Zone     string           `json:"zone"`
+	Draining bool             `json:"draining"`
+	Revision uint64           `json:"catalogue_revision"`
+	View     *membership.View `json:"view"`
+	Loads    map[string]int   `json:"loads"`
+	InFlight int              `json:"in_flight"`
+}
+
+func (g *Gate) status() any {
+	status := Status{
+		Name:     g.self.Name,
+		Zone:     g.self.Zone,
+		Draining: g.draining.Load(),
+		Loads:    g.admission.loads(),
+		InFlight: g.inFlight.count(),
+	}
+	if snapshot := g.snapshot.Load(); snapshot != nil {
+		status.Revision = snapshot.Catalogue.Revision
+		status.View = snapshot.View
+	}
+	return status
+}
--- /dev/null
+++ b/internal/gate/serve.go
@@ -0,0 +1,282 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/stream"
+	"github.com/amaranthlb/amaranthlb/internal/target"
+)
+
+const (
+	// relayBufferBytes is the size of the chunks of an answer that is not an event stream.
+	relayBufferBytes = 32 << 10
+	eventStream      = "text/event-stream"
+	resumeAttempts   = 3
+)
+
+// trafficServer serves entries.
+type trafficServer struct {
+	gate *Gate
+}
+
+// refusal is an error that ends a request without a whole answer.
+type refusal struct {
+	reason     reason.Reason
+	ran        reason.Ran
+	detail     string
+	retryAfter time.Duration
+	next       []string
+}
+
+func (r *refusal) Error() string { return string(r.reason) + ": " + r.detail }
+
+func refuse(r reason.Reason, ran reason.Ran, detail string) *refusal {
+	return &refusal{reason: r, ran: ran, detail: detail}
+}
+
+// Serve runs one request for an entry.
+func (s *trafficServer) Serve(request *pb.ServeRequest, out pb.DRPCTraffic_ServeStream) error {
+	g := s.gate
+	g.inFlight.begin()
+	defer g.inFlight.end()
+	ctx := out.Context()
+	if request.DeadlineMs > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(request.DeadlineMs)*time.Millisecond)
+		defer cancel()
+	}
+	call := &call{gate: g, request: request, out: out}
+	err := call.run(ctx)
+	var refused *refusal
+	if errors.As(err, &refused) {
+		g.meters.Refused(refused.reason, refused.ran)
+		return call.sendRefusal(refused)
+	}
+	if err == nil {
+		g.meters.Answered()
+	}
+	return err
+}
+
+// call is one request on its way through the gate.
+type call struct {
+	gate    *Gate
+	request *pb.ServeRequest
+	out     pb.DRPCTraffic_ServeStream
+}
+
+func (c *call) run(ctx context.Context) error {
+	snapshot := c.gate.snapshot.Load()
+	if snapshot == nil {
+		return refuse(reason.NotReady, reason.No, "the gate has no catalogue yet")
+	}
+	t, ok := snapshot.Catalogue.Target(c.request.Target)
+	if !ok {
+		return refuse(reason.NoTarget, reason.No, "the catalogue has no target "+c.request.Target)
+	}
+	if c.request.Resume {
+		return c.resume(ctx, t, c.request.ResumeFrom)
+	}
+	if c.gate.draining.Load() {
+		return refuse(reason.Draining, reason.No, "the gate is stopping")
+	}
+	if !snapshot.Owned[t.Name] {
+		return refuse(reason.NotOwner, reason.No, "the gate does not own "+t.Name)
+	}
+	if !c.gate.admission.begin(t, nil) {
+		return refuse(reason.OverLimit, reason.No, t.Name+" is at its load limit")
+	}
+	defer c.gate.admission.end(t.Name)
+	return c.forward(ctx, t)
+}
+
+// forward sends the request to the target and relays the answer.
+func (c *call) forward(ctx context.Context, t *catalogue.Target) error {
+	attempt := &target.Attempt{Guard: func() bool { return c.gate.mayWrite(t) }}
+	response, err := c.gate.targets.Do(ctx, t.Address, c.targetRequest(), attempt)
+	if err != nil {
+		return c.targetError(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := c.sendAdmitted(t, response); err != nil {
+		return err
+	}
+	if strings.HasPrefix(response.ContentType, eventStream) {
+		return c.relayEvents(ctx, t, response, 0)
+	}
+	return c.relayBody(ctx, response)
+}
+
+func (c *call) targetRequest() target.Request {
+	return target.Request{
+		ID:          c.request.RequestId,
+		Customer:    c.request.Customer,
+		Chat:        c.request.Chat,
+		Method:      c.request.Method,
+		Path:        c.request.Path,
+		ContentType: c.request.ContentType,
+		Priority:    catalogue.Class(c.request.Class).Priority(),
+		Body:        c.request.Body,
+	}
+}
+
+// mayWrite is the last check before the first byte to a target.
+func (g *Gate) mayWrite(t *catalogue.Target) bool {
+	snapshot := g.snapshot.Load()
+	return snapshot.Owned[t.Name]
+}
+
+// targetError turns an error of the target layer into a refusal.
+func (c *call) targetError(ctx context.Context, err error) error {
+	var failed *target.Error
+	if !errors.As(err, &failed) {
+		return refuse(reason.Internal, reason.Unknown, err.Error())
+	}
+	switch failed.Kind {
+	case target.Unreachable:
+		if ctx.Err() != nil {
+			return refuse(reason.DeadlineExceeded, reason.No, "the deadline passed before the target was reached")
+		}
+		return refuse(reason.TargetUnreachable, reason.No, failed.Error())
+	case target.Forbidden:
+		return refuse(reason.LeaseLost, reason.No, failed.Error())
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refuse(reason.DeadlineExceeded, reason.Unknown, "the deadline passed while the target was working")
+	}
+	return refuse(reason.TargetFailed, reason.Unknown, failed.Error())
+}
+
+// resume attaches to a stream that already runs at the target; it is no new work.
+func (c *call) resume(ctx context.Context, t *catalogue.Target, from int64) error {
+	response, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, from)
+	if err != nil {
+		return c.targetError(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if !strings.HasPrefix(response.ContentType, eventStream) {
+		return refuse(reason.StreamGone, reason.Unknown, "the target no longer has the stream")
+	}
+	if err := c.sendAdmitted(t, response); err != nil {
+		return err
+	}
+	return c.relayEvents(ctx, t, response, from)
+}
+
+// relayEvents relays an event stream. When the target's connection breaks, it resumes where it stopped.
+func (c *call) relayEvents(ctx context.Context, t *catalogue.Target, response *target.Response, from int64) error {
+	writer := stream.NewWriter(from)
+	body := response.Body
+	for attempt := 0; ; attempt++ {
+		done, err := c.copyEvents(body, writer)
+		if done {
+			return c.sendEnd(writer, response)
+		}
+		if err != nil && ctx.Err() != nil {
+			return c.targetError(ctx, &target.Error{Kind: target.Failed, Address: t.Address, Cause: err})
+		}
+		if !t.Pool().Resumable || attempt >= resumeAttempts {
+			return refuse(reason.TargetFailed, reason.Unknown, t.Name+" broke off its answer")
+		}
+		again, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, writer.Next())
+		if err != nil {
+			return c.targetError(ctx, err)
+		}
+		if !strings.HasPrefix(again.ContentType, eventStream) {
+			_ = again.Body.Close()
+			return refuse(reason.TargetFailed, reason.Unknown, t.Name+" broke off its answer and no longer has it")
+		}
+		defer func() { _ = again.Body.Close() }()
+		body = again.Body
+	}
+}
+
+// copyEvents relays events until the end marker (true) or a break in the numbering or the connection (false).
+func (c *call) copyEvents(body io.Reader, writer *stream.Writer) (bool, error) {
+	for event, err := range target.Events(body) {
+		switch {
+		case err != nil:
+			return false, err
+		case event.Done:
+			return true, nil
+		case event.Sequence < writer.Next():
+			continue
+		case event.Sequence > writer.Next():
+			return false, nil
+		}
+		if err := c.sendChunk(writer, []byte(event.Data)); err != nil {
+			return false, err
+		}
+	}
+	return false, nil
+}
+
+// relayBody relays an answer that is not an event stream.
+func (c *call) relayBody(ctx context.Context, response *target.Response) error {
+	writer := stream.NewWriter(0)
+	buffer := make([]byte, relayBufferBytes)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			if err := c.sendChunk(writer, buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return c.sendEnd(writer, response)
+		}
+		if err != nil {
+			return c.targetError(ctx, &target.Error{Kind: target.Failed, Address: c.request.Target, Cause: err})
+		}
+	}
+}
+
+func (c *call) sendAdmitted(t *catalogue.Target, response *target.Response) error {
+	return c.send(&pb.ServeEvent{Event: &pb.ServeEvent_Admitted{Admitted: &pb.Admitted{
+		Target:       t.Name,
+		Status:       int32(response.Status),
+		ContentType:  response.ContentType,
+		ModelVersion: t.Pool().Version,
+	}}})
+}
+
+func (c *call) sendChunk(writer *stream.Writer, data []byte) error {
+	sequence := writer.Add(data)
+	return c.send(&pb.ServeEvent{Event: &pb.ServeEvent_Chunk{Chunk: &pb.Chunk{Sequence: sequence, Data: data}}})
+}
+
+func (c *call) sendEnd(writer *stream.Writer, response *target.Response) error {
+	count, checksum := writer.End()
+	return c.send(&pb.ServeEvent{Event: &pb.ServeEvent_End{End: &pb.End{
+		Count:       count,
+		Checksum:    checksum,
+		Status:      int32(response.Status),
+		ContentType: response.ContentType,
+	}}})
+}
+
+func (c *call) sendRefusal(r *refusal) error {
+	ran := pb.Ran_RAN_NO
+	if r.ran == reason.Unknown {
+		ran = pb.Ran_RAN_UNKNOWN
+	}
+	return c.send(&pb.ServeEvent{Event: &pb.ServeEvent_Refusal{Refusal: &pb.Refusal{
+		Reason:       string(r.reason),
+		Ran:          ran,
+		RetryAfterMs: r.retryAfter.Milliseconds(),
+		Next:         r.next,
+		Detail:       r.detail,
+	}}})
+}
+
+func (c *call) send(event *pb.ServeEvent) error {
+	event.RequestId = c.request.RequestId
+	return c.out.Send(event)
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,139 @@
+// Package placement seals what a caller carries between calls: the placement token of a chat and the
+// position in a stream.
+//
+// Both are opaque to the caller and authenticated with the fleet key, so that the fleet needs no state per chat.
+// A value that is altered, expired or of another customer is refused by Open.
+package placement
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"time"
+)
+
+// Kind separates the uses of a sealed value, so that one can't be passed off as the other.
+type Kind byte
+
+// Kinds of sealed values.
+const (
+	Chat   Kind = 1
+	Stream Kind = 2
+)
+
+// Token says where the prefix of a chat is cached, or which stream a caller reads.
+type Token struct {
+	Kind     Kind
+	Customer string
+	Pool     string
+	Target   string
+	// Version is the model version whose cache holds the prefix.
+	Version string
+	// Chat is the key of the chat; Request is the id of the stream's request.
+	Chat    string
+	Request string
+	Expires time.Time
+}
+
+// Errors of Open.
+var (
+	ErrMalformed = errors.New("token is malformed")
+	ErrForged    = errors.New("token has a wrong signature")
+	ErrExpired   = errors.New("token has expired")
+	ErrForeign   = errors.New("token belongs to another customer")
+)
+
+const (
+	tagBytes       = 12
+	maximumField   = 255
+	maximumEncoded = 2048
+)
+
+// Codec seals and opens tokens.
+type Codec struct {
+	keys [][]byte
+}
+
+// NewCodec returns a codec; the first key signs and all verify.
+func NewCodec(keys [][]byte) *Codec {
+	return &Codec{keys: keys}
+}
+
+// Seal encodes and signs a token.
+func (c *Codec) Seal(t Token) (string, error) {
+	buffer := make([]byte, 0, 128)
+	buffer = append(buffer, byte(t.Kind))
+	buffer = binary.BigEndian.AppendUint32(buffer, uint32(t.Expires.Unix()))
+	for _, field := range []string{t.Customer, t.Pool, t.Target, t.Version, t.Chat, t.Request} {
+		if len(field) > maximumField {
+			return "", ErrMalformed
+		}
+		buffer = append(buffer, byte(len(field)))
+		buffer = append(buffer, field...)
+	}
+	buffer = append(buffer, sign(c.keys[0], buffer)...)
+	return base64.RawURLEncoding.EncodeToString(buffer), nil
+}
+
+// Open checks a token of the kind and customer.
+func (c *Codec) Open(text string, kind Kind, customer string, now time.Time) (Token, error) {
+	if len(text) > maximumEncoded {
+		return Token{}, ErrMalformed
+	}
+	sealed, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || len(sealed) < tagBytes+5 {
+		return Token{}, ErrMalformed
+	}
+	body, tag := sealed[:len(sealed)-tagBytes], sealed[len(sealed)-tagBytes:]
+	if !c.verify(body, tag) {
+		return Token{}, ErrForged
+	}
+	token, err := decode(body)
+	switch {
+	case err != nil:
+		return Token{}, err
+	case token.Kind != kind:
+		return Token{}, ErrMalformed
+	case token.Customer != customer:
+		return Token{}, ErrForeign
+	case now.After(token.Expires):
+		return Token{}, ErrExpired
+	}
+	return token, nil
+}
+
+func (c *Codec) verify(body, tag []byte) bool {
+	for _, key := range c.keys {
+		if subtle.ConstantTimeCompare(sign(key, body), tag) == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+func sign(key, body []byte) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write([]byte("placement"))
+	mac.Write(body)
+	return mac.Sum(nil)[:tagBytes]
+}
+
+func decode(body []byte) (Token, error) {
+	token := Token{Kind: Kind(body[0])}
+	token.Expires = time.Unix(int64(binary.BigEndian.Uint32(body[1:5])), 0)
+	rest := body[5:]
+	for _, field := range []*string{&token.Customer, &token.Pool, &token.Target, &token.Version, &token.Chat, &token.Request} {
+		if len(rest) == 0 || len(rest) < 1+int(rest[0]) {
+			return Token{}, ErrMalformed
+		}
+		*field = string(rest[1 : 1+rest[0]])
+		rest = rest[1+rest[0]:]
+	}
+	if len(rest) != 0 {
+		return Token{}, ErrMalformed
+	}
+	return token, nil
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"time"
+)
+
+var (
+	oldKey = bytes.Repeat([]byte("o"), 32)
+	newKey = bytes.Repeat([]byte("n"), 32)
+	start  = time.Unix(1_700_000_000, 0)
+)
+
+func sealed(t *testing.T, key []byte) string {
+	t.Helper()
+	token := Token{Kind: Chat, Customer: "rose", Pool: "m", Target: "e1", Chat: "c", Expires: start.Add(time.Hour)}
+	text, err := NewCodec([][]byte{key}).Seal(token)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// Guards against accepting a token that is altered, expired, of another customer or of another use.
+func TestOpenRefuses(t *testing.T) {
+	codec := NewCodec([][]byte{newKey, oldKey})
+	altered := []byte(sealed(t, newKey))
+	altered[10] ^= 1
+	cases := []struct {
+		name     string
+		text     string
+		kind     Kind
+		customer string
+		now      time.Time
+		want     error
+	}{
+		{"good", sealed(t, newKey), Chat, "rose", start, nil},
+		{"rotated key", sealed(t, oldKey), Chat, "rose", start, nil},
+		{"altered", string(altered), Chat, "rose", start, ErrForged},
+		{"expired", sealed(t, newKey), Chat, "rose", start.Add(2 * time.Hour), ErrExpired},
+		{"foreign", sealed(t, newKey), Chat, "press", start, ErrForeign},
+		{"other kind", sealed(t, newKey), Stream, "rose", start, ErrMalformed},
+		{"empty", "", Chat, "rose", start, ErrMalformed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := codec.Open(c.text, c.kind, c.customer, c.now); !errors.Is(err, c.want) {
+				t.Fatalf("error is %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a panic or an accepted forgery on arbitrary input.
+func FuzzOpen(f *testing.F) {
+	codec := NewCodec([][]byte{newKey})
+	good, _ := codec.Seal(Token{Kind: Chat, Customer: "rose", Expires: start.Add(time.Hour)})
+	f.Add(good)
+	f.Add("AAAA")
+	f.Add("")
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := codec.Open(text, Chat, "rose", start); err == nil && text != good {
+			t.Fatalf("accepted %q", text)
+		}
+	})
+}
--- /dev/null
+++ b/internal/target/engine.go
@@ -0,0 +1,192 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"iter"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+)
+
+const (
+	maximumEventBytes  = 1 << 20
+	maximumStatusBytes = 64 << 10
+	maximumKVBytes     = 64 << 20
+	// doneData ends an engine's stream.
+	doneData = "[DONE]"
+)
+
+// Event is one event of an engine's stream.
+type Event struct {
+	Sequence int64
+	Data     string
+	// Done is the end of the stream; it has no data.
+	Done bool
+}
+
+// ErrUnnumbered is an event without a sequence number.
+var ErrUnnumbered = errors.New("the engine sent an event without a number")
+
+// Events reads an engine's stream. The sequence ends without a Done event when the stream broke off.
+func Events(body io.Reader) iter.Seq2[Event, error] {
+	return func(yield func(Event, error) bool) {
+		for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maximumEventBytes}) {
+			if err != nil {
+				yield(Event{}, err)
+				return
+			}
+			if event.Data == doneData {
+				yield(Event{Done: true}, nil)
+				return
+			}
+			sequence, err := strconv.ParseInt(event.LastEventID, 10, 64)
+			if err != nil {
+				yield(Event{}, ErrUnnumbered)
+				return
+			}
+			if !yield(Event{Sequence: sequence, Data: event.Data}, nil) {
+				return
+			}
+		}
+	}
+}
+
+// Resume attaches to a stream that is running or has ended a short time ago.
+func (c *Client) Resume(ctx context.Context, address, id string, from int64) (*Response, error) {
+	path := fmt.Sprintf("/v1/streams/%s?from=%d", url.PathEscape(id), from)
+	request := Request{ID: id, Method: http.MethodGet, Path: path}
+	return c.Do(ctx, address, request, &Attempt{})
+}
+
+// Cancel stops a request at an engine.
+func (c *Client) Cancel(ctx context.Context, address, id string) error {
+	request := Request{ID: id, Method: http.MethodDelete, Path: "/v1/streams/" + url.PathEscape(id)}
+	response, err := c.Do(ctx, address, request, &Attempt{})
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// Fate is what a target says of a request by its id.
+type Fate struct {
+	// State is absent, running or done.
+	State       string          `json:"state"`
+	Status      int             `json:"status"`
+	ContentType string          `json:"content_type"`
+	Body        json.RawMessage `json:"body"`
+}
+
+// Fate asks a target what became of a request.
+func (c *Client) Fate(ctx context.Context, address, id string) (Fate, error) {
+	var fate Fate
+	err := c.getJSON(ctx, address, "/v1/requests/"+url.PathEscape(id), &fate)
+	return fate, err
+}
+
+// Status is a target's report of its load and state.
+type Status struct {
+	Load    int `json:"load"`
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// AgeMilliseconds is the age of the figures.
+	AgeMilliseconds int64    `json:"age_ms"`
+	Fence           uint64   `json:"fence"`
+	Model           string   `json:"model"`
+	Version         string   `json:"version"`
+	Adapters        []string `json:"adapters"`
+	Role            string   `json:"role"`
+	Incarnation     uint64   `json:"incarnation"`
+}
+
+// Age returns the age of the figures.
+func (s Status) Age() time.Duration { return time.Duration(s.AgeMilliseconds) * time.Millisecond }
+
+// Status reads a target's report.
+func (c *Client) Status(ctx context.Context, address string) (Status, error) {
+	var status Status
+	err := c.getJSON(ctx, address, "/status", &status)
+	return status, err
+}
+
+// Order is one command to an engine.
+type Order struct {
+	Fence   uint64 `json:"fence"`
+	Kind    string `json:"kind"`
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// ErrStaleFence is an order whose fencing number the engine refused.
+var ErrStaleFence = errors.New("the engine has seen a higher fencing number")
+
+// SendOrder gives an order to an engine.
+func (c *Client) SendOrder(ctx context.Context, address string, order Order, guard func() bool) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return err
+	}
+	request := Request{Method: http.MethodPost, Path: "/orders", ContentType: "application/json", Body: body}
+	response, err := c.DoOnce(ctx, address, request, &Attempt{Guard: guard})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.Status {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return ErrStaleFence
+	}
+	return fmt.Errorf("the engine answered the order with status %d", response.Status)
+}
+
+// ExportKV reads the KV cache of a chat's prefix.
+func (c *Client) ExportKV(ctx context.Context, address string, chat []byte) ([]byte, error) {
+	request := Request{Method: http.MethodPost, Path: "/kv/export", ContentType: "application/json", Body: chat}
+	return c.readAll(ctx, address, request, maximumKVBytes)
+}
+
+// ImportKV writes an exported KV cache to another engine.
+func (c *Client) ImportKV(ctx context.Context, address string, cache []byte) error {
+	request := Request{Method: http.MethodPost, Path: "/kv/import", ContentType: "application/octet-stream", Body: cache}
+	_, err := c.readAll(ctx, address, request, maximumStatusBytes)
+	return err
+}
+
+func (c *Client) getJSON(ctx context.Context, address, path string, into any) error {
+	body, err := c.readAll(ctx, address, Request{Method: http.MethodGet, Path: path}, maximumStatusBytes)
+	if err != nil {
+		return err
+	}
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(into); err != nil {
+		return &Error{Kind: Failed, Address: address, Cause: err}
+	}
+	return nil
+}
+
+func (c *Client) readAll(ctx context.Context, address string, request Request, limit int64) ([]byte, error) {
+	response, err := c.Do(ctx, address, request, &Attempt{})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	if err != nil {
+		return nil, &Error{Kind: Failed, Address: address, Cause: err}
+	}
+	if response.Status != http.StatusOK {
+		return nil, &Error{Kind: Failed, Address: address, Cause: fmt.Errorf("status %d", response.Status)}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/target/target.go
@@ -0,0 +1,203 @@
+// Package target sends requests to engines and services over HTTP.
+//
+// The package tells exactly whether any byte of a request may have reached the target: an error before that
+// point means that the request did not run. The caller's guard is asked again directly before the first
+// byte is written.
+package target
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout     = time.Second
+	idlePerTarget   = 64
+	idleTimeout     = 30 * time.Second
+	readBufferBytes = 32 << 10
+)
+
+// Request is one call to a target.
+type Request struct {
+	ID          string
+	Customer    string
+	Chat        string
+	Method      string
+	Path        string
+	ContentType string
+	Priority    int
+	Body        []byte
+}
+
+// Response is the beginning of a target's answer; the caller closes Body.
+type Response struct {
+	Status      int
+	ContentType string
+	Body        io.ReadCloser
+}
+
+// Attempt follows one try at a target.
+type Attempt struct {
+	// Guard is asked directly before the first byte is written; false forbids the write.
+	Guard   func() bool
+	written atomic.Bool
+}
+
+// Written reports whether a byte of the request may have reached the target.
+func (a *Attempt) Written() bool { return a.written.Load() }
+
+// Kind tells failures apart.
+type Kind string
+
+// Kinds of failures.
+const (
+	// Unreachable means that no connection could be opened; the request did not run.
+	Unreachable Kind = "unreachable"
+	// Forbidden means that the guard forbade the write; the request did not run.
+	Forbidden Kind = "forbidden"
+	// Failed means that the request may have run.
+	Failed Kind = "failed"
+)
+
+// Error is a failed try.
+type Error struct {
+	Kind    Kind
+	Address string
+	Cause   error
+}
+
+func (e *Error) Error() string {
+	return fmt.Sprintf("target %s %s: %s", e.Address, e.Kind, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+var errForbidden = errors.New("the gate may no longer write to this target")
+
+// Client calls targets.
+type Client struct {
+	// shared keeps connections open; single opens one per request, so that a request that may not be
+	// repeated is never sent again by the transport on a connection that turns out to be closed.
+	shared *http.Client
+	single *http.Client
+}
+
+// NewClient returns a client.
+func NewClient() *Client {
+	return &Client{shared: newHTTPClient(false), single: newHTTPClient(true)}
+}
+
+func newHTTPClient(single bool) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &guardedConn{Conn: conn}, nil
+		},
+		DisableKeepAlives:   single,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerTarget,
+		IdleConnTimeout:     idleTimeout,
+		ReadBufferSize:      readBufferBytes,
+	}
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.shared.CloseIdleConnections()
+	c.single.CloseIdleConnections()
+}
+
+// guardedConn asks the guard of its present request before the request's first byte.
+type guardedConn struct {
+	net.Conn
+	attempt atomic.Pointer[Attempt]
+}
+
+func (c *guardedConn) Write(p []byte) (int, error) {
+	attempt := c.attempt.Load()
+	if attempt != nil && !attempt.written.Load() {
+		if attempt.Guard != nil && !attempt.Guard() {
+			return 0, errForbidden
+		}
+		attempt.written.Store(true)
+	}
+	return c.Conn.Write(p)
+}
+
+// Do sends a request that may be repeated.
+func (c *Client) Do(ctx context.Context, address string, request Request, attempt *Attempt) (*Response, error) {
+	return send(ctx, c.shared, address, request, attempt)
+}
+
+// DoOnce sends a request that may not be repeated.
+func (c *Client) DoOnce(ctx context.Context, address string, request Request, attempt *Attempt) (*Response, error) {
+	return send(ctx, c.single, address, request, attempt)
+}
+
+func send(ctx context.Context, client *http.Client, address string, request Request, attempt *Attempt) (*Response, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*guardedConn); ok {
+				conn.attempt.Store(attempt)
+			}
+		},
+	})
+	call, err := newCall(ctx, address, request)
+	if err != nil {
+		return nil, &Error{Kind: Unreachable, Address: address, Cause: err}
+	}
+	response, err := client.Do(call)
+	if err != nil {
+		return nil, &Error{Kind: kindOf(err, attempt), Address: address, Cause: err}
+	}
+	return &Response{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        response.Body,
+	}, nil
+}
+
+func kindOf(err error, attempt *Attempt) Kind {
+	switch {
+	case attempt.Written():
+		return Failed
+	case errors.Is(err, errForbidden):
+		return Forbidden
+	}
+	return Unreachable
+}
+
+func newCall(ctx context.Context, address string, request Request) (*http.Request, error) {
+	call, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Path, bytes.NewReader(request.Body))
+	if err != nil {
+		return nil, err
+	}
+	call.Header.Set("X-Request-Id", request.ID)
+	call.Header.Set("X-Customer", request.Customer)
+	call.Header.Set("X-Priority", strconv.Itoa(request.Priority))
+	if request.Chat != "" {
+		call.Header.Set("X-Chat", request.Chat)
+	}
+	if request.ContentType != "" {
+		call.Header.Set("Content-Type", request.ContentType)
+	}
+	return call, nil
+}
