--- /dev/null
+++ b/standin/engine/http.go
@@ -0,0 +1,137 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/amaranthlb/amaranthlb/standin/backend"
+)
+
+func (e *Server) routes() {
+	backend.Register(e.echo, e.runs, e.faults)
+	e.echo.POST("/v1/chat/completions", e.complete)
+	e.echo.GET("/v1/streams/:id", e.resume)
+	e.echo.DELETE("/v1/streams/:id", e.cancelStream)
+	e.echo.GET("/v1/requests/:id", e.record)
+	e.echo.GET("/status", e.status)
+	e.echo.GET("/cache/events", e.cacheEvents)
+	e.echo.POST("/kv/export", e.exportKV)
+	e.echo.POST("/kv/import", e.importKV)
+	e.echo.POST("/orders", e.order)
+}
+
+func (e *Server) complete(c echo.Context) error {
+	body, err := io.ReadAll(c.Request().Body)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	completion, err := ParseCompletion(body)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	if !e.serves(completion.Model) {
+		return echo.NewHTTPError(http.StatusNotFound, fmt.Sprintf("model %q is not loaded", completion.Model))
+	}
+	s := e.begin(c.Request(), body, completion)
+	e.attach(s)
+	defer e.detach(s)
+	if completion.Stream {
+		return e.sendEvents(c, s, 0)
+	}
+	return e.sendWhole(c, s)
+}
+
+// begin logs and starts a generation, or crashes as the faults say.
+func (e *Server) begin(request *http.Request, body []byte, completion Completion) *stream {
+	run := backend.NewRun(request, body)
+	run.Incarnation = e.Incarnation()
+	if run.RequestID == "" {
+		run.RequestID = "local-" + strconv.FormatInt(int64(e.now()), 36)
+	}
+	s := newStream(run.RequestID, completion, backend.Priority(request), run)
+	e.records.Begin(s.id)
+	e.runs.Begin(run)
+	if e.faults.Faults().Crashes(body) {
+		e.crash()
+	}
+	e.submit(s)
+	return s
+}
+
+// sendWhole answers with one object when the generation is complete.
+func (e *Server) sendWhole(c echo.Context, s *stream) error {
+	if !e.waitEvent(c, s, len(s.words)) {
+		panic(http.ErrAbortHandler)
+	}
+	if e.faults.Faults().CutAfterEvents > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, s.whole())
+}
+
+func (e *Server) resume(c echo.Context) error {
+	from, err := strconv.Atoi(c.QueryParam("from"))
+	if err != nil || from < 0 {
+		return echo.NewHTTPError(http.StatusBadRequest, "from must be an event number")
+	}
+	e.mu.Lock()
+	s, ok := e.streams[c.Param("id")]
+	e.mu.Unlock()
+	if !ok {
+		return echo.NewHTTPError(http.StatusNotFound, "no such stream")
+	}
+	e.attach(s)
+	defer e.detach(s)
+	return e.sendEvents(c, s, from)
+}
+
+func (e *Server) cancelStream(c echo.Context) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.streams[c.Param("id")]
+	if !ok {
+		return echo.NewHTTPError(http.StatusNotFound, "no such stream")
+	}
+	e.cancel(s)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (e *Server) record(c echo.Context) error {
+	return c.JSON(http.StatusOK, e.records.Get(c.Param("id")))
+}
+
+// kvCache is the content of an export. A real engine's bytes are opaque; these name the blocks.
+type kvCache struct {
+	Model  string   `json:"model"`
+	Blocks []uint64 `json:"blocks"`
+}
+
+// exportRequest names the prefix to export.
+type exportRequest struct {
+	Chat     string    `json:"chat"`
+	Messages []Message `json:"messages"`
+}
+
+func (e *Server) exportKV(c echo.Context) error {
+	var wanted exportRequest
+	if err := json.NewDecoder(c.Request().Body).Decode(&wanted); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, mustEncode(e.cachedPrefix(wanted.Messages)))
+}
+
+func (e *Server) importKV(c echo.Context) error {
+	var imported kvCache
+	if err := json.NewDecoder(c.Request().Body).Decode(&imported); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	if !e.storeImported(imported) {
+		return echo.NewHTTPError(http.StatusConflict, "the cache is of another model")
+	}
+	return c.NoContent(http.StatusOK)
+}
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,150 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/amaranthlb/amaranthlb/standin/backend"
+)
+
+// Kinds of orders.
+const (
+	LoadModel   = "load_model"
+	LoadAdapter = "load_adapter"
+	SetVersion  = "set_version"
+	SetRole     = "set_role"
+)
+
+// Order changes what the engine has loaded, or its role.
+type Order struct {
+	Fence   uint64 `json:"fence"`
+	Kind    string `json:"kind"`
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// state is what orders change.
+type state struct {
+	fence          uint64
+	model, version string
+	adapters       []string
+	role           string
+}
+
+func initialState(config Config) state {
+	return state{
+		model: config.Model, version: config.Version, role: config.Role,
+		adapters: slices.Clone(config.Adapters),
+	}
+}
+
+// apply returns the state after an order.
+func (s state) apply(order Order) (state, error) {
+	switch order.Kind {
+	case LoadModel:
+		s.model, s.version, s.adapters = order.Model, order.Version, nil
+	case SetVersion:
+		s.version = order.Version
+	case LoadAdapter:
+		if !slices.Contains(s.adapters, order.Adapter) {
+			s.adapters = append(slices.Clone(s.adapters), order.Adapter)
+		}
+	case SetRole:
+		s.role = order.Role
+	default:
+		return s, fmt.Errorf("kind: %q is not an order", order.Kind)
+	}
+	return s, nil
+}
+
+// needsWeights reports whether the change from s to next reads the weight store.
+func (s state) needsWeights(next state) bool {
+	return s.model != next.model || s.version != next.version || len(s.adapters) < len(next.adapters)
+}
+
+// serves reports whether the engine has loaded the model, or an adapter of that name.
+func (e *Server) serves(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.model == "" || e.state.model == model || slices.Contains(e.state.adapters, model)
+}
+
+func (e *Server) order(c echo.Context) error {
+	var order Order
+	decoder := json.NewDecoder(c.Request().Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&order); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	fence, accepted := e.fence(order.Fence)
+	if !accepted {
+		return c.JSON(http.StatusConflict, map[string]uint64{"fence": fence})
+	}
+	return e.execute(c, order)
+}
+
+// fence raises the fencing number, or refuses a lower one when the engine checks it.
+func (e *Server) fence(wanted uint64) (uint64, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.config.ChecksFencing {
+		return e.state.fence, true
+	}
+	if wanted < e.state.fence {
+		return e.state.fence, false
+	}
+	e.state.fence = wanted
+	return wanted, true
+}
+
+// execute loads what the order needs. An order with a higher number that arrives meanwhile wins.
+func (e *Server) execute(c echo.Context, order Order) error {
+	e.orderMu.Lock()
+	defer e.orderMu.Unlock()
+	current := e.currentState()
+	next, err := current.apply(order)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	e.load(c, order, current.needsWeights(next))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state.fence > order.Fence && e.config.ChecksFencing {
+		return c.JSON(http.StatusConflict, map[string]uint64{"fence": e.state.fence})
+	}
+	next.fence = e.state.fence
+	if e.state.model != next.model || e.state.version != next.version {
+		e.model.Cache().Clear()
+	}
+	e.state = next
+	return c.JSON(http.StatusOK, map[string]uint64{"fence": next.fence})
+}
+
+func (e *Server) currentState() state {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state
+}
+
+// load logs the order and takes the time to read the weights.
+func (e *Server) load(c echo.Context, order Order, reads bool) {
+	run := backend.NewRun(c.Request(), mustEncode(order))
+	run.Kind = "order"
+	run.Body = string(mustEncode(order))
+	run.Incarnation = e.Incarnation()
+	e.runs.Begin(run)
+	if reads {
+		backend.Sleep(c.Request().Context(), e.config.LoadTime)
+	}
+	e.runs.End(run, backend.Done, func() {
+		if reads {
+			run.WeightReads = 1
+		}
+	})
+}
--- /dev/null
+++ b/standin/engine/status.go
@@ -0,0 +1,101 @@
+package engine
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/amaranthlb/amaranthlb/standin/backend"
+	"github.com/amaranthlb/amaranthlb/standin/batch"
+)
+
+// Status is the engine's report of itself. The load figures are those of AgeMS ago.
+type Status struct {
+	Load        int      `json:"load"`
+	Running     int      `json:"running"`
+	Waiting     int      `json:"waiting"`
+	AgeMS       int64    `json:"age_ms"`
+	Fence       uint64   `json:"fence"`
+	Model       string   `json:"model"`
+	Version     string   `json:"version"`
+	Adapters    []string `json:"adapters"`
+	Role        string   `json:"role"`
+	Incarnation uint64   `json:"incarnation"`
+}
+
+func (e *Server) status(c echo.Context) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sample := e.history.Reported(time.Now())
+	return c.JSON(http.StatusOK, Status{
+		Load:        sample.Running + sample.Waiting,
+		Running:     sample.Running,
+		Waiting:     sample.Waiting,
+		AgeMS:       e.config.StatusAge.Milliseconds(),
+		Fence:       e.state.fence,
+		Model:       e.state.model,
+		Version:     e.state.version,
+		Adapters:    append([]string{}, e.state.adapters...),
+		Role:        e.state.role,
+		Incarnation: e.incarnation,
+	})
+}
+
+func (e *Server) cacheEvents(c echo.Context) error {
+	after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	wait, err := strconv.ParseFloat(c.QueryParam("wait"), 64)
+	if err != nil {
+		wait = 0
+	}
+	deadline := time.Now().Add(time.Duration(wait * float64(time.Second)))
+	for {
+		found := e.currentEvents().after(after)
+		if len(found) > 0 {
+			after = found[len(found)-1].Sequence
+		}
+		if len(found) > 0 || time.Now().After(deadline) {
+			return c.JSON(http.StatusOK, map[string]any{"events": found, "next": after})
+		}
+		if !backend.Sleep(c.Request().Context(), eventPoll) {
+			return nil
+		}
+	}
+}
+
+func (e *Server) currentEvents() *events {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.events
+}
+
+// cachedPrefix returns the cached blocks of messages.
+func (e *Server) cachedPrefix(messages []Message) kvCache {
+	blocks := batch.Blocks(Tokens(messages))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	exported := kvCache{Model: e.state.model + "@" + e.state.version}
+	for _, block := range blocks[:e.model.Cache().Prefix(blocks)] {
+		exported.Blocks = append(exported.Blocks, uint64(block))
+	}
+	return exported
+}
+
+// storeImported caches imported blocks unless they are of another model.
+func (e *Server) storeImported(imported kvCache) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if imported.Model != e.state.model+"@"+e.state.version {
+		return false
+	}
+	blocks := make([]batch.Block, len(imported.Blocks))
+	for i, block := range imported.Blocks {
+		blocks[i] = batch.Block(block)
+	}
+	e.model.Cache().Store(blocks)
+	return true
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,187 @@
+// Package service is a stand-in for a plain service whose calls may not be repeatable.
+package service
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/amaranthlb/amaranthlb/standin/backend"
+)
+
+// Config holds the properties of a service.
+type Config struct {
+	// RunTime is the time that each call takes.
+	RunTime time.Duration
+	// StatusAge is the lag of the load figures.
+	StatusAge time.Duration
+	// LogFile gets a line for each start and end of a run; it may be nil.
+	LogFile io.Writer
+	// Exit ends the process on a crash. Without it a crash closes all connections and restarts in place.
+	Exit func()
+}
+
+// Default holds the figures of a quick service.
+func Default() Config {
+	return Config{RunTime: 20 * time.Millisecond, StatusAge: 200 * time.Millisecond}
+}
+
+// Answer is the answer to each call.
+type Answer struct {
+	RequestID string `json:"request_id"`
+	// Number counts the runs of this service, from 1.
+	Number   int    `json:"number"`
+	Method   string `json:"method"`
+	Path     string `json:"path"`
+	BodyHash string `json:"body_hash"`
+}
+
+// Status is the service's report of itself. The load figures are those of AgeMS ago.
+type Status struct {
+	Load        int    `json:"load"`
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+	AgeMS       int64  `json:"age_ms"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Server is one service. It is an http.Handler and can also listen by itself.
+type Server struct {
+	*backend.Listener
+	config  Config
+	echo    *echo.Echo
+	runs    *backend.Runs
+	faults  *backend.Switch
+	records *backend.Records
+
+	mu          sync.Mutex
+	incarnation uint64
+	number      int
+	running     int
+	history     backend.History
+}
+
+// New returns a service.
+func New(config Config) *Server {
+	s := &Server{
+		config:  config,
+		echo:    echo.New(),
+		runs:    backend.NewRuns(config.LogFile),
+		faults:  backend.NewSwitch(),
+		records: backend.NewRecords(),
+	}
+	s.Listener = backend.NewListener(s)
+	s.reset()
+	backend.Register(s.echo, s.runs, s.faults)
+	s.echo.GET("/v1/requests/:id", s.record)
+	s.echo.GET("/status", s.status)
+	s.echo.Any("/*", s.call)
+	return s
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	s.echo.ServeHTTP(w, request)
+}
+
+// Runs returns the log of all runs.
+func (s *Server) Runs() *backend.Runs { return s.runs }
+
+// Faults returns the switchable faults.
+func (s *Server) Faults() *backend.Switch { return s.faults }
+
+func (s *Server) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.incarnation = rand.Uint64()
+	s.running = 0
+	s.history = backend.History{Age: s.config.StatusAge}
+	s.records.Clear()
+}
+
+// call runs one call. A call that has started runs to its end even when the caller goes away.
+func (s *Server) call(c echo.Context) error {
+	body, err := io.ReadAll(c.Request().Body)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	run := backend.NewRun(c.Request(), body)
+	run.Body = string(body)
+	answer := s.begin(run)
+	if s.faults.Faults().Crashes(body) {
+		s.crash()
+	}
+	time.Sleep(s.config.RunTime)
+	return s.answer(c, run, answer)
+}
+
+// begin logs a run and gives it a number.
+func (s *Server) begin(run *backend.Run) Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.number++
+	run.Incarnation = s.incarnation
+	s.records.Begin(run.RequestID)
+	s.runs.Begin(run)
+	s.changeLoad(1)
+	return Answer{
+		RequestID: run.RequestID, Number: s.number, Method: run.Method, Path: run.Path, BodyHash: run.BodyHash,
+	}
+}
+
+// answer ends a run unless the service crashed meanwhile.
+func (s *Server) answer(c echo.Context, run *backend.Run, answer Answer) error {
+	if !s.end(run, answer) || s.faults.Faults().CutAfterEvents > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	if !s.faults.WaitThawed(c.Request().Context()) {
+		return nil
+	}
+	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, answer.encode())
+}
+
+func (s *Server) end(run *backend.Run, answer Answer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if run.Incarnation != s.incarnation {
+		return false
+	}
+	s.changeLoad(-1)
+	s.records.End(run.RequestID, http.StatusOK, string(answer.encode()))
+	s.runs.End(run, backend.Done, nil)
+	return true
+}
+
+func (s *Server) changeLoad(delta int) {
+	s.running += delta
+	s.history.Add(time.Now(), s.running, 0)
+}
+
+// crash ends the process, or all connections when the service runs in a test's process.
+func (s *Server) crash() {
+	s.runs.EndAll(backend.Crashed)
+	if s.config.Exit != nil {
+		s.config.Exit()
+	}
+	s.reset()
+	go func() { _ = s.Restart() }()
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) record(c echo.Context) error {
+	return c.JSON(http.StatusOK, s.records.Get(c.Param("id")))
+}
+
+func (s *Server) status(c echo.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sample := s.history.Reported(time.Now())
+	return c.JSON(http.StatusOK, Status{
+		Load: sample.Running, Running: sample.Running,
+		AgeMS: s.config.StatusAge.Milliseconds(), Incarnation: s.incarnation,
+	})
+}
