--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(GO) build -o bin/ ./cmd/... ./standin/cmd/...
 
 demo: build
-	./scripts/demo.sh
+	bin/amaranth-replay demo
 
 test: format lint unit
 
--- /dev/null
+++ b/standin/fleet/spec.go
@@ -0,0 +1,140 @@
+// Package fleet starts a whole system on loopback as separate processes: platform, targets, gates and entries.
+//
+// It serves the demo, the replay tool and the process tests. It only starts and signals processes and writes their
+// settings; every decision is the daemons' own.
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+)
+
+// Names of the pools in the fleet's catalogue.
+const (
+	ModelPool   = "assistant"
+	ServicePool = "orders"
+)
+
+// Spec says what to start.
+type Spec struct {
+	// Zones of the fleet; each belongs to the region of the same position, or to "r1".
+	Zones   []string
+	Regions []string
+	// GatesPerZone and EntriesPerZone are the daemons in each zone.
+	GatesPerZone   int
+	EntriesPerZone int
+	// Engines and Services are spread over the zones in turn.
+	Engines  int
+	Services int
+	// EngineFlags and ServiceFlags are passed to the stand-ins.
+	EngineFlags  []string
+	ServiceFlags []string
+	// PlatformFlags are passed to the platform's stand-in.
+	PlatformFlags []string
+	Customers     []catalogue.Customer
+	// Model and Service are the templates of the pools.
+	Model   catalogue.Pool
+	Service catalogue.Pool
+	// Timing lines are added to the settings, such as "suspicion: 2s".
+	Timing []string
+	// ThroughLinks puts a stand-in link before each gate, so that tests can cut and delay it.
+	ThroughLinks bool
+	// LinkFlags are passed to the link's stand-in.
+	LinkFlags []string
+}
+
+// Default returns a fleet of two zones with streaming engines and an order service.
+func Default() Spec {
+	return Spec{
+		Zones:          []string{"a", "b"},
+		GatesPerZone:   2,
+		EntriesPerZone: 1,
+		Engines:        4,
+		Services:       2,
+		Customers:      []catalogue.Customer{Customer("rose", 1), Customer("press", 1)},
+		Model: catalogue.Pool{
+			Name: ModelPool, Owner: "demo", Kind: catalogue.Model, Version: "v1", LoadMultiple: 1.5,
+			MaxInFlight: 32, Resumable: true, FateQuery: true, KVTransfer: true, ChecksFencing: true,
+			Deadline: catalogue.Duration(30 * time.Second),
+		},
+		Service: catalogue.Pool{
+			Name: ServicePool, Owner: "demo", Kind: catalogue.Service, LoadMultiple: 2, MaxInFlight: 32,
+			Deadline:      catalogue.Duration(10 * time.Second),
+			NonRepeatable: []catalogue.Call{{Method: "POST", Path: "/submit"}},
+		},
+	}
+}
+
+// Customer returns a customer whose API key is Key(name).
+func Customer(name string, weight float64) catalogue.Customer {
+	sum := sha256.Sum256([]byte(Key(name)))
+	return catalogue.Customer{
+		Name:       name,
+		Owner:      "demo",
+		Class:      catalogue.Standard,
+		KeyDigests: []string{hex.EncodeToString(sum[:])},
+		Weight:     weight,
+	}
+}
+
+// Key returns the API key of a customer of the fleet.
+func Key(customer string) string { return "key-of-" + customer }
+
+func (s Spec) region(zone int) string {
+	if zone < len(s.Regions) {
+		return s.Regions[zone]
+	}
+	return "r1"
+}
+
+// node is one process that the fleet starts.
+type node struct {
+	name    string
+	role    string
+	zone    int
+	address string
+	// admin is the address of metrics and health checks of a daemon.
+	admin string
+	// linked is the address that others use when the node is behind a link.
+	linked string
+}
+
+// public returns the address that other processes use.
+func (n *node) public() string {
+	if n.linked != "" {
+		return n.linked
+	}
+	return n.address
+}
+
+// Roles of processes.
+const (
+	roleEntry   = "entry"
+	roleGate    = "gate"
+	roleTarget  = "target"
+	roleEngine  = "engine"
+	roleService = "service"
+)
+
+func (s Spec) nodes() []*node {
+	var nodes []*node
+	for zone, name := range s.Zones {
+		for i := range s.GatesPerZone {
+			nodes = append(nodes, &node{name: fmt.Sprintf("gate-%s%d", name, i+1), role: roleGate, zone: zone})
+		}
+		for i := range s.EntriesPerZone {
+			nodes = append(nodes, &node{name: fmt.Sprintf("entry-%s%d", name, i+1), role: roleEntry, zone: zone})
+		}
+	}
+	for i := range s.Engines {
+		nodes = append(nodes, &node{name: fmt.Sprintf("engine-%02d", i+1), role: roleEngine, zone: i % len(s.Zones)})
+	}
+	for i := range s.Services {
+		nodes = append(nodes, &node{name: fmt.Sprintf("service-%02d", i+1), role: roleService, zone: i % len(s.Zones)})
+	}
+	return nodes
+}
