Add the retry policy and its budget

Cause: the entry needs one place that says which refusals may be tried again, where, and after what delay, without amplifying an overload.

Ruled out: a budget of a fifth plus three per second, which adds both shares on a busy entry; the minimum now applies only to a second in which the ratio has no room. Retries of customer limits at another gate, which would use up that gate's share.

Change: a table by reason (other target, other gate, anywhere, never), a window of ten one-second buckets, and full jitter backoff only where waiting helps. A retry after over_limit with a named next target does not wait.

Conclusion: retries are bounded by the budget whatever the reason.

--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,106 @@
+// Package retry decides whether the entry may try a refused request again, where, and after what delay.
+//
+// A retry needs a reason whose policy permits it, a request that did not run (or that is repeatable and of whose
+// answer no byte reached the caller), time before the deadline, and room in the retry budget. The budget keeps
+// retries to a fifth of the requests, so an overload that refuses everything isn't amplified. Gates never retry.
+package retry
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+)
+
+// Limits of one request.
+const (
+	// MaxRetries bounds the retries of one request, so that a single request can't use up the budget.
+	MaxRetries = 4
+	baseDelay  = 25 * time.Millisecond
+	maxDelay   = time.Second
+)
+
+// Try describes a refused try.
+type Try struct {
+	// Attempt is the number of tries made so far; 1 after the first.
+	Attempt int
+	// Reason is why the try was refused.
+	Reason reason.Reason
+	// Ran says whether the request may have run.
+	Ran reason.Ran
+	// Repeatable says that running the request twice does no harm.
+	Repeatable bool
+	// BytesSent counts the bytes of the answer that the caller has got.
+	BytesSent int64
+	// HasNext says that the refusal named another target.
+	HasNext bool
+	// Deadline is the end of the request, as time since process start.
+	Deadline time.Duration
+}
+
+// Permit says how to try again, or why not.
+type Permit struct {
+	// Delay is the time to wait before the retry.
+	Delay time.Duration
+	// Scope is where the retry may go.
+	Scope Scope
+	// Denied is the reason to give the caller when the retry isn't allowed: that of the try, RetryBudget, or
+	// DeadlineExceeded. Ran of the refused try still applies.
+	Denied reason.Reason
+}
+
+// Retrier holds the retry budget of one entry. It is not safe for concurrent use.
+type Retrier struct {
+	budget budget
+	rng    *rand.Rand
+}
+
+// New returns a Retrier that draws its delays from rng.
+func New(rng *rand.Rand) *Retrier {
+	return &Retrier{rng: rng}
+}
+
+// Request counts the first try of a request; retries are a share of these.
+func (r *Retrier) Request(now time.Duration) {
+	r.budget.addRequest(now)
+}
+
+// Allow decides on a retry and, when it allows one, takes it from the budget.
+func (r *Retrier) Allow(now time.Duration, try Try) (Permit, bool) {
+	scope := ScopeOf(try.Reason)
+	if scope == Never || try.Attempt > MaxRetries || !safe(try) {
+		return denied(try.Reason)
+	}
+	delay := r.delay(try)
+	if now+delay >= try.Deadline {
+		return denied(reason.DeadlineExceeded)
+	}
+	if !r.budget.available(now) {
+		return denied(reason.RetryBudget)
+	}
+	r.budget.addRetry()
+	return Permit{Delay: delay, Scope: scope}, true
+}
+
+func denied(r reason.Reason) (Permit, bool) {
+	return Permit{Scope: Never, Denied: r}, false
+}
+
+// safe reports whether another run can't do harm: nothing of the answer has reached the caller, and the request
+// did not run or may run twice.
+func safe(try Try) bool {
+	if try.BytesSent > 0 {
+		return false
+	}
+	return try.Ran == reason.No || try.Repeatable
+}
+
+// delay returns an exponential backoff with full jitter where waiting helps, else 0. Full jitter spreads the
+// callers that one event refused at the same instant.
+func (r *Retrier) delay(try Try) time.Duration {
+	if !needsDelay(try.Reason, try.HasNext) {
+		return 0
+	}
+	ceiling := baseDelay << min(max(try.Attempt-1, 0), 10)
+	return time.Duration(r.rng.Int63n(int64(min(ceiling, maxDelay)) + 1))
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,144 @@
+package retry
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+)
+
+func newRetrier(seed int64) *Retrier {
+	return New(rand.New(rand.NewSource(seed)))
+}
+
+// Guards against a retry that runs a request twice, mixes two answers, or can't succeed.
+func TestAllowByReason(t *testing.T) {
+	const deadline = time.Minute
+	cases := []struct {
+		name   string
+		try    Try
+		scope  Scope
+		denied reason.Reason
+	}{
+		{"over limit goes to the next target", Try{Reason: reason.OverLimit, Ran: reason.No, HasNext: true}, OtherTarget, ""},
+		{"wrong owner goes to another gate", Try{Reason: reason.NotOwner, Ran: reason.No}, OtherGate, ""},
+		{"empty pool waits for the view", Try{Reason: reason.NoTarget, Ran: reason.No}, Anywhere, ""},
+		{"repeatable that may have run", Try{Reason: reason.TargetFailed, Ran: reason.Unknown, Repeatable: true}, OtherTarget, ""},
+		{"non-repeatable that did not run", Try{Reason: reason.TargetUnreachable, Ran: reason.No}, OtherTarget, ""},
+		{"non-repeatable that may have run", Try{Reason: reason.TargetFailed, Ran: reason.Unknown}, Never, reason.TargetFailed},
+		{"part of the answer was sent", Try{Reason: reason.GateFailed, Ran: reason.Unknown, Repeatable: true, BytesSent: 1}, Never, reason.GateFailed},
+		{"customer limit is the caller's affair", Try{Reason: reason.CustomerRate, Ran: reason.No}, Never, reason.CustomerRate},
+		{"third target for a crash suspect", Try{Reason: reason.CrashSuspect, Ran: reason.No, Repeatable: true}, Never, reason.CrashSuspect},
+		{"sealed ticket", Try{Reason: reason.TicketSealed, Ran: reason.No}, Never, reason.TicketSealed},
+		{"too many tries", Try{Reason: reason.OverLimit, Ran: reason.No, Attempt: MaxRetries + 1}, Never, reason.OverLimit},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.try.Deadline = deadline
+			c.try.Attempt = max(c.try.Attempt, 1)
+			permit, ok := newRetrier(1).Allow(0, c.try)
+			if ok != (c.denied == "") || permit.Scope != c.scope || permit.Denied != c.denied {
+				t.Fatalf("got %+v, %v; want scope %s, denied %q", permit, ok, c.scope, c.denied)
+			}
+		})
+	}
+}
+
+// Guards against a wait where another target is ready, and against retries in step where waiting helps.
+func TestDelay(t *testing.T) {
+	r := newRetrier(1)
+	next := Try{Attempt: 1, Reason: reason.OverLimit, Ran: reason.No, HasNext: true, Deadline: time.Minute}
+	if permit, ok := r.Allow(0, next); !ok || permit.Delay != 0 {
+		t.Fatalf("over_limit with a next target: %+v, %v", permit, ok)
+	}
+	now := time.Duration(0)
+	for attempt := 1; attempt <= MaxRetries; attempt++ {
+		seen := make(map[time.Duration]bool)
+		ceiling := min(baseDelay<<(attempt-1), maxDelay)
+		for range 20 {
+			now += time.Second
+			try := Try{Attempt: attempt, Reason: reason.QueueFull, Ran: reason.No, Deadline: time.Hour}
+			permit, ok := r.Allow(now, try)
+			if !ok || permit.Delay > ceiling {
+				t.Fatalf("attempt %d: %+v, %v; ceiling %v", attempt, permit, ok, ceiling)
+			}
+			seen[permit.Delay] = true
+		}
+		if len(seen) < 15 {
+			t.Fatalf("attempt %d: only %d distinct delays of 20", attempt, len(seen))
+		}
+	}
+	late := Try{Attempt: 1, Reason: reason.OverLimit, Ran: reason.No, HasNext: true, Deadline: now}
+	if permit, ok := r.Allow(now, late); ok || permit.Denied != reason.DeadlineExceeded {
+		t.Fatalf("at the deadline: %+v, %v", permit, ok)
+	}
+}
+
+// Guards against amplified overload: with every target refusing, tries stay within 120% of the requests. The slack
+// is the minimum of the present second, which the ratio does not cover until more requests have come.
+func TestBudgetBoundsTriesUnderTotalRefusal(t *testing.T) {
+	for seed := range int64(5) {
+		rng := rand.New(rand.NewSource(seed))
+		r := newRetrier(seed)
+		requests, tries := 0, 0
+		now := time.Duration(0)
+		for now < time.Minute {
+			now += time.Duration(rng.Intn(10_000)) * time.Microsecond
+			requests++
+			tries++
+			r.Request(now)
+			try := Try{Attempt: 1, Reason: reason.OverLimit, Ran: reason.No, HasNext: true, Deadline: time.Hour}
+			for {
+				if _, ok := r.Allow(now, try); !ok {
+					break
+				}
+				tries++
+				try.Attempt++
+			}
+		}
+		if bound := float64(requests)*(1+budgetRatio) + minimumPerSec; float64(tries) > bound {
+			t.Fatalf("seed %d: %d tries of %d requests", seed, tries, requests)
+		}
+	}
+}
+
+// Guards against a quiet entry that may never retry, and against a budget that a pause refills beyond its size.
+func TestBudgetMinimumAndWindow(t *testing.T) {
+	r := newRetrier(1)
+	try := Try{Attempt: 1, Reason: reason.OverLimit, Ran: reason.No, HasNext: true, Deadline: time.Hour}
+	allowed := func(now time.Duration) int {
+		count := 0
+		for range 100 {
+			if _, ok := r.Allow(now, try); ok {
+				count++
+			}
+		}
+		return count
+	}
+	for _, second := range []time.Duration{0, 1, 2, 100} {
+		if got := allowed(second * time.Second); got != minimumPerSec {
+			t.Fatalf("second %d without requests: %d retries", second, got)
+		}
+	}
+	for range 100 {
+		r.Request(200 * time.Second)
+	}
+	if got := allowed(200 * time.Second); got != 20 {
+		t.Fatalf("100 requests: %d retries, want 20", got)
+	}
+	if got := allowed(211 * time.Second); got != minimumPerSec {
+		t.Fatalf("after the window: %d retries, want %d", got, minimumPerSec)
+	}
+}
+
+func BenchmarkAllow(b *testing.B) {
+	r := newRetrier(1)
+	try := Try{Attempt: 1, Reason: reason.QueueFull, Ran: reason.No, Deadline: time.Hour}
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Duration(i) * time.Microsecond
+		r.Request(now)
+		r.Allow(now, try)
+	}
+}
