Add the guard against requests that crash targets

Cause: a request that crashes each target that runs it must not take down more than two of them, and requests that happened to run beside it must not be refused for it.

Ruled out: exchanging plain counts, because relays and a second observer would count one crash twice; letting a merge extend the expiry, because the transit time of each relay round would keep a charge alive; letting a completion clear a digest with two crashes.

A suspect runs only where no other suspect runs and while no other copy of it runs at this gate.

Copies that start at several gates before the news of a crash has arrived can still lose more.

--- /dev/null
+++ b/internal/crashguard/running.go
@@ -0,0 +1,81 @@
+package crashguard
+
+import "time"
+
+// Started records that a request runs at a target.
+func (g *Guard) Started(digest Digest, target string) {
+	running := g.running[target]
+	if running == nil {
+		running = make(map[Digest]int)
+		g.running[target] = running
+	}
+	running[digest]++
+}
+
+// Ended records that a request no longer runs at a target. Call Completed too when it ran to its end.
+func (g *Guard) Ended(digest Digest, target string) {
+	running := g.running[target]
+	switch {
+	case running[digest] > 1:
+		running[digest]--
+	case len(running) > 1:
+		delete(running, digest)
+	case running[digest] == 1:
+		delete(g.running, target)
+	}
+}
+
+// MayRun reports whether the digest may start at the target now. A suspect may start only where no other suspect
+// runs, and not while another copy of it runs at this gate: two copies could take down two more targets.
+func (g *Guard) MayRun(now time.Duration, digest Digest, target string) bool {
+	switch g.Verdict(now, digest) {
+	case Refused:
+		return false
+	case Clean:
+		return true
+	}
+	return !g.runs(digest) && !g.suspectRuns(now, target)
+}
+
+// Prefer returns the candidate at which a suspect puts the fewest other requests at risk, and false when none may
+// run it. Ties go to the earlier candidate.
+func (g *Guard) Prefer(now time.Duration, digest Digest, candidates []string) (string, bool) {
+	best, fewest, found := "", 0, false
+	for _, target := range candidates {
+		if !g.MayRun(now, digest, target) {
+			continue
+		}
+		count := g.runningAt(target)
+		if !found || count < fewest {
+			best, fewest, found = target, count, true
+		}
+	}
+	return best, found
+}
+
+// runs reports whether a copy of the request runs at any target of this gate.
+func (g *Guard) runs(digest Digest) bool {
+	for _, running := range g.running {
+		if running[digest] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Guard) suspectRuns(now time.Duration, target string) bool {
+	for digest := range g.running[target] {
+		if g.count(now, digest) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Guard) runningAt(target string) int {
+	count := 0
+	for _, copies := range g.running[target] {
+		count += copies
+	}
+	return count
+}
