Add admission: load limits, fair queues, customer limits and handover counts

Cause: the owner gate of a target needs one place that decides whether a request starts, waits or is refused.

Ruled out: - Counting taken-over requests in the load of the pool: both gates' digests would count them and raise the limit. They count against their target only. - A deadline check against the mean service time: it refuses short requests at targets that mostly get long ones, and without decay it would refuse for ever. The check uses the mean less two deviations, and the estimate decays. - Strict class priority, which starves batch; a class is passed over for at most 8 starts and keeps an eighth of the queue. - Forgetting a customer's account when its queue runs empty: it would then always go first. - Shares computed from use alone: gates with different knowledge would exceed a limit without bound. A gate enlarges its share only into what the last known shares leave free, with news of all others under 2 s old, and by one step per 2 s; the steps of all gates add up to the tolerance.

A request whose target is full is refused with the next targets if a candidate has room, and waits otherwise.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,521 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+)
+
+var testPool = Pool{
+	Name: "p", LoadMultiple: 1.25, MaxInFlight: 8, QueueLength: 16, QueueWait: 2 * time.Second, Targets: 4,
+}
+
+// newController returns a gate that owns the named targets of testPool, changed by adjust.
+func newController(adjust func(*Pool), targets ...string) *Controller {
+	settings := testPool
+	if adjust != nil {
+		adjust(&settings)
+	}
+	c := New("g")
+	c.SetPools([]Pool{settings})
+	for _, name := range targets {
+		c.SetTarget(name, "z", "p")
+		c.SetCap(0, name, Full(), nil)
+	}
+	return c
+}
+
+// single makes the target's limit its MaxInFlight, whatever the load.
+func single(maxInFlight int) func(*Pool) {
+	return func(p *Pool) {
+		p.LoadMultiple, p.MaxInFlight, p.Targets = 1e6, maxInFlight, 1
+	}
+}
+
+func submit(c *Controller, now time.Duration, req Request) Decision {
+	d, _ := c.Submit(now, &req, nil)
+	return d
+}
+
+// Guards against a limit that rounding, a stale digest, an old relay or an uncounted target makes too high.
+func TestLimit(t *testing.T) {
+	cases := []struct {
+		name     string
+		multiple float64
+		targets  int
+		digests  []PoolDigest
+		want     int
+	}{
+		{"empty pool admits one", 1.25, 4, nil, 1},
+		{"sum over gates and zones", 1.25, 4, []PoolDigest{{Zone: "a", Gate: "x", Load: 5}, {Zone: "b", Gate: "x", Load: 6}}, 4},
+		{"rounding error does not raise it", 1.1, 11, []PoolDigest{{Gate: "x", Load: 49}}, 5},
+		{"never over max_in_flight", 1.25, 4, []PoolDigest{{Gate: "x", Load: 1000}}, 8},
+		{"stale digest counts no load but its targets", 1.25, 1, []PoolDigest{{Gate: "x", Load: 20, Targets: 9, Age: 3 * time.Second}}, 1},
+		{"targets that the view lacks count", 1.25, 2, []PoolDigest{{Gate: "x", Load: 15, Targets: 9}}, 2},
+		{"older relay does not replace", 1.25, 4, []PoolDigest{{Gate: "x", Load: 3}, {Gate: "x", Load: 20, Age: time.Second}}, 2},
+		{"echo of own digest is ignored", 1.25, 4, []PoolDigest{{Gate: "g", Load: 20}}, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController(func(p *Pool) { p.LoadMultiple, p.Targets = tc.multiple, tc.targets }, "a")
+			for _, d := range tc.digests {
+				d.Pool = "p"
+				c.SetPoolDigest(time.Minute, d)
+			}
+			if got, _ := c.Limit(time.Minute, "a"); got != tc.want {
+				t.Fatalf("limit %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a digest that keeps its load after it has become stale without further news.
+func TestLimitFallsWhenDigestBecomesStale(t *testing.T) {
+	c := newController(nil, "a")
+	c.SetPoolDigest(0, PoolDigest{Pool: "p", Gate: "x", Load: 15, Targets: 3})
+	before, _ := c.Limit(StaleAfter-1, "a")
+	after, _ := c.Limit(StaleAfter, "a")
+	if before != 5 || after != 1 {
+		t.Fatalf("limit %d before and %d after, want 5 and 1", before, after)
+	}
+}
+
+// Guards against admission beyond the permission of ownership, and against a wrong reason for the refusal.
+func TestCap(t *testing.T) {
+	cases := []struct {
+		name   string
+		cap    Cap
+		admits int
+		reason reason.Reason
+	}{
+		{"full", Full(), 7, reason.QueueFull},
+		{"not owner", None(""), 0, reason.NotOwner},
+		{"lease lost", None(reason.LeaseLost), 0, reason.LeaseLost},
+		{"reduced number", Cap{Max: 2}, 2, reason.QueueFull},
+		{"contested takes half, rounded down", Cap{Max: Unlimited, Halved: true}, 3, reason.QueueFull},
+		{"probation leaves room for the predecessor", Cap{Max: Unlimited, Halved: true, External: 4}, 1, reason.QueueFull},
+		{"external load over the limit", Cap{Max: Unlimited, Halved: true, External: 9}, 0, reason.QueueFull},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController(func(p *Pool) { single(7)(p); p.QueueLength = 0 }, "a")
+			c.SetCap(0, "a", tc.cap, nil)
+			admitted := 0
+			var d Decision
+			for d = submit(c, 0, Request{Target: "a"}); d.Verdict == Start; d = submit(c, 0, Request{Target: "a"}) {
+				admitted++
+			}
+			if admitted != tc.admits || d.Reason != tc.reason || d.RetryAfter <= 0 {
+				t.Fatalf("admitted %d, then %+v; want %d, %s", admitted, d, tc.admits, tc.reason)
+			}
+		})
+	}
+}
+
+// Guards against waiting requests that hang, or run without permission, when the gate loses the target.
+func TestLosingTheTargetRefusesWaiting(t *testing.T) {
+	losses := map[string]func(*Controller, []Outcome) []Outcome{
+		"cap":  func(c *Controller, out []Outcome) []Outcome { return c.SetCap(1, "a", None(reason.LeaseLost), out) },
+		"drop": func(c *Controller, out []Outcome) []Outcome { return c.DropTarget(1, "a", reason.LeaseLost, out) },
+	}
+	for name, lose := range losses {
+		c := newController(single(1), "a")
+		running := submit(c, 0, Request{Target: "a"})
+		waiting := submit(c, 0, Request{Target: "a"})
+		out := lose(c, nil)
+		if len(out) != 1 || out[0].ID != waiting.ID || out[0].Started || out[0].Reason != reason.LeaseLost {
+			t.Fatalf("%s: outcomes %+v", name, out)
+		}
+		if out = c.Release(2, running.ID, true, nil); len(out) != 0 {
+			t.Fatalf("%s: outcomes %+v after the release", name, out)
+		}
+	}
+}
+
+// Guards against a refusal that sends the caller to a full or more loaded target, and against a wait while others
+// have room.
+func TestNextCandidates(t *testing.T) {
+	c := newController(func(p *Pool) { p.Targets = 2 }, "a", "b")
+	submit(c, 0, Request{Target: "a"})
+	for name, load := range map[string]int{"full": 8, "busy": 1, "idle": 0} {
+		c.SetTargetLoad(0, name, load, 0)
+	}
+	submit(c, 0, Request{Target: "a"})
+	for submit(c, 0, Request{Target: "a"}).Verdict == Start {
+	}
+	d := submit(c, 0, Request{Target: "a", Candidates: []string{"a", "full", "unknown", "busy", "b", "idle"}})
+	if want := []string{"b", "idle", "busy"}; d.Reason != reason.OverLimit || !slices.Equal(d.Next(), want) {
+		t.Fatalf("%s with %v, want %v", d.Reason, d.Next(), want)
+	}
+	if d = submit(c, 0, Request{Target: "a", Candidates: []string{"full"}}); d.Verdict != Wait {
+		t.Fatalf("no candidate has room: %+v", d)
+	}
+}
+
+// Guards against a request that waits although it can't meet its deadline, and against an estimate that refuses
+// short requests, or refuses for ever.
+func TestDeadline(t *testing.T) {
+	train := func(samples ...time.Duration) (*Controller, time.Duration) {
+		c := newController(single(1), "a")
+		now := time.Duration(0)
+		for range 20 {
+			for _, sample := range samples {
+				d := submit(c, now, Request{Target: "a"})
+				now += sample
+				c.Release(now, d.ID, true, nil)
+			}
+		}
+		return c, now
+	}
+	c, now := train(time.Second)
+	submit(c, now, Request{Target: "a"})
+	if d := submit(c, now, Request{Target: "a", Deadline: now + 1500*time.Millisecond}); d.Reason != reason.DeadlineExceeded || d.RetryAfter < 900*time.Millisecond {
+		t.Fatalf("one ahead, 1.5 s left, 1 s each: %+v", d)
+	}
+	if d := submit(c, now, Request{Target: "a", Deadline: now + 2500*time.Millisecond}); d.Verdict != Wait {
+		t.Fatalf("one ahead, 2.5 s left, 1 s each: %+v", d)
+	}
+	c, now = train(time.Second)
+	short := Request{Target: "a", Deadline: now + 800*time.Millisecond}
+	if d := submit(c, now, short); d.Reason != reason.DeadlineExceeded {
+		t.Fatalf("idle target that takes 1 s, 0.8 s left: %+v", d)
+	}
+	later := now + 2*minServiceHalf
+	if d := submit(c, later, Request{Target: "a", Deadline: later + 800*time.Millisecond}); d.Verdict != Start {
+		t.Fatalf("the estimate has not decayed: %+v", d)
+	}
+	c, now = train(100*time.Millisecond, 3*time.Second)
+	if d := submit(c, now, Request{Target: "a", Deadline: now + 500*time.Millisecond}); d.Verdict != Start {
+		t.Fatalf("short request among long ones: %+v", d)
+	}
+}
+
+// Guards against waits beyond the bound and against a wrong reason for their end.
+func TestWaitIsBounded(t *testing.T) {
+	c := newController(single(1), "a")
+	submit(c, 0, Request{Target: "a"})
+	slow := submit(c, 0, Request{Target: "a"})
+	hasty := submit(c, 0, Request{Target: "a", Deadline: time.Second})
+	out := c.Tick(time.Second, nil)
+	if len(out) != 1 || out[0].ID != hasty.ID || out[0].Reason != reason.DeadlineExceeded {
+		t.Fatalf("after 1 s: %+v", out)
+	}
+	if out = c.Tick(2*time.Second-1, nil); len(out) != 0 {
+		t.Fatalf("before 2 s: %+v", out)
+	}
+	out = c.Tick(2*time.Second, nil)
+	if len(out) != 1 || out[0].ID != slow.ID || out[0].Reason != reason.QueueTimeout {
+		t.Fatalf("after 2 s: %+v", out)
+	}
+}
+
+// Guards against a surging customer or class that fills the queue and keeps the others out, and against a newcomer
+// that displaces those who hold no more than it.
+func TestFullQueueMakesRoomForOthers(t *testing.T) {
+	customers := []Customer{{Name: "s", Weight: 1}, {Name: "c", Weight: 1}, {Name: "d", Weight: 1}}
+	for i := range testPool.QueueLength {
+		customers = append(customers, Customer{Name: fmt.Sprint(i), Weight: 1})
+	}
+	many := func(class catalogue.Class) []Request {
+		var requests []Request
+		for _, customer := range customers[3:] {
+			requests = append(requests, Request{Customer: customer.Name, Class: class})
+		}
+		return requests
+	}
+	cases := []struct {
+		name     string
+		fill     []Request
+		arrival  Request
+		admitted bool
+	}{
+		{"other customer displaces the surging one", []Request{{Customer: "s"}}, Request{Customer: "c"}, true},
+		{"surging customer gets no more", []Request{{Customer: "s"}}, Request{Customer: "s"}, false},
+		{"equal holders stay", []Request{{Customer: "s"}, {Customer: "c"}}, Request{Customer: "c"}, false},
+		{"less urgent class keeps its reserve", []Request{{Customer: "s", Class: catalogue.Interactive}, {Customer: "d", Class: catalogue.Interactive}}, Request{Customer: "c", Class: catalogue.Batch}, true},
+		{"reserve holds against many customers", many(catalogue.Interactive), Request{Customer: "c", Class: catalogue.Batch}, true},
+		{"reserve is not displaced", append(many(catalogue.Interactive)[:14], many(catalogue.Batch)[:2]...), Request{Customer: "c", Class: catalogue.Interactive}, false},
+		{"more urgent class displaces", []Request{{Customer: "s", Class: catalogue.Batch}, {Customer: "d", Class: catalogue.Batch}}, Request{Customer: "c", Class: catalogue.Interactive}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController(single(1), "a")
+			c.SetCustomers(customers)
+			submit(c, 0, Request{Target: "a", Customer: "s"})
+			for i := range testPool.QueueLength {
+				req := tc.fill[i%len(tc.fill)]
+				req.Target = "a"
+				submit(c, 0, req)
+			}
+			tc.arrival.Target = "a"
+			d, out := c.Submit(0, &tc.arrival, nil)
+			if (d.Verdict == Wait) != tc.admitted || (len(out) == 1) != tc.admitted {
+				t.Fatalf("%+v with outcomes %+v", d, out)
+			}
+			if waiting := c.Snapshot(0).Waiting; waiting != testPool.QueueLength {
+				t.Fatalf("%d requests wait", waiting)
+			}
+		})
+	}
+}
+
+// Guards against a customer that exceeds its rate or concurrency, and against a Retry-After that is too early.
+func TestCustomerLimits(t *testing.T) {
+	c := newController(single(100), "a")
+	c.SetCustomers([]Customer{{Name: "rate", RequestsPerSecond: 10}, {Name: "conc", Concurrent: 3}})
+	now := time.Duration(0)
+	started := 0
+	for ; now < 10*time.Second; now += 10 * time.Millisecond {
+		d := submit(c, now, Request{Target: "a", Customer: "rate"})
+		if d.Verdict == Start {
+			started++
+			c.Release(now, d.ID, true, nil)
+			continue
+		}
+		if d.Reason != reason.CustomerRate || d.RetryAfter < minRetryAfter {
+			t.Fatalf("%+v", d)
+		}
+	}
+	if started < 98 || started > 111 {
+		t.Fatalf("%d requests in 10 s at 10 requests/s with a burst of 10", started)
+	}
+	for range 3 {
+		submit(c, now, Request{Target: "a", Customer: "conc"})
+	}
+	if d := submit(c, now, Request{Target: "a", Customer: "conc"}); d.Reason != reason.CustomerConcurrency {
+		t.Fatalf("fourth of three concurrent requests: %+v", d)
+	}
+}
+
+// Guards against counts of a previous owner that are lost, doubled by late reports, or never end.
+func TestTakeOver(t *testing.T) {
+	c := newController(single(5), "a")
+	count := func(n int) []CustomerCount { return []CustomerCount{{"x", n, time.Minute}} }
+	reports := []struct {
+		name string
+		now  time.Duration
+		h    Handover
+		want int
+	}{
+		{"first", 0, Handover{"a", "g1", 1, count(4)}, 4},
+		{"repeated", 1, Handover{"a", "g1", 1, count(4)}, 4},
+		{"progress", 2, Handover{"a", "g1", 1, count(1)}, 1},
+		{"late report", 3, Handover{"a", "g1", 1, count(3)}, 1},
+		{"second predecessor", 4, Handover{"a", "g2", 1, count(2)}, 3},
+		{"new handover from the first", 5, Handover{"a", "g1", 2, count(3)}, 5},
+		{"late report of the old handover", 6, Handover{"a", "g1", 1, nil}, 5},
+		{"done", 7, Handover{"a", "g1", 2, nil}, 2},
+		{"late report after done", 8, Handover{"a", "g1", 2, count(3)}, 2},
+		{"deadline", time.Minute, Handover{"a", "g1", 2, count(3)}, 0},
+	}
+	for _, r := range reports {
+		c.TakeOver(r.now, r.h, nil)
+		if got := c.Snapshot(r.now).Targets[0]; got.InFlight != r.want || got.TakenOver != r.want {
+			t.Fatalf("%s: %+v, want %d", r.name, got, r.want)
+		}
+	}
+	submit(c, 0, Request{Target: "a", Customer: "x", Deadline: time.Hour})
+	c.TakeOver(0, Handover{"a", "g3", 1, []CustomerCount{{"x", 1, time.Minute}, {"", 2, time.Minute}}}, nil)
+	want := []CustomerCount{{"", 3, time.Hour}, {"x", 1, time.Minute}}
+	if got := c.InFlight("a"); !slices.Equal(got, want) {
+		t.Fatalf("in flight %+v, want %+v", got, want)
+	}
+}
+
+// Guards against less urgent classes that starve, and against an urgent class that doesn't go first.
+func TestClasses(t *testing.T) {
+	c := newController(func(p *Pool) { single(1)(p); p.QueueLength = 300 }, "a")
+	running := submit(c, 0, Request{Target: "a"}).ID
+	class := make(map[ID]catalogue.Class)
+	for _, cl := range []catalogue.Class{catalogue.Batch, catalogue.Standard, catalogue.Interactive} {
+		for range 100 {
+			class[submit(c, 0, Request{Target: "a", Class: cl}).ID] = cl
+		}
+	}
+	starts := make(map[catalogue.Class]int)
+	for range 100 {
+		out := c.Release(1, running, true, nil)
+		running = out[0].ID
+		starts[class[running]]++
+	}
+	if starts[catalogue.Interactive] < 75 || starts[catalogue.Standard] < 8 || starts[catalogue.Batch] < 8 {
+		t.Fatalf("starts by class: %v", starts)
+	}
+}
+
+// Guards against a surging customer that takes more than its share of a contended target: over a busy period each
+// customer with enough demand starts within 5% of its weight's part.
+func TestFairShareUnderSurge(t *testing.T) {
+	weights := map[string]float64{"surge": 1, "a": 1, "b": 2, "c": 1}
+	demand := map[string]int{"surge": 60, "a": 3, "b": 5, "c": 3}
+	for seed := range int64(10) {
+		rng := rand.New(rand.NewSource(seed))
+		c := newController(func(p *Pool) { single(8)(p); p.QueueLength = 32 }, "t")
+		var customers []Customer
+		for _, name := range []string{"surge", "a", "b", "c"} {
+			customers = append(customers, Customer{Name: name, Weight: weights[name]})
+		}
+		c.SetCustomers(customers)
+		owner := make(map[ID]string)
+		starts := make(map[string]int)
+		var running []ID
+		for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+			var out []Outcome
+			for _, customer := range customers {
+				if rng.Intn(10) >= demand[customer.Name] {
+					continue
+				}
+				var d Decision
+				d, out = c.Submit(now, &Request{Target: "t", Customer: customer.Name}, out)
+				owner[d.ID] = customer.Name
+				if d.Verdict == Start {
+					running = append(running, d.ID)
+				}
+			}
+			if len(running) > 0 && rng.Intn(3) == 0 {
+				i := rng.Intn(len(running))
+				out = c.Release(now, running[i], true, out)
+				running = slices.Delete(running, i, i+1)
+			}
+			for _, o := range c.Tick(now, out) {
+				if o.Started {
+					running = append(running, o.ID)
+					starts[owner[o.ID]]++
+				}
+			}
+		}
+		total := starts["surge"] + starts["a"] + starts["b"] + starts["c"]
+		for name, weight := range weights {
+			part := float64(starts[name]) / float64(total)
+			if math.Abs(part-weight/5) > 0.05*weight/5 {
+				t.Fatalf("seed %d: %s got %.3f of the starts, want %.3f (%v)", seed, name, part, weight/5, starts)
+			}
+		}
+	}
+}
+
+// Guards against a customer that always goes first because its account is reset whenever its queue runs empty while
+// that of another never does.
+func TestEmptyQueueKeepsItsAccount(t *testing.T) {
+	c := newController(func(p *Pool) { single(1)(p); p.QueueLength = 300 }, "a")
+	c.SetCustomers([]Customer{{Name: "long", Weight: 1}, {Name: "short", Weight: 1}})
+	running := submit(c, 0, Request{Target: "a"}).ID
+	owner := make(map[ID]string)
+	for range 200 {
+		owner[submit(c, 0, Request{Target: "a", Customer: "long"}).ID] = "long"
+	}
+	starts := make(map[string]int)
+	waits := false
+	for step := range 100 {
+		if !waits {
+			owner[submit(c, 0, Request{Target: "a", Customer: "short"}).ID] = "short"
+			waits = true
+		}
+		running = c.Release(0, running, true, nil)[0].ID
+		starts[owner[running]]++
+		waits = waits && owner[running] != "short"
+		c.SetCustomers([]Customer{{Name: "long", Weight: 1}, {Name: "short", Weight: 1}, {Name: fmt.Sprint(step), Weight: 1}})
+		passing := submit(c, 0, Request{Target: "a", Customer: fmt.Sprint(step)})
+		c.Release(0, passing.ID, false, nil)
+	}
+	if starts["long"] < 45 || starts["short"] < 45 {
+		t.Fatalf("starts of equal customers: %v", starts)
+	}
+}
+
+func benchmarkController(targets int) (*Controller, []string) {
+	names := make([]string, targets)
+	for i := range names {
+		names[i] = fmt.Sprint("t", i)
+	}
+	c := newController(func(p *Pool) { p.Targets, p.MaxInFlight, p.QueueLength = 600, 64, 64 }, names...)
+	var customers []Customer
+	for i := range 350 {
+		customers = append(customers, Customer{Name: fmt.Sprint("c", i), Weight: 1, RequestsPerSecond: 1e9, Concurrent: 1e6})
+	}
+	c.SetCustomers(customers)
+	for i := range 160 {
+		c.SetPoolDigest(0, PoolDigest{Pool: "p", Zone: "z", Gate: fmt.Sprint("g", i), Load: 30, Targets: 4})
+	}
+	return c, names
+}
+
+func BenchmarkStartAndRelease(b *testing.B) {
+	c, names := benchmarkController(4)
+	req := Request{Target: names[0], Customer: "c7", Deadline: time.Hour}
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Duration(i)
+		d, _ := c.Submit(now, &req, nil)
+		c.Release(now, d.ID, true, nil)
+	}
+}
+
+func BenchmarkQueueOf64(b *testing.B) {
+	c, names := benchmarkController(1)
+	c.SetCap(0, names[0], Cap{Max: 1}, nil)
+	requests := make([]Request, 350)
+	for i := range requests {
+		requests[i] = Request{Target: names[0], Customer: fmt.Sprint("c", i), Deadline: time.Hour}
+	}
+	running, _ := c.Submit(0, &requests[0], nil)
+	id := running.ID
+	for i := range 63 {
+		c.Submit(0, &requests[i], nil)
+	}
+	out := make([]Outcome, 0, 8)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now := time.Duration(i)
+		_, out = c.Submit(now, &requests[i%350], out[:0])
+		out = c.Release(now, id, true, out[:0])
+		id = out[0].ID
+	}
+}
+
+func BenchmarkOverLimitWith16Candidates(b *testing.B) {
+	c, names := benchmarkController(4)
+	c.SetCap(0, names[0], Cap{Max: 1}, nil)
+	req := Request{Target: names[0]}
+	for i := range 16 {
+		name := fmt.Sprint("other", i)
+		c.SetTargetLoad(0, name, i%5, 0)
+		req.Candidates = append(req.Candidates, name)
+	}
+	c.Submit(0, &req, nil)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if d, _ := c.Submit(0, &req, nil); d.nextCount != MaxNext {
+			b.Fatalf("%+v", d)
+		}
+	}
+}
+
+func BenchmarkTickWith350CustomersAnd165Gates(b *testing.B) {
+	c, _ := benchmarkController(4)
+	var gates []string
+	for i := range 164 {
+		gates = append(gates, fmt.Sprintf("g%d", i))
+	}
+	c.SetGates(0, gates)
+	for _, gate := range gates {
+		for i := range 350 {
+			share := Share{Demand: 1, Fraction: 1.0 / 165, Known: true}
+			c.SetUse(0, Use{Customer: fmt.Sprint("c", i), Gate: gate, Rate: share, InFlight: share})
+		}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		c.sharesAt = -time.Hour
+		c.Tick(time.Duration(i), nil)
+	}
+}
--- /dev/null
+++ b/internal/admission/controller.go
@@ -0,0 +1,226 @@
+package admission
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+)
+
+const (
+	// maxGates bounds the gates whose use is kept per customer.
+	maxGates = 1024
+	// maxTargetLoads bounds the loads of other gates' targets.
+	maxTargetLoads = 8192
+)
+
+// targetLoad is the last known load of another gate's target.
+type targetLoad struct {
+	load     int
+	measured time.Duration
+}
+
+// Controller admits requests to the targets of one gate. It is not safe for concurrent use.
+type Controller struct {
+	gate      string
+	pools     map[string]*pool
+	targets   map[string]*target
+	order     []*target // sorted by name, so that runs with equal input are equal
+	customers map[string]*customer
+	// unknown counts requests of customers that this gate's catalogue lacks so far.
+	unknown *customer
+	view    gateView
+	loads   map[string]targetLoad
+	table   table
+
+	sharesAt time.Duration
+	scratch  []int32
+}
+
+// New returns a Controller for the gate with the name.
+func New(gate string) *Controller {
+	return &Controller{
+		gate:      gate,
+		pools:     make(map[string]*pool),
+		targets:   make(map[string]*target),
+		customers: make(map[string]*customer),
+		unknown:   &customer{settings: Customer{Weight: 1}},
+		view:      gateView{left: make(map[string]time.Duration)},
+		loads:     make(map[string]targetLoad),
+		table:     newTable(),
+	}
+}
+
+// SetPools replaces the settings of all pools. A pool that is gone is kept while a target of it is.
+func (c *Controller) SetPools(pools []Pool) {
+	named := make(map[string]bool, len(pools))
+	for _, settings := range pools {
+		named[settings.Name] = true
+		if p, ok := c.pools[settings.Name]; ok {
+			p.settings = settings
+			continue
+		}
+		c.pools[settings.Name] = newPool(settings)
+	}
+	for name, p := range c.pools {
+		if !named[name] && !slices.ContainsFunc(c.order, func(t *target) bool { return t.pool == p }) {
+			delete(c.pools, name)
+		}
+	}
+}
+
+// SetCustomers replaces the settings of all customers. At a start, call SetGates and SetUse before the first Submit
+// or Tick, which set the first shares.
+func (c *Controller) SetCustomers(customers []Customer) {
+	previous := c.customers
+	c.customers = make(map[string]*customer, len(customers))
+	for _, settings := range customers {
+		known, ok := previous[settings.Name]
+		if !ok {
+			known = &customer{tokens: 1}
+		}
+		known.settings = settings
+		c.customers[settings.Name] = known
+	}
+}
+
+// SetGates replaces the names of the other gates. It must name each gate whose process may be running, whether or
+// not it can be heard: the share of a gate that it no longer names is divided among the others after 10 s.
+func (c *Controller) SetGates(now time.Duration, gates []string) {
+	var live []string
+	for _, gate := range gates {
+		if gate != c.gate && len(live) < maxGates {
+			live = append(live, gate)
+		}
+	}
+	slices.Sort(live)
+	c.view.set(now, slices.Compact(live))
+}
+
+// SetUse takes over the use of a customer at another gate.
+func (c *Controller) SetUse(now time.Duration, use Use) {
+	known, ok := c.customers[use.Customer]
+	if !ok || use.Gate == c.gate {
+		return
+	}
+	known.peers = setPeer(known.peers, peerUse{
+		gate:     use.Gate,
+		measured: now - use.Age,
+		shares:   [resources]Share{rateLimit: use.Rate, concurrencyLimit: use.InFlight},
+		expected: c.view.expects(use.Gate),
+	})
+}
+
+// SetPoolDigest takes over the load of a pool at another gate. Figures of this gate's own are ignored: it knows
+// them exactly.
+func (c *Controller) SetPoolDigest(now time.Duration, d PoolDigest) {
+	if p, ok := c.pools[d.Pool]; ok && d.Gate != c.gate {
+		p.setDigest(now, d)
+	}
+}
+
+// ForgetGate drops the digests of a gate whose targets have other owners now.
+func (c *Controller) ForgetGate(gate string) {
+	for _, p := range c.pools {
+		p.forgetGate(gate)
+	}
+}
+
+// SetTargetLoad takes over the load of another gate's target, for the order of Decision.Next.
+func (c *Controller) SetTargetLoad(now time.Duration, target string, load int, age time.Duration) {
+	known, ok := c.loads[target]
+	if !ok && len(c.loads) >= maxTargetLoads {
+		return
+	}
+	if !ok || known.measured < now-age {
+		c.loads[target] = targetLoad{load, now - age}
+	}
+}
+
+// SetTarget makes the gate an owner of the target, without permission to admit until SetCap. It reports whether the
+// pool is known.
+func (c *Controller) SetTarget(name, zone, poolName string) bool {
+	p, ok := c.pools[poolName]
+	if !ok {
+		return false
+	}
+	t, ok := c.targets[name]
+	if !ok {
+		t = &target{name: name, lost: true, pool: p}
+		c.targets[name] = t
+		c.order = append(c.order, t)
+		slices.SortFunc(c.order, func(a, b *target) int { return strings.Compare(a.name, b.name) })
+	}
+	t.attach(p)
+	t.zone = zone
+	if t.lost {
+		t.lost = false
+		t.cap = None(reason.NotOwner)
+		p.owned++
+	}
+	return true
+}
+
+// SetCap sets the permission for a target. It refuses the waiting requests of a target that gets no new work, and
+// starts those that a raised cap permits.
+func (c *Controller) SetCap(now time.Duration, name string, limit Cap, out []Outcome) []Outcome {
+	t, ok := c.targets[name]
+	if !ok || t.lost {
+		return out
+	}
+	t.cap = limit
+	if limit.Max == 0 {
+		return c.refuseAll(now, t, limit.reason(), out)
+	}
+	return c.dispatch(now, t, out)
+}
+
+// DropTarget ends ownership of a target and refuses its waiting requests. Those in flight still count in the load of
+// the pool, unless the reason is reason.TargetLeaving: then the target has left the pool.
+func (c *Controller) DropTarget(now time.Duration, name string, r reason.Reason, out []Outcome) []Outcome {
+	t, ok := c.targets[name]
+	if !ok || t.lost {
+		return out
+	}
+	out = c.refuseAll(now, t, r, out)
+	t.lost = true
+	t.takenOver = takenOver{}
+	t.pool.owned--
+	if r == reason.TargetLeaving {
+		t.detach()
+	}
+	c.forgetIdle(t)
+	return out
+}
+
+// forgetIdle drops a lost target once nothing of it is in flight.
+func (c *Controller) forgetIdle(t *target) {
+	if !t.lost || t.running > 0 {
+		return
+	}
+	delete(c.targets, t.name)
+	c.order = slices.DeleteFunc(c.order, func(other *target) bool { return other == t })
+}
+
+// TakeOver counts the requests that a previous owner has in flight at a target of this gate. Each further report of
+// the same handover lowers the counts.
+func (c *Controller) TakeOver(now time.Duration, h Handover, out []Outcome) []Outcome {
+	t, ok := c.targets[h.Target]
+	if !ok || t.lost {
+		return out
+	}
+	t.takenOver.merge(h)
+	t.takenOver.expire(now)
+	return c.dispatch(now, t, out)
+}
+
+// customer returns the record of a customer.
+func (c *Controller) customer(now time.Duration, name string) *customer {
+	known, ok := c.customers[name]
+	if !ok {
+		return c.unknown
+	}
+	known.startShares(now, &c.view)
+	return known
+}
--- /dev/null
+++ b/internal/admission/pool.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// maxDigests bounds the digests of one pool.
+const maxDigests = 4096
+
+// limitEpsilon keeps rounding errors of the product from raising the limit by one.
+const limitEpsilon = 1e-9
+
+// digestKey names the origin of a digest.
+type digestKey struct{ gate, zone string }
+
+// digest is the last known load of one origin.
+type digest struct {
+	load     int
+	targets  int
+	measured time.Duration
+}
+
+// pool holds the load of a pool. The sums of the digests are kept until one of them expires, because Submit needs
+// the limit for each request.
+type pool struct {
+	settings Pool
+	digests  map[digestKey]digest
+
+	running int // requests in flight that this gate admitted
+	owned   int // targets that this gate owns
+
+	remoteLoad    int
+	remoteTargets int
+	sumsValid     bool
+	sumsUntil     time.Duration
+}
+
+func newPool(settings Pool) *pool {
+	return &pool{settings: settings, digests: make(map[digestKey]digest)}
+}
+
+// setDigest keeps the most recently measured figures, whichever way they came.
+func (p *pool) setDigest(now time.Duration, d PoolDigest) {
+	key := digestKey{d.Gate, d.Zone}
+	measured := now - d.Age
+	known, ok := p.digests[key]
+	if ok && known.measured >= measured {
+		return
+	}
+	if !ok && len(p.digests) >= maxDigests {
+		return
+	}
+	p.digests[key] = digest{max(d.Load, 0), max(d.Targets, 0), measured}
+	p.sumsValid = false
+}
+
+func (p *pool) forgetGate(gate string) {
+	for key := range p.digests {
+		if key.gate == gate {
+			delete(p.digests, key)
+		}
+	}
+	p.sumsValid = false
+}
+
+// refresh sums the digests. A stale one counts as zero load while its targets still count.
+func (p *pool) refresh(now time.Duration) {
+	if p.sumsValid && now < p.sumsUntil {
+		return
+	}
+	p.remoteLoad, p.remoteTargets = 0, 0
+	p.sumsUntil = math.MaxInt64
+	for _, d := range p.digests {
+		p.remoteTargets += d.targets
+		stale := d.measured + StaleAfter
+		if now < stale {
+			p.remoteLoad += d.load
+			p.sumsUntil = min(p.sumsUntil, stale)
+		}
+	}
+	p.sumsValid = true
+}
+
+// limit returns the load limit of each target of the pool. The count of targets is the greater of the view's and the
+// digests', so that disagreement makes the limit too low rather than too high.
+func (p *pool) limit(now time.Duration) int {
+	p.refresh(now)
+	targets := max(p.settings.Targets, p.owned+p.remoteTargets, 1)
+	sum := p.running + p.remoteLoad
+	mean := p.settings.LoadMultiple * float64(sum+1) / float64(targets)
+	return min(p.settings.MaxInFlight, int(math.Ceil(mean-limitEpsilon)))
+}
--- /dev/null
+++ b/internal/admission/submit.go
@@ -0,0 +1,295 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+)
+
+// maxCandidates bounds the candidates that a refusal looks at, so that its cost doesn't grow with the pool.
+const maxCandidates = 16
+
+// Submit decides on a request. It appends the outcomes of other requests that it starts or refuses on the way.
+//
+// A request whose target is full is refused with the next targets if one of its candidates has room, as far as is
+// known; otherwise it waits.
+func (c *Controller) Submit(now time.Duration, req *Request, out []Outcome) (Decision, []Outcome) {
+	t, ok := c.targets[req.Target]
+	if !ok || t.lost {
+		return refuse(reason.NotOwner, 0), out
+	}
+	if t.cap.Max == 0 {
+		return c.refuseWithNext(now, t, req, t.cap.reason()), out
+	}
+	customer := c.customer(now, req.Customer)
+	if r, wait := customer.check(now); r != "" {
+		if r == reason.CustomerConcurrency {
+			wait = t.service.mean(now) / time.Duration(customer.held+1)
+		}
+		return refuse(r, wait), out
+	}
+	if missesDeadline(now, req.Deadline, t.service.least(now)) {
+		return refuse(reason.DeadlineExceeded, 0), out
+	}
+	out = c.dispatch(now, t, out)
+	if t.queue.length == 0 && t.hasRoom(now) {
+		customer.hold()
+		return Decision{Verdict: Start, ID: c.start(now, t, customer, req)}, out
+	}
+	return c.wait(now, t, customer, req, out)
+}
+
+func refuse(r reason.Reason, wait time.Duration) Decision {
+	return Decision{Reason: r, RetryAfter: retryAfter(wait)}
+}
+
+func missesDeadline(now, deadline, needed time.Duration) bool {
+	return deadline != 0 && now+needed >= deadline
+}
+
+// start counts a new request as in flight.
+func (c *Controller) start(now time.Duration, t *target, customer *customer, req *Request) ID {
+	i := c.table.alloc()
+	r := &c.table.records[i]
+	r.target, r.customer, r.deadline = t, customer, req.Deadline
+	c.run(now, i)
+	return c.table.id(i)
+}
+
+// run moves a record to running.
+func (c *Controller) run(now time.Duration, i int32) {
+	r := &c.table.records[i]
+	r.state = running
+	r.since = now
+	r.target.addRunning(1)
+}
+
+// wait queues a request, or refuses it when it should go elsewhere or can't be served in time.
+func (c *Controller) wait(now time.Duration, t *target, customer *customer, req *Request, out []Outcome) (Decision, []Outcome) {
+	_, full := t.bound(now)
+	if len(req.Candidates) > 0 {
+		d := c.refuseWithNext(now, t, req, full)
+		if d.nextCount > 0 {
+			return d, out
+		}
+	}
+	class := uint8(req.Class.Priority())
+	wait := t.waitBehind(now, t.queue.ahead(class, customer))
+	if missesDeadline(now, req.Deadline, wait+t.service.least(now)) {
+		return refuse(reason.DeadlineExceeded, wait), out
+	}
+	if t.queue.length >= t.pool.settings.QueueLength {
+		victim := none
+		if t.queue.length > 0 {
+			victim = t.queue.victim(class, customer, t.pool.settings.QueueLength)
+		}
+		if victim == none {
+			return refuse(reason.QueueFull, wait), out
+		}
+		out = c.refuseWaiting(now, victim, reason.QueueFull, out)
+	}
+	customer.hold()
+	return Decision{Verdict: Wait, ID: c.enqueue(now, t, customer, req)}, out
+}
+
+func (c *Controller) enqueue(now time.Duration, t *target, customer *customer, req *Request) ID {
+	i := c.table.alloc()
+	r := &c.table.records[i]
+	r.state = waiting
+	r.class = uint8(req.Class.Priority())
+	r.target, r.customer, r.deadline = t, customer, req.Deadline
+	r.since = now
+	r.expires = now + t.pool.settings.QueueWait
+	if req.Deadline != 0 {
+		r.expires = min(r.expires, req.Deadline-t.service.least(now))
+	}
+	t.queue.push(&c.table, i)
+	return c.table.id(i)
+}
+
+// refuseWithNext refuses a request and names the least loaded of the candidates that seem to have room.
+func (c *Controller) refuseWithNext(now time.Duration, t *target, req *Request, r reason.Reason) Decision {
+	d := refuse(r, t.waitBehind(now, t.queue.length))
+	limit := t.pool.limit(now)
+	var loads [MaxNext]int
+	for _, name := range req.Candidates[:min(len(req.Candidates), maxCandidates)] {
+		if name == t.name {
+			continue
+		}
+		load, room := c.loadOf(now, name, limit)
+		if room {
+			d.insertNext(&loads, name, load)
+		}
+	}
+	return d
+}
+
+// insertNext keeps the candidates sorted by load; equal ones stay in the caller's order.
+func (d *Decision) insertNext(loads *[MaxNext]int, name string, load int) {
+	i := d.nextCount
+	for i > 0 && loads[i-1] > load {
+		i--
+	}
+	if i == MaxNext {
+		return
+	}
+	copy(d.next[i+1:], d.next[i:])
+	copy(loads[i+1:], loads[i:])
+	d.next[i], loads[i] = name, load
+	d.nextCount = min(d.nextCount+1, MaxNext)
+}
+
+// loadOf returns the last known load of a target and whether it seems to have room. A target of which nothing recent
+// is known may have room, but comes after the others.
+func (c *Controller) loadOf(now time.Duration, name string, limit int) (int, bool) {
+	if t, ok := c.targets[name]; ok && !t.lost {
+		return t.inFlight(), t.queue.length == 0 && t.hasRoom(now)
+	}
+	known, ok := c.loads[name]
+	if !ok || now-known.measured >= StaleAfter {
+		return math.MaxInt, true
+	}
+	return known.load, known.load < limit
+}
+
+// Release ends a request, whether it runs or waits. Completed says that the target answered it wholly, so that its
+// service time is a sample. Waiting requests that can start now are appended. A Release that comes twice has no effect.
+func (c *Controller) Release(now time.Duration, id ID, completed bool, out []Outcome) []Outcome {
+	i, ok := c.table.find(id)
+	if !ok {
+		return out
+	}
+	r := &c.table.records[i]
+	t := r.target
+	r.customer.drop()
+	if r.state == waiting {
+		t.queue.remove(&c.table, i)
+		c.table.release(i)
+		return out
+	}
+	if completed {
+		t.service.add(now, now-r.since)
+	}
+	t.addRunning(-1)
+	c.table.release(i)
+	c.forgetIdle(t)
+	return c.dispatch(now, t, out)
+}
+
+// dispatch refuses waiting requests that have expired and starts others while the target has room.
+func (c *Controller) dispatch(now time.Duration, t *target, out []Outcome) []Outcome {
+	if t.queue.length == 0 {
+		return out
+	}
+	out = c.expire(now, t, out)
+	for t.queue.length > 0 && t.hasRoom(now) {
+		i := t.queue.pop(&c.table)
+		waited := now - c.table.records[i].since
+		c.run(now, i)
+		out = append(out, Outcome{ID: c.table.id(i), Started: true, Waited: waited})
+	}
+	return out
+}
+
+// expire refuses the waiting requests of a target whose time is over.
+func (c *Controller) expire(now time.Duration, t *target, out []Outcome) []Outcome {
+	if t.queue.length == 0 || now < t.queue.expires {
+		return out
+	}
+	earliest := time.Duration(math.MaxInt64)
+	c.collect(t, func(r *record) bool {
+		if r.expires > now {
+			earliest = min(earliest, r.expires)
+			return false
+		}
+		return true
+	})
+	for _, i := range c.scratch {
+		out = c.refuseWaiting(now, i, c.table.records[i].expiryReason(), out)
+	}
+	t.queue.expires = earliest
+	return out
+}
+
+// expiryReason tells a request that waited for the longest permitted time from one that can't meet its deadline.
+func (r *record) expiryReason() reason.Reason {
+	if r.expires < r.since+r.target.pool.settings.QueueWait {
+		return reason.DeadlineExceeded
+	}
+	return reason.QueueTimeout
+}
+
+// collect fills the scratch list with the waiting records that match.
+func (c *Controller) collect(t *target, match func(*record) bool) {
+	c.scratch = c.scratch[:0]
+	for class := range t.queue.classes {
+		for _, f := range t.queue.classes[class].flows {
+			if f.length == 0 {
+				continue
+			}
+			for i := f.head; i != none; i = c.table.records[i].next {
+				if match(&c.table.records[i]) {
+					c.scratch = append(c.scratch, i)
+				}
+			}
+		}
+	}
+}
+
+func (c *Controller) refuseAll(now time.Duration, t *target, r reason.Reason, out []Outcome) []Outcome {
+	c.collect(t, func(*record) bool { return true })
+	for _, i := range c.scratch {
+		out = c.refuseWaiting(now, i, r, out)
+	}
+	return out
+}
+
+// refuseWaiting ends the wait of one request.
+func (c *Controller) refuseWaiting(now time.Duration, i int32, why reason.Reason, out []Outcome) []Outcome {
+	r := &c.table.records[i]
+	t := r.target
+	outcome := Outcome{
+		ID:         c.table.id(i),
+		Reason:     why,
+		RetryAfter: retryAfter(t.waitBehind(now, t.queue.length)),
+		Waited:     now - r.since,
+	}
+	t.queue.remove(&c.table, i)
+	r.customer.drop()
+	c.table.release(i)
+	return append(out, outcome)
+}
+
+// Tick does what time requires: it refuses requests that have waited too long, ends counts that were taken over,
+// moves the customers' shares, and starts requests whose target's limit has risen with the load of its pool. Call it
+// at least every 100 ms; no request waits longer than its bound plus that interval.
+func (c *Controller) Tick(now time.Duration, out []Outcome) []Outcome {
+	for _, t := range c.order {
+		if len(t.takenOver.batches) > 0 {
+			t.takenOver.expire(now)
+		}
+		out = c.dispatch(now, t, out)
+	}
+	if elapsed := now - c.sharesAt; elapsed >= shareInterval {
+		c.sharesAt = now
+		c.updateShares(now, min(elapsed, demandTime))
+		c.forgetLoads(now)
+	}
+	return out
+}
+
+func (c *Controller) updateShares(now, elapsed time.Duration) {
+	c.view.forget(now)
+	for _, customer := range c.customers {
+		customer.updateShares(now, elapsed, &c.view)
+	}
+}
+
+func (c *Controller) forgetLoads(now time.Duration) {
+	for name, load := range c.loads {
+		if now-load.measured >= StaleAfter {
+			delete(c.loads, name)
+		}
+	}
+}
