Test customers' shares under disagreement

Cause: the promise that the shares of all gates stay within 10%, or one request per gate, needs a run with delay, loss, cuts, views that lack a gate for 5 s, and gates that join.

Change: a simulation of 2 to 12 gates for 30 seeds of 5 minutes each, and tests for the first share, simultaneous enlargement, use that moves, a cut, and a gate that leaves.

A share moves from an even quarter to over 75% of the limit within a minute; a gate that joins starts with one step.

--- /dev/null
+++ b/internal/admission/share_test.go
@@ -0,0 +1,300 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+)
+
+// gossip is one use on its way between two gates.
+type gossip struct {
+	to      int
+	use     Use
+	sent    time.Duration
+	arrives time.Duration
+}
+
+// fleetSim runs the Controllers of a fleet under delay, loss, cuts and flapping views.
+type fleetSim struct {
+	rng       *rand.Rand
+	now       time.Duration
+	gates     []*Controller
+	names     []string
+	demand    []float64 // submitted per tick
+	side      []int     // gates on different sides of a cut don't hear each other
+	hidden    []int     // gate that the view of this one lacks for a moment, or -1
+	hideUntil time.Duration
+	queue     []gossip
+	loss      float64
+	minDelay  time.Duration
+	maxDelay  time.Duration
+	limits    Customer
+	running   [][]ID
+}
+
+const simTick = 100 * time.Millisecond
+
+func newFleetSim(seed int64, gates int, limits Customer) *fleetSim {
+	s := &fleetSim{rng: rand.New(rand.NewSource(seed)), limits: limits, maxDelay: simTick}
+	for range gates {
+		s.join()
+	}
+	s.setViews()
+	return s
+}
+
+// join adds a gate and, if there is gossip, lets it hear each of the others before it is ready.
+func (s *fleetSim) join() {
+	name := fmt.Sprint("g", len(s.gates))
+	c := New(name)
+	c.SetCustomers([]Customer{s.limits})
+	c.SetPools([]Pool{{Name: "p", LoadMultiple: 1e6, MaxInFlight: 1e6, Targets: 1}})
+	c.SetTarget("t-"+name, "z", "p")
+	c.SetCap(s.now, "t-"+name, Full(), nil)
+	if s.now > 0 {
+		for _, other := range s.gates {
+			for _, use := range other.Uses() {
+				c.SetUse(s.now, use)
+			}
+		}
+	}
+	s.gates = append(s.gates, c)
+	s.names = append(s.names, name)
+	s.demand = append(s.demand, 1)
+	s.side = append(s.side, 0)
+	s.hidden = append(s.hidden, -1)
+	s.running = append(s.running, nil)
+}
+
+func (s *fleetSim) setViews() {
+	for i, c := range s.gates {
+		view := slices.Clone(s.names)
+		if s.hidden[i] >= 0 {
+			view = slices.Delete(view, s.hidden[i], s.hidden[i]+1)
+		}
+		c.SetGates(s.now, view)
+	}
+}
+
+// tick advances the fleet by one tick: requests, gossip, shares.
+func (s *fleetSim) tick() {
+	s.now += simTick
+	s.deliver()
+	for i, c := range s.gates {
+		s.load(i, c)
+		c.Tick(s.now, nil)
+	}
+	if s.now%shareInterval == 0 {
+		s.send()
+	}
+}
+
+func (s *fleetSim) load(i int, c *Controller) {
+	for len(s.running[i]) > 0 && s.rng.Intn(5) == 0 {
+		c.Release(s.now, s.running[i][0], true, nil)
+		s.running[i] = s.running[i][1:]
+	}
+	for n := s.demand[i]; n > s.rng.Float64(); n-- {
+		d, _ := c.Submit(s.now, &Request{Target: "t-" + s.names[i], Customer: s.limits.Name}, nil)
+		if d.Verdict == Start {
+			s.running[i] = append(s.running[i], d.ID)
+		}
+	}
+}
+
+func (s *fleetSim) send() {
+	for from, c := range s.gates {
+		for to := range s.gates {
+			if from == to || s.side[from] != s.side[to] || s.rng.Float64() < s.loss {
+				continue
+			}
+			delay := s.minDelay + time.Duration(s.rng.Int63n(int64(s.maxDelay-s.minDelay)+1))
+			for _, use := range c.Uses() {
+				s.queue = append(s.queue, gossip{to, use, s.now, s.now + delay})
+			}
+		}
+	}
+}
+
+func (s *fleetSim) deliver() {
+	kept := s.queue[:0]
+	for _, g := range s.queue {
+		if g.arrives > s.now {
+			kept = append(kept, g)
+			continue
+		}
+		g.use.Age = s.now - g.sent
+		s.gates[g.to].SetUse(s.now, g.use)
+	}
+	s.queue = kept
+}
+
+// sums returns the sums of the gates' parts of both limits.
+func (s *fleetSim) sums() (rate, concurrent float64) {
+	for _, c := range s.gates {
+		status := c.Snapshot(s.now).Customers[0]
+		rate += status.RatePart
+		concurrent += float64(status.ConcurrentPart)
+	}
+	return rate, concurrent
+}
+
+// disturb changes one thing about the fleet at random.
+func (s *fleetSim) disturb() {
+	switch s.rng.Intn(6) {
+	case 0:
+		for i := range s.demand {
+			s.demand[i] = float64(s.rng.Intn(3)) * s.rng.Float64() * 5
+		}
+	case 1:
+		s.loss = s.rng.Float64()
+	case 2:
+		s.maxDelay = time.Duration(s.rng.Intn(5000)) * time.Millisecond
+	case 3:
+		for i := range s.side {
+			s.side[i] = s.rng.Intn(2)
+		}
+	case 4:
+		clear(s.side)
+		s.loss, s.maxDelay = 0, simTick
+	case 5:
+		s.hidden[s.rng.Intn(len(s.gates))] = s.rng.Intn(len(s.gates))
+		s.hideUntil = s.now + 5*time.Second
+		s.setViews()
+	}
+	if s.rng.Intn(20) == 0 && len(s.gates) < 12 {
+		s.join()
+		s.setViews()
+	}
+}
+
+// Guards against a customer that gets more than its fleet-wide limits because gates act on different knowledge: the
+// sum of the shares stays within 10%, or one request per gate, under delay, loss, cuts, flapping views and joins.
+func TestShareSumStaysWithinTolerance(t *testing.T) {
+	limits := []Customer{
+		{Name: "large", RequestsPerSecond: 1000, Concurrent: 400},
+		{Name: "small", RequestsPerSecond: 5, Concurrent: 3},
+		{Name: "medium", RequestsPerSecond: 60, Concurrent: 45},
+	}
+	for seed := range int64(30) {
+		s := newFleetSim(seed, 2+int(seed%7), limits[seed%3])
+		for s.now < 5*time.Minute {
+			s.tick()
+			if s.hideUntil > 0 && s.now > s.hideUntil {
+				for i := range s.hidden {
+					s.hidden[i] = -1
+				}
+				s.hideUntil = 0
+				s.setViews()
+			}
+			if s.rng.Intn(10) == 0 {
+				s.disturb()
+			}
+			gates := float64(len(s.gates))
+			rate, concurrent := s.sums()
+			rateLimit, concurrentLimit := s.limits.RequestsPerSecond, float64(s.limits.Concurrent)
+			if rate > rateLimit+max(Tolerance*rateLimit, gates)+1e-6 {
+				t.Fatalf("seed %d at %v: rate shares of %v gates add up to %v, limit %v", seed, s.now, gates, rate, rateLimit)
+			}
+			if concurrent > concurrentLimit+max(Tolerance*concurrentLimit, gates)+1e-6 {
+				t.Fatalf("seed %d at %v: concurrency shares of %v gates add up to %v, limit %v", seed, s.now, gates, concurrent, concurrentLimit)
+			}
+		}
+	}
+}
+
+// Guards against gates that enlarge their shares into the same free part because news of the others' steps is still
+// on its way: use moves from one gate to all others at once while gossip takes 1.4 s.
+func TestSimultaneousEnlargement(t *testing.T) {
+	s := newFleetSim(1, 4, Customer{Name: "c", RequestsPerSecond: 1000, Concurrent: 1000})
+	s.minDelay, s.maxDelay = 1400*time.Millisecond, 1400*time.Millisecond
+	s.demand = []float64{20, 0, 0, 0}
+	for s.now < 4*time.Minute {
+		s.tick()
+		if s.now == 2*time.Minute {
+			s.demand = []float64{0, 20, 20, 20}
+		}
+		if rate, _ := s.sums(); rate > 1000*(1+Tolerance)+1e-6 {
+			t.Fatalf("at %v the shares add up to %v, limit 1000", s.now, rate)
+		}
+	}
+}
+
+// Guards against a first share that breaks the tolerance, or leaves a customer without any.
+func TestFirstShare(t *testing.T) {
+	cases := []struct {
+		name  string
+		limit float64
+		fleet fleet
+		want  float64
+	}{
+		{"alone", 100, fleet{gates: 1}, 1},
+		{"nothing known of the others", 100, fleet{gates: 4}, 0.25},
+		{"joining a fleet", 100, fleet{gates: 5, heard: 4, claimed: 1}, 0.02},
+		{"joining under a small limit", 4, fleet{gates: 5, heard: 4, claimed: 1}, 0.25},
+		{"more gates than requests", 4, fleet{gates: 10}, 0.25},
+	}
+	for _, tc := range cases {
+		var s share
+		if s.start(0, tc.limit, tc.fleet); s.fraction != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, s.fraction, tc.want)
+		}
+	}
+}
+
+// Guards against shares that don't follow use, that a cut changes, or that are not given back after it.
+func TestSharesFollowUseAndOutlastACut(t *testing.T) {
+	s := newFleetSim(1, 4, Customer{Name: "c", RequestsPerSecond: 100, Concurrent: 200})
+	s.tick()
+	part := func(i int) float64 { return s.gates[i].Snapshot(s.now).Customers[0].RatePart }
+	run := func(d time.Duration) {
+		for end := s.now + d; s.now < end; {
+			s.tick()
+		}
+	}
+	if part(0) != 25 {
+		t.Fatalf("first share is %v, want an even part", part(0))
+	}
+	s.demand = []float64{10, 0, 0, 0}
+	run(time.Minute)
+	if part(0) < 75 {
+		t.Fatalf("share of the only gate with use is %v of 100 after a minute", part(0))
+	}
+	s.side = []int{0, 0, 1, 1}
+	run(3 * time.Second)
+	before := []float64{part(0), part(2)}
+	s.demand = []float64{0, 0, 10, 10}
+	run(time.Minute)
+	if after := []float64{part(0), part(2)}; !slices.Equal(before, after) {
+		t.Fatalf("shares %v became %v during a cut", before, after)
+	}
+	clear(s.side)
+	run(2 * time.Minute)
+	if part(2) < 30 || part(3) < 30 {
+		t.Fatalf("shares of the gates with use are %v and %v after the cut", part(2), part(3))
+	}
+}
+
+// Guards against a gate that is replaced for good and whose share is lost to the fleet.
+func TestShareOfGoneGateIsDivided(t *testing.T) {
+	s := newFleetSim(1, 4, Customer{Name: "c", RequestsPerSecond: 100, Concurrent: 200})
+	for s.now < 10*time.Second {
+		s.tick()
+	}
+	s.gates, s.names, s.queue = s.gates[:3], s.names[:3], nil
+	s.setViews()
+	for s.now < 10*time.Second+goneHold {
+		s.tick()
+		if rate, _ := s.sums(); rate > 75 {
+			t.Fatalf("at %v: shares grew to %v while the gate that left may come back", s.now, rate)
+		}
+	}
+	for s.now < 2*time.Minute {
+		s.tick()
+	}
+	if rate, _ := s.sums(); rate < 95 {
+		t.Fatalf("the three gates left share %v of 100", rate)
+	}
+}
