--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -1,7 +1,7 @@
 package catalogue
 
 import (
-	"time"
+	"strings"
 
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
 )
@@ -9,16 +9,17 @@
 // Catalogue is one accepted or proposed revision. It is immutable once parsed.
 type Catalogue struct {
 	// Revision is the operators' number of this document; higher replaces lower.
-	Revision uint64 `yaml:"revision"`
+	Revision uint64 `yaml:"revision" json:"revision,omitzero"`
 	// Customers lists the tenants of the fleet.
-	Customers []Customer `yaml:"customers"`
+	Customers []Customer `yaml:"customers" json:"customers,omitzero"`
 	// Pools lists models and services with their targets.
-	Pools []Pool `yaml:"pools"`
+	Pools []Pool `yaml:"pools" json:"pools,omitzero"`
 
 	customersByKey map[string]*Customer
 	customers      map[string]*Customer
 	pools          map[string]*Pool
 	targets        map[string]*Target
+	entries        []Entry
 	digest         uint64
 }
 
@@ -45,17 +46,17 @@
 
 // Customer is one tenant.
 type Customer struct {
-	Name  string `yaml:"name"`
-	Owner string `yaml:"owner"`
-	Class Class  `yaml:"class"`
+	Name  string `yaml:"name" json:"name,omitzero"`
+	Owner string `yaml:"owner" json:"owner,omitzero"`
+	Class Class  `yaml:"class" json:"class,omitzero"`
 	// KeyDigests are the hexadecimal SHA-256 digests of the customer's API keys.
-	KeyDigests []string `yaml:"key_sha256"`
+	KeyDigests []string `yaml:"key_sha256" json:"key_sha256,omitzero"`
 	// Weight is the customer's share of a contended target.
-	Weight float64 `yaml:"weight"`
+	Weight float64 `yaml:"weight" json:"weight,omitzero"`
 	// RequestsPerSecond is the fleet-wide rate limit; 0 is unlimited.
-	RequestsPerSecond float64 `yaml:"requests_per_second"`
+	RequestsPerSecond float64 `yaml:"requests_per_second" json:"requests_per_second,omitzero"`
 	// Concurrent is the fleet-wide limit of requests in flight; 0 is unlimited.
-	Concurrent int `yaml:"concurrent"`
+	Concurrent int `yaml:"concurrent" json:"concurrent,omitzero"`
 }
 
 // Kind tells model pools from service pools.
@@ -69,58 +70,58 @@
 
 // Pool is one model or service and the targets that serve it.
 type Pool struct {
-	Name  string `yaml:"name"`
-	Owner string `yaml:"owner"`
-	Kind  Kind   `yaml:"kind"`
-	Class Class  `yaml:"class"`
+	Name  string `yaml:"name" json:"name,omitzero"`
+	Owner string `yaml:"owner" json:"owner,omitzero"`
+	Kind  Kind   `yaml:"kind" json:"kind,omitzero"`
+	Class Class  `yaml:"class" json:"class,omitzero"`
 	// Version is the model version that engines should serve.
-	Version string `yaml:"version"`
+	Version string `yaml:"version" json:"version,omitzero"`
 	// Adapters are loaded on every engine of the pool.
-	Adapters []string `yaml:"adapters"`
+	Adapters []string `yaml:"adapters" json:"adapters,omitzero"`
 	// LoadMultiple bounds each target's load to this multiple of the pool's mean.
-	LoadMultiple float64 `yaml:"load_multiple"`
+	LoadMultiple float64 `yaml:"load_multiple" json:"load_multiple,omitzero"`
 	// MaxInFlight bounds each target's load absolutely.
-	MaxInFlight int `yaml:"max_in_flight"`
+	MaxInFlight int `yaml:"max_in_flight" json:"max_in_flight,omitzero"`
 	// QueueLength bounds the requests that wait for one target.
-	QueueLength int `yaml:"queue_length"`
+	QueueLength int `yaml:"queue_length" json:"queue_length,omitzero"`
 	// QueueWait bounds the time that a request waits for one target.
-	QueueWait Duration `yaml:"queue_wait"`
+	QueueWait Duration `yaml:"queue_wait" json:"queue_wait,omitzero"`
 	// Deadline bounds a whole request.
-	Deadline Duration `yaml:"deadline"`
+	Deadline Duration `yaml:"deadline" json:"deadline,omitzero"`
 	// ReuseWeight is how much a cached prefix counts when a target is chosen.
-	ReuseWeight float64 `yaml:"reuse_weight"`
+	ReuseWeight float64 `yaml:"reuse_weight" json:"reuse_weight,omitzero"`
 	// SkewWeight is how much a target's load counts against it.
-	SkewWeight float64 `yaml:"skew_weight"`
+	SkewWeight float64 `yaml:"skew_weight" json:"skew_weight,omitzero"`
 	// ZoneWeight multiplies the rank weight of targets in the entry's own zone.
-	ZoneWeight float64 `yaml:"zone_weight"`
+	ZoneWeight float64 `yaml:"zone_weight" json:"zone_weight,omitzero"`
 	// ChecksFencing says that the pool's engines refuse orders with an old fencing number.
-	ChecksFencing bool `yaml:"checks_fencing"`
+	ChecksFencing bool `yaml:"checks_fencing" json:"checks_fencing,omitzero"`
 	// Resumable says that the pool's targets can resume a stream.
-	Resumable bool `yaml:"resumable"`
+	Resumable bool `yaml:"resumable" json:"resumable,omitzero"`
 	// FateQuery says that the pool's targets can be asked for the fate of a request by its id.
-	FateQuery bool `yaml:"fate_query"`
+	FateQuery bool `yaml:"fate_query" json:"fate_query,omitzero"`
 	// KVTransfer says that the pool's engines can export and import KV cache.
-	KVTransfer bool `yaml:"kv_transfer"`
+	KVTransfer bool `yaml:"kv_transfer" json:"kv_transfer,omitzero"`
 	// NonRepeatable lists the calls that run at most once.
-	NonRepeatable []Call `yaml:"non_repeatable"`
+	NonRepeatable []Call `yaml:"non_repeatable" json:"non_repeatable,omitzero"`
 	// Targets lists the pool's back ends.
-	Targets []Target `yaml:"targets"`
+	Targets []Target `yaml:"targets" json:"targets,omitzero"`
 }
 
 // Call selects calls of a service by method and path prefix.
 type Call struct {
-	Method string `yaml:"method"`
-	Path   string `yaml:"path"`
+	Method string `yaml:"method" json:"method,omitzero"`
+	Path   string `yaml:"path" json:"path,omitzero"`
 }
 
 // Target is one back end.
 type Target struct {
-	Name    string `yaml:"name"`
-	Address string `yaml:"address"`
-	Zone    string `yaml:"zone"`
-	Region  string `yaml:"region"`
+	Name    string `yaml:"name" json:"name,omitzero"`
+	Address string `yaml:"address" json:"address,omitzero"`
+	Zone    string `yaml:"zone" json:"zone,omitzero"`
+	Region  string `yaml:"region" json:"region,omitzero"`
 	// Role is the role that an engine should have, such as "serve" or "prefill".
-	Role string `yaml:"role"`
+	Role string `yaml:"role" json:"role,omitzero"`
 
 	pool *Pool
 	hash uint64
@@ -132,19 +133,6 @@
 // Hash returns the rendezvous hash of the target's name.
 func (t *Target) Hash() uint64 { return t.hash }
 
-// Defaults of pool and customer fields.
-const (
-	DefaultLoadMultiple = 1.25
-	DefaultMaxInFlight  = 64
-	DefaultQueueLength  = 64
-	DefaultQueueWait    = 2 * time.Second
-	DefaultDeadline     = 2 * time.Minute
-	DefaultReuseWeight  = 1
-	DefaultSkewWeight   = 1
-	DefaultZoneWeight   = 2
-	DefaultWeight       = 1
-)
-
 // Customer returns the customer with the name.
 func (c *Catalogue) Customer(name string) (*Customer, bool) {
 	customer, ok := c.customers[name]
@@ -172,61 +160,34 @@
 // Digest identifies the content of the catalogue, whatever the layout of its document.
 func (c *Catalogue) Digest() uint64 { return c.digest }
 
-// index builds the lookup tables and sets the defaults of fields that the document omits.
+// index builds the lookup tables.
 func (c *Catalogue) index() {
 	c.customers = make(map[string]*Customer, len(c.Customers))
 	c.customersByKey = make(map[string]*Customer, len(c.Customers))
 	c.pools = make(map[string]*Pool, len(c.Pools))
 	c.targets = make(map[string]*Target)
 	for i := range c.Customers {
-		customer := &c.Customers[i]
-		customer.setDefaults()
-		c.customers[customer.Name] = customer
-		for _, digest := range customer.KeyDigests {
-			c.customersByKey[digest] = customer
-		}
+		c.indexCustomer(&c.Customers[i])
 	}
 	for i := range c.Pools {
-		pool := &c.Pools[i]
-		pool.setDefaults()
-		c.pools[pool.Name] = pool
-		for j := range pool.Targets {
-			target := &pool.Targets[j]
-			target.pool = pool
-			target.hash = rendezvous.Hash(target.Name)
-			c.targets[target.Name] = target
-		}
-	}
-}
-
-func (c *Customer) setDefaults() {
-	if c.Class == "" {
-		c.Class = Standard
-	}
-	if c.Weight == 0 {
-		c.Weight = DefaultWeight
+		c.indexPool(&c.Pools[i])
 	}
 }
 
-func (p *Pool) setDefaults() {
-	if p.Class == "" {
-		p.Class = Standard
+func (c *Catalogue) indexCustomer(customer *Customer) {
+	c.customers[customer.Name] = customer
+	for _, digest := range customer.KeyDigests {
+		c.customersByKey[digest] = customer
 	}
-	setDefault(&p.LoadMultiple, DefaultLoadMultiple)
-	setDefault(&p.MaxInFlight, DefaultMaxInFlight)
-	setDefault(&p.QueueLength, DefaultQueueLength)
-	setDefault(&p.QueueWait, Duration(DefaultQueueWait))
-	setDefault(&p.Deadline, Duration(DefaultDeadline))
-	setDefault(&p.ReuseWeight, DefaultReuseWeight)
-	setDefault(&p.SkewWeight, DefaultSkewWeight)
-	setDefault(&p.ZoneWeight, DefaultZoneWeight)
 }
 
-// setDefault replaces a zero value.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+func (c *Catalogue) indexPool(pool *Pool) {
+	c.pools[pool.Name] = pool
+	for i := range pool.Targets {
+		target := &pool.Targets[i]
+		target.pool = pool
+		target.hash = rendezvous.Hash(target.Name)
+		c.targets[target.Name] = target
 	}
 }
 
@@ -239,3 +200,12 @@
 	}
 	return false
 }
+
+// matches reports whether the call covers a method and path; the path matches at segment bounds.
+func (c Call) matches(method, path string) bool {
+	if c.Method != "*" && !strings.EqualFold(c.Method, method) {
+		return false
+	}
+	prefix := strings.TrimSuffix(c.Path, "/")
+	return path == prefix || strings.HasPrefix(path, prefix+"/")
+}
--- /dev/null
+++ b/internal/catalogue/yaml.go
@@ -0,0 +1,126 @@
+package catalogue
+
+import (
+	"errors"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+)
+
+// maxNesting bounds nested brackets and list markers on one line. The parser's time grows with the square of
+// the nesting: 100 KB of "[" took 34 s. A catalogue needs 4 levels.
+const maxNesting = 16
+
+// parseYAML returns the only document's syntax tree.
+func parseYAML(document []byte) (ast.Node, FieldErrors) {
+	tokens := lexer.Tokenize(string(document))
+	if errs := checkTokens(tokens); len(errs) > 0 {
+		return nil, errs
+	}
+	file, err := parser.Parse(tokens, 0)
+	if err != nil {
+		return nil, syntaxError(err)
+	}
+	var body ast.Node
+	for _, doc := range file.Docs {
+		if doc.Body == nil || doc.Body.Type() == ast.CommentType {
+			continue
+		}
+		if body != nil {
+			return nil, documentError(lineOf(doc.Body), "holds more than one YAML document")
+		}
+		body = doc.Body
+	}
+	if body == nil {
+		return nil, documentError(0, "is empty")
+	}
+	return body, nil
+}
+
+func syntaxError(err error) FieldErrors {
+	var located yaml.Error
+	if errors.As(err, &located) && located.GetToken() != nil {
+		return documentError(located.GetToken().Position.Line, "is not YAML: %s", located.GetMessage())
+	}
+	return documentError(0, "is not YAML: %s", err)
+}
+
+// refusedTokens lists YAML features that a catalogue may not use: references can expand a small document to
+// a huge one, and the others have no meaning here.
+var refusedTokens = map[token.Type]string{
+	token.AnchorType:     "anchors (&name)",
+	token.AliasType:      "aliases (*name)",
+	token.MergeKeyType:   "merge keys (<<)",
+	token.TagType:        "tags (!name)",
+	token.MappingKeyType: "complex keys (?)",
+	token.DirectiveType:  "directives (%NAME)",
+}
+
+// checkTokens refuses features and nesting that the parser must not see.
+func checkTokens(tokens token.Tokens) FieldErrors {
+	var flow, entries, line int
+	for _, t := range tokens {
+		if feature, ok := refusedTokens[t.Type]; ok {
+			return documentError(t.Position.Line, "must not use %s", feature)
+		}
+		if t.Position.Line != line {
+			line, entries = t.Position.Line, 0
+		}
+		switch t.Type {
+		case token.SequenceStartType, token.MappingStartType:
+			flow++
+		case token.SequenceEndType, token.MappingEndType:
+			flow = max(flow-1, 0)
+		case token.SequenceEntryType:
+			entries++
+		}
+		if flow > maxNesting || entries > maxNesting {
+			return documentError(line, "nests more than %d levels", maxNesting)
+		}
+	}
+	return nil
+}
+
+// withLines adds the lines of the document to errors that name only paths.
+func withLines(errs FieldErrors, body ast.Node) FieldErrors {
+	lines := lineIndex{}
+	ast.Walk(lines, body)
+	for i := range errs {
+		errs[i].Line = lines.find(errs[i].Path)
+	}
+	return errs
+}
+
+// lineIndex holds the first line of each path.
+type lineIndex map[string]int
+
+// Visit records one node.
+func (l lineIndex) Visit(node ast.Node) ast.Visitor {
+	path := strings.TrimPrefix(strings.TrimPrefix(node.GetPath(), "$"), ".")
+	if _, ok := l[path]; !ok {
+		l[path] = lineOf(node)
+	}
+	return l
+}
+
+// find returns the line of a path, or that of its nearest parent when the field is missing.
+func (l lineIndex) find(path string) int {
+	for path != "" {
+		if line, ok := l[path]; ok {
+			return line
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return 0
+}
+
+func lineOf(node ast.Node) int {
+	if t := node.GetToken(); t != nil && t.Position != nil {
+		return t.Position.Line
+	}
+	return 0
+}
