Add configsync, the state machine that keeps the catalogue from reverting

Change: Machine watches (two gates per zone, 1 s long poll, backoff up to 1 s), holds platform content until peers were asked, pulls differences from a holder with retry at another, and refuses content below the floor.

Removing the floor check, the hold at the start or the pull timeout makes tests fail.

--- /dev/null
+++ b/internal/configsync/pull.go
@@ -0,0 +1,162 @@
+package configsync
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+)
+
+const (
+	// pullSpread is the longest delay of a first pull, so that the peers of a watcher don't pull at once.
+	pullSpread = 50 * time.Millisecond
+	// pullTimeout bounds a pull of differences, fullPullTimeout one of up to a megabyte.
+	pullTimeout     = 600 * time.Millisecond
+	fullPullTimeout = 2 * time.Second
+	// firstPullBackoff and maxPullBackoff bound the delay before another peer is tried.
+	firstPullBackoff = 100 * time.Millisecond
+	maxPullBackoff   = time.Second
+	// maxMismatchBackoff bounds the delay after answers that don't assemble. A peer of another build may give
+	// such answers until its upgrade, and each can be as large as the whole catalogue.
+	maxMismatchBackoff = 5 * time.Minute
+)
+
+// pull is the state of pulls from peers.
+type pull struct {
+	pulling    bool
+	id         uint64
+	peer       string
+	base       *catalogue.Catalogue
+	deadline   time.Duration
+	nextAt     time.Duration
+	target     catalogue.Version
+	tried      []string
+	failures   int
+	mismatches int
+}
+
+// reset ends the attempts for a target, but not a pull in flight, whose answer may be newer still.
+func (p *pull) reset() {
+	p.target = catalogue.Version{}
+	p.tried = nil
+	p.failures, p.mismatches = 0, 0
+}
+
+func (m *Machine) advancePull(now time.Duration) {
+	p := &m.pull
+	if p.pulling && now >= p.deadline {
+		m.pullFailed(now, p.id)
+	}
+	if p.pulling || !m.start.asked {
+		return
+	}
+	target, holders := m.holders()
+	if len(holders) == 0 {
+		return
+	}
+	if target != p.target {
+		p.reset()
+		p.target = target
+		p.nextAt = now + jitter(m.random, pullSpread)
+	}
+	if now < p.nextAt {
+		return
+	}
+	m.startPull(now, m.choose(holders))
+}
+
+// holders returns the highest version above the current one that peers hold, and these peers.
+func (m *Machine) holders() (catalogue.Version, []string) {
+	target := m.current.Version()
+	var holders []string
+	for peer, version := range m.peers {
+		switch version.Compare(target) {
+		case 1:
+			target, holders = version, []string{peer}
+		case 0:
+			holders = append(holders, peer)
+		}
+	}
+	if target == m.current.Version() || target.Revision < m.floor {
+		return target, nil
+	}
+	slices.Sort(holders)
+	return target, holders
+}
+
+// choose picks a random holder that was not tried yet, of the own zone if there is one.
+func (m *Machine) choose(holders []string) string {
+	untried := slices.DeleteFunc(slices.Clone(holders), func(peer string) bool {
+		return slices.Contains(m.pull.tried, peer)
+	})
+	if len(untried) == 0 {
+		m.pull.tried = nil
+		untried = holders
+	}
+	near := slices.DeleteFunc(slices.Clone(untried), func(peer string) bool { return !m.isNear(peer) })
+	if len(near) > 0 {
+		untried = near
+	}
+	return untried[m.random.Intn(len(untried))]
+}
+
+func (m *Machine) isNear(peer string) bool {
+	member, ok := m.view.Gate(peer)
+	return ok && member.Zone == m.settings.Zone && member.State != membership.Gone
+}
+
+func (m *Machine) startPull(now time.Duration, peer string) {
+	p := &m.pull
+	p.pulling, p.peer, p.base = true, peer, m.current
+	p.id++
+	p.tried = append(p.tried, peer)
+	p.deadline = now + pullTimeout
+	if p.mismatches > 0 {
+		p.base = nil
+	}
+	if p.base == nil {
+		p.deadline = now + fullPullTimeout
+	}
+	m.emit(Pull{Pull: p.id, Peer: peer, Base: p.base})
+}
+
+func (m *Machine) pullFailed(now time.Duration, id uint64) {
+	p := &m.pull
+	if !p.pulling || id != p.id {
+		return
+	}
+	p.pulling = false
+	p.failures++
+	p.nextAt = now + backoff(m.random, firstPullBackoff, maxPullBackoff, p.failures)
+}
+
+func (m *Machine) pulled(now time.Duration, answer Pulled) {
+	p := &m.pull
+	if !p.pulling || answer.Pull != p.id {
+		return
+	}
+	p.pulling = false
+	version := answer.Difference.Version
+	m.announced(p.peer, version)
+	if version.Compare(m.current.Version()) <= 0 {
+		return
+	}
+	proposed, err := assemble(p.base, answer.Difference)
+	if err == nil && proposed.Version() != version {
+		err = fmt.Errorf("peer %s sent content with digest %x, not %x", p.peer, proposed.Digest(), version.Digest)
+	}
+	if err != nil {
+		m.mismatched(now, version, err)
+		return
+	}
+	m.offer(proposed)
+}
+
+func (m *Machine) mismatched(now time.Duration, version catalogue.Version, err error) {
+	p := &m.pull
+	p.mismatches++
+	p.nextAt = now + backoff(m.random, firstPullBackoff, maxMismatchBackoff, p.mismatches)
+	m.emit(Skipped{Reason: Mismatch, Version: version, Err: err})
+}
--- /dev/null
+++ b/internal/configsync/schedule_test.go
@@ -0,0 +1,180 @@
+package configsync
+
+import (
+	"testing"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+)
+
+const schedules = 40
+
+// converged fails unless all daemons are ready and hold the version.
+func (w *world) converged(want catalogue.Version) {
+	w.t.Helper()
+	for _, d := range w.daemons {
+		if !d.machine.Ready() || d.applied != want {
+			w.fail("%s has %v (ready: %v), want %v", d.name, d.applied, d.machine.Ready(), want)
+		}
+	}
+}
+
+// fault injects one random fault or change.
+func (w *world) fault(revision *uint64, highest *catalogue.Version) {
+	switch w.random.Intn(9) {
+	case 0:
+		w.partition(2 + w.random.Intn(2))
+	case 1:
+		w.platform.down = !w.platform.down
+	case 2:
+		w.platform.stale = !w.platform.stale
+	case 3, 4:
+		w.daemons[w.random.Intn(len(w.daemons))].start()
+	case 5:
+		w.loss = w.random.Float64() / 2
+		w.faultAt = w.now
+	case 6:
+		w.publish(nil)
+	case 7:
+		// A second operator reuses the revision with other content.
+		w.publishRevision(*revision, highest)
+	default:
+		*revision++
+		w.publishRevision(*revision, highest)
+	}
+}
+
+func (w *world) publishRevision(revision uint64, highest *catalogue.Version) {
+	c := content(w.t, revision, w.random.Intn(6))
+	if c.Version().Compare(*highest) > 0 {
+		*highest = c.Version()
+	}
+	w.publish(c)
+}
+
+// Guards R7 against every combination of lost and cut links, a platform that is down or stale, restarts,
+// invalid revisions and two operators: no daemon reverts, and 3 s after links work all hold the newest.
+func TestRandomSchedulesConverge(t *testing.T) {
+	for seed := int64(1); seed <= schedules; seed++ {
+		w := newWorld(t, seed, 3, 3)
+		revision := uint64(1) // a reuse of revision 1 may be replaced unread, so final values start at 2
+		var highest catalogue.Version
+		for range 5 {
+			for range 3 + w.random.Intn(8) {
+				w.fault(&revision, &highest)
+				w.runFor(w.between(10*time.Millisecond, 3*time.Second))
+			}
+			w.heal()
+			revision++
+			w.publishRevision(revision, &highest)
+			w.runFor(3 * time.Second)
+			w.converged(highest)
+		}
+		w.checkReadRates()
+	}
+	t.Logf("seeds 1 to %d", schedules)
+}
+
+// checkReadRates guards the platform's read budget: no daemon reads more than 5 times in any second.
+func (w *world) checkReadRates() {
+	const perSecond = 5
+	for _, d := range w.daemons {
+		for i := perSecond; i < len(d.reads); i++ {
+			if d.reads[i]-d.reads[i-perSecond] < time.Second {
+				w.fail("%s reads the platform more than %d times in the second from %v", d.name, perSecond, d.reads[i-perSecond])
+			}
+		}
+	}
+}
+
+// Guards the read budget while the platform is down or not stale for long, and in peace: two watchers a zone,
+// one held read each.
+func TestPlatformReadsStayBounded(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(*platform)
+		most    int
+	}{
+		{"waiting", func(*platform) {}, 6 * 60},
+		{"down", func(p *platform) { p.down = true }, 6 * 60 * 2},
+		{"stale", func(p *platform) { p.stale = true }, 6 * 60 * 2},
+	}
+	for _, test := range cases {
+		w := newWorld(t, 1, 3, 5)
+		for revision := range uint64(4) {
+			w.publish(content(t, revision+1, 0))
+		}
+		w.runFor(5 * time.Second)
+		test.prepare(w.platform)
+		w.answerWaiters()
+		before := w.totalReads()
+		w.runFor(time.Minute)
+		reads := w.totalReads() - before
+		t.Logf("seed 1, 15 gates, platform %s: %d reads in 60 s", test.name, reads)
+		if reads > test.most {
+			t.Errorf("platform %s: %d reads in 60 s, want at most %d", test.name, reads, test.most)
+		}
+		w.checkReadRates()
+	}
+}
+
+func (w *world) totalReads() int {
+	total := 0
+	for _, d := range w.daemons {
+		total += len(d.reads)
+	}
+	return total
+}
+
+// Guards against a restart of all daemons at once that never becomes ready, with the platform up from the
+// start or only later.
+func TestAllStartTogether(t *testing.T) {
+	for _, downFor := range []time.Duration{0, 20 * time.Second} {
+		w := newWorld(t, 2, 3, 4)
+		w.platform.down = downFor > 0
+		c := content(t, 5, 0)
+		w.publish(c)
+		w.runFor(downFor)
+		w.heal()
+		w.runFor(3 * time.Second)
+		w.converged(c.Version())
+	}
+}
+
+// Guards against an invalid revision that hides the next valid one or replaces the previous one.
+func TestInvalidRevisionIsSkipped(t *testing.T) {
+	w := newWorld(t, 3, 2, 2)
+	first, last := content(t, 1, 0), content(t, 3, 1)
+	w.publish(first)
+	w.runFor(3 * time.Second)
+	w.publish(nil)
+	w.runFor(3 * time.Second)
+	w.converged(first.Version())
+	w.publish(last)
+	w.runFor(3 * time.Second)
+	w.converged(last.Version())
+	for _, d := range w.daemons {
+		if d.skipped[Invalid] != 1 {
+			t.Errorf("seed 3: %s counted %d invalid revisions, want 1", d.name, d.skipped[Invalid])
+		}
+	}
+}
+
+// Guards against a restarted watcher that takes an old revision from a stale platform and serves it.
+func TestRestartWithStalePlatform(t *testing.T) {
+	for seed := int64(1); seed <= 20; seed++ {
+		w := newWorld(t, seed, 2, 3)
+		w.publish(content(t, 1, 0))
+		newest := content(t, 2, 0)
+		w.publish(newest)
+		w.runFor(4 * time.Second)
+		w.converged(newest.Version())
+		w.platform.published[1] = content(t, 1, 0)
+		for _, d := range w.daemons {
+			d.start()
+			w.runFor(2 * time.Second)
+			w.converged(newest.Version())
+		}
+	}
+	t.Log("seeds 1 to 20")
+}
--- /dev/null
+++ b/internal/configsync/world_test.go
@@ -0,0 +1,376 @@
+package configsync
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+)
+
+// content returns a valid catalogue; variants of one revision differ in one entry.
+func content(t testing.TB, revision uint64, variant int) *catalogue.Catalogue {
+	t.Helper()
+	document := fmt.Sprintf("revision: %d\ncustomers:\n", revision)
+	for i := range 3 {
+		weight := 1
+		if i == variant%3 {
+			weight = 2 + variant
+		}
+		key := strings.Repeat(fmt.Sprint(i), 64)
+		document += fmt.Sprintf("- {name: c%d, owner: o, key_sha256: ['%s'], weight: %d}\n", i, key, weight)
+	}
+	c, err := catalogue.Parse([]byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// task is work of the model world at a time.
+type task struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+type taskQueue []task
+
+func (q taskQueue) Len() int { return len(q) }
+func (q taskQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].sequence < q[j].sequence)
+}
+func (q taskQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *taskQueue) Push(x any)   { *q = append(*q, x.(task)) }
+func (q *taskQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// world runs daemons, their links and a platform on one virtual clock.
+type world struct {
+	t        testing.TB
+	seed     int64
+	random   *rand.Rand
+	now      time.Duration
+	queue    taskQueue
+	sequence int
+	daemons  []*daemon
+	platform *platform
+	// sides gives each daemon's side of a partition; daemons reach only those of their own side.
+	sides map[string]int
+	loss  float64
+	// faultAt is the time of the last change of links.
+	faultAt time.Duration
+}
+
+// daemon is one process of the model world; restarts replace the machine.
+type daemon struct {
+	world     *world
+	name      string
+	zone      string
+	machine   *Machine
+	process   int
+	startedAt time.Duration
+	applied   catalogue.Version
+	// announced is the highest revision that the process heard, known the highest one of peers at its start.
+	announced uint64
+	known     uint64
+	reads     []time.Duration
+	skipped   map[SkipReason]int
+}
+
+// platform is the configuration service.
+type platform struct {
+	cursor uint64
+	// published holds each value by cursor; nil is an invalid document.
+	published []*catalogue.Catalogue
+	down      bool
+	stale     bool
+	waiters   []waiter
+}
+
+type waiter struct {
+	daemon  *daemon
+	process int
+	read    ReadPlatform
+}
+
+func newWorld(t testing.TB, seed int64, zones, gatesPerZone int) *world {
+	w := &world{t: t, seed: seed, random: rand.New(rand.NewSource(seed)), platform: &platform{}, sides: map[string]int{}}
+	for z := range zones {
+		for g := range gatesPerZone {
+			d := &daemon{world: w, name: fmt.Sprintf("gate-%d-%d", z, g), zone: fmt.Sprint("z", z), skipped: map[SkipReason]int{}}
+			w.daemons = append(w.daemons, d)
+		}
+	}
+	for _, d := range w.daemons {
+		d.start()
+	}
+	return w
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.t.Helper()
+	w.t.Fatalf("seed %d at %v: %s", w.seed, w.now, fmt.Sprintf(format, args...))
+}
+
+func (w *world) after(delay time.Duration, run func()) {
+	w.sequence++
+	heap.Push(&w.queue, task{w.now + delay, w.sequence, run})
+}
+
+func (w *world) runFor(d time.Duration) {
+	end := w.now + d
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		next := heap.Pop(&w.queue).(task)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+// between returns a random time.
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.random.Int63n(int64(high-low)))
+}
+
+func (w *world) reaches(a, b *daemon) bool { return w.sides[a.name] == w.sides[b.name] }
+
+// send delivers to the peer's present process after the link's delay, unless the link loses the message.
+func (w *world) send(from, to *daemon, deliver func()) {
+	if !w.reaches(from, to) || w.random.Float64() < w.loss {
+		return
+	}
+	process := to.process
+	w.after(w.between(time.Millisecond, 15*time.Millisecond), func() {
+		if to.process == process && w.reaches(from, to) {
+			deliver()
+		}
+	})
+}
+
+// partition assigns sides at random and lets the views follow after the suspicion time.
+func (w *world) partition(sides int) {
+	for _, d := range w.daemons {
+		w.sides[d.name] = w.random.Intn(sides)
+	}
+	w.faultAt = w.now
+	w.after(2*time.Second, w.updateViews)
+}
+
+func (w *world) heal() {
+	clear(w.sides)
+	w.loss = 0
+	w.platform.down, w.platform.stale = false, false
+	w.faultAt = w.now
+	w.after(500*time.Millisecond, w.updateViews)
+	w.answerWaiters()
+}
+
+func (w *world) updateViews() {
+	for _, d := range w.daemons {
+		d.step(ViewChanged{w.view(d, membership.Live)})
+	}
+}
+
+// view lists the gates with the given state for peers that the daemon reaches.
+func (w *world) view(d *daemon, reached membership.State) *membership.View {
+	view := &membership.View{}
+	for _, other := range w.daemons {
+		state := reached
+		if !w.reaches(d, other) {
+			state = membership.Gone
+		}
+		if other == d {
+			state = membership.Live
+		}
+		view.Gates = append(view.Gates, membership.Member{
+			Gate: membership.Gate{Name: other.name, Zone: other.zone}, State: state,
+		})
+	}
+	return view
+}
+
+// start replaces the process by one with empty memory.
+func (d *daemon) start() {
+	w := d.world
+	d.process++
+	d.applied, d.announced, d.known = catalogue.Version{}, 0, 0
+	d.startedAt = w.now
+	for _, peer := range w.daemons {
+		if peer != d && peer.machine != nil && w.reaches(d, peer) {
+			d.known = max(d.known, peer.applied.Revision)
+		}
+	}
+	seed := w.random.Int63()
+	d.machine = New(Settings{Self: d.name, Zone: d.zone, ReadsPlatform: true}, rand.New(rand.NewSource(seed)))
+	process := d.process
+	d.whileProcess(process, w.between(0, 50*time.Millisecond), 50*time.Millisecond, func() { d.step(Tick{}) })
+	d.whileProcess(process, w.between(0, 500*time.Millisecond), 500*time.Millisecond, d.heartbeat)
+	w.after(w.between(0, 50*time.Millisecond), func() { d.step(ViewChanged{w.view(d, membership.Joining)}) })
+	w.after(600*time.Millisecond, func() { d.step(ViewChanged{w.view(d, membership.Live)}) })
+}
+
+func (d *daemon) whileProcess(process int, first, interval time.Duration, run func()) {
+	var repeat func()
+	repeat = func() {
+		if d.process != process {
+			return
+		}
+		run()
+		d.world.after(interval, repeat)
+	}
+	d.world.after(first, repeat)
+}
+
+func (d *daemon) heartbeat() {
+	for _, peer := range d.world.daemons {
+		if peer != d {
+			d.exchange(peer)
+		}
+	}
+}
+
+// exchange sends a heartbeat and gets the reply.
+func (d *daemon) exchange(peer *daemon) {
+	d.tell(peer)
+	d.world.send(d, peer, func() { peer.tell(d) })
+}
+
+func (d *daemon) tell(peer *daemon) {
+	version := d.machine.Current().Version()
+	d.world.send(d, peer, func() {
+		peer.announced = max(peer.announced, version.Revision)
+		peer.step(Announced{d.name, version})
+	})
+}
+
+func (d *daemon) step(event Event) {
+	for _, effect := range d.machine.Step(d.world.now, event) {
+		d.perform(effect)
+	}
+}
+
+func (d *daemon) perform(effect Effect) {
+	w := d.world
+	switch e := effect.(type) {
+	case Apply:
+		d.checkApply(e.Catalogue.Version())
+	case Ready:
+		d.checkReady()
+	case Announce:
+		d.heartbeat()
+	case AskPeers:
+		for _, name := range e.Peers {
+			d.exchange(w.daemon(name))
+		}
+	case Pull:
+		peer := w.daemon(e.Peer)
+		w.send(d, peer, func() {
+			difference := DifferenceFrom(peer.machine.Current(), Digests(e.Base))
+			w.send(peer, d, func() { d.step(Pulled{e.Pull, difference}) })
+		})
+	case ReadPlatform:
+		d.reads = append(d.reads, w.now)
+		w.platformRead(waiter{d, d.process, e})
+	case CancelRead:
+		w.platform.waiters = slices.DeleteFunc(w.platform.waiters, func(r waiter) bool {
+			return r.daemon == d && r.process == d.process && r.read.Read == e.Read
+		})
+	case Skipped:
+		d.skipped[e.Reason]++
+	}
+}
+
+// checkApply guards R7: a process never goes down, nor below what a peer told it.
+func (d *daemon) checkApply(version catalogue.Version) {
+	if version.Compare(d.applied) <= 0 {
+		d.world.fail("%s reverts from %v to %v", d.name, d.applied, version)
+	}
+	if version.Revision < d.announced {
+		d.world.fail("%s applies %v below the announced revision %d", d.name, version, d.announced)
+	}
+	d.applied = version
+}
+
+// checkReady guards a restart from serving below what peers held when it started. It applies only while links
+// have worked since, because messages that are lost or cut off can't be known.
+func (d *daemon) checkReady() {
+	w := d.world
+	if w.loss == 0 && w.faultAt < d.startedAt && d.applied.Revision < d.known {
+		w.fail("%s is ready at revision %d, peers held %d when it started", d.name, d.applied.Revision, d.known)
+	}
+}
+
+func (w *world) daemon(name string) *daemon {
+	i := slices.IndexFunc(w.daemons, func(d *daemon) bool { return d.name == name })
+	return w.daemons[i]
+}
+
+// publish sets the platform's value; nil is an invalid document.
+func (w *world) publish(c *catalogue.Catalogue) {
+	w.platform.cursor++
+	w.platform.published = append(w.platform.published, c)
+	w.answerWaiters()
+}
+
+func (w *world) answerWaiters() {
+	waiters := w.platform.waiters
+	w.platform.waiters = nil
+	for _, r := range waiters {
+		w.platformRead(r)
+	}
+}
+
+// platformRead answers at once, holds the read, or fails or hangs while the platform is down.
+func (w *world) platformRead(r waiter) {
+	p := w.platform
+	cursor := p.cursor
+	if p.stale && cursor > 0 {
+		cursor -= min(cursor-1, uint64(w.random.Intn(3)))
+	}
+	switch {
+	case p.down && w.random.Intn(10) == 0:
+	case p.down:
+		w.answer(r, PlatformFailed{r.read.Read})
+	case cursor == 0:
+		w.answer(r, PlatformAnswered{Read: r.read.Read})
+	case cursor != r.read.After:
+		w.answer(r, p.valueAt(r.read.Read, cursor))
+	default:
+		w.platform.waiters = append(w.platform.waiters, r)
+		w.after(r.read.Wait, func() { w.expire(r) })
+	}
+}
+
+func (p *platform) valueAt(read, cursor uint64) PlatformAnswered {
+	answer := PlatformAnswered{Read: read, Cursor: cursor, Catalogue: p.published[cursor-1]}
+	if answer.Catalogue == nil {
+		answer.Invalid = errors.New("customers[0].name: is required")
+	}
+	return answer
+}
+
+func (w *world) answer(r waiter, event Event) {
+	w.after(w.between(time.Millisecond, 10*time.Millisecond), func() {
+		if r.daemon.process == r.process {
+			r.daemon.step(event)
+		}
+	})
+}
+
+// expire ends a held read without a change.
+func (w *world) expire(r waiter) {
+	if i := slices.Index(w.platform.waiters, r); i >= 0 {
+		w.platform.waiters = slices.Delete(w.platform.waiters, i, i+1)
+		w.answer(r, PlatformAnswered{Read: r.read.Read, Cursor: r.read.After})
+	}
+}
