--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -1,48 +1,102 @@
 package gate
 
 import (
-	"maps"
+	"context"
 	"sync"
+	"time"
 
-	"github.com/amaranthlb/amaranthlb/internal/catalogue"
-	"github.com/amaranthlb/amaranthlb/internal/routing"
+	"github.com/amaranthlb/amaranthlb/internal/admission"
+	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
 )
 
-// admission counts the requests at each target and keeps them below the limit.
-type admission struct {
-	mu    sync.Mutex
-	count map[string]int
+// admitter guards the admission controller, which all calls of the gate share, and wakes the calls that wait.
+type admitter struct {
+	clock control.Clock
+
+	mu         sync.Mutex
+	controller *admission.Controller
+	waiters    map[admission.ID]chan admission.Outcome
+	outcomes   []admission.Outcome
+}
+
+func newAdmitter(clock control.Clock, gate string) *admitter {
+	return &admitter{
+		clock:      clock,
+		controller: admission.New(gate),
+		waiters:    make(map[admission.ID]chan admission.Outcome),
+	}
 }
 
-// begin admits a request when the target is below its limit.
-func (a *admission) begin(t *catalogue.Target, known map[string]int) bool {
+// update changes the controller and passes on the outcomes that this has for waiting calls.
+func (a *admitter) update(change func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.count == nil {
-		a.count = make(map[string]int)
+	a.outcomes = change(a.controller, a.clock.Now(), a.outcomes[:0])
+	a.dispatch()
+}
+
+// dispatch wakes the calls with outcomes. The lock is held.
+func (a *admitter) dispatch() {
+	for _, outcome := range a.outcomes {
+		if waiter, ok := a.waiters[outcome.ID]; ok {
+			waiter <- outcome
+			delete(a.waiters, outcome.ID)
+		}
+	}
+}
+
+// acquire admits a request, waiting in the target's queue where that is allowed. The caller releases the id.
+func (a *admitter) acquire(ctx context.Context, request *admission.Request) (admission.ID, error) {
+	a.mu.Lock()
+	var decision admission.Decision
+	decision, a.outcomes = a.controller.Submit(a.clock.Now(), request, a.outcomes[:0])
+	a.dispatch()
+	if decision.Verdict == admission.Refuse {
+		a.mu.Unlock()
+		return 0, &refusal{
+			reason:     decision.Reason,
+			ran:        reason.No,
+			detail:     "target " + request.Target + " can't take the request",
+			retryAfter: decision.RetryAfter,
+			next:       append([]string(nil), decision.Next()...),
+		}
 	}
-	pool := t.Pool()
-	sum := 0
-	for i := range pool.Targets {
-		name := pool.Targets[i].Name
-		sum += max(a.count[name], known[name])
+	if decision.Verdict == admission.Start {
+		a.mu.Unlock()
+		return decision.ID, nil
 	}
-	limit := routing.Limit(pool.LoadMultiple, sum, len(pool.Targets), pool.MaxInFlight)
-	if a.count[t.Name] >= int(limit) {
-		return false
+	waiter := make(chan admission.Outcome, 1)
+	a.waiters[decision.ID] = waiter
+	a.mu.Unlock()
+	return a.wait(ctx, decision.ID, waiter)
+}
+
+// wait blocks until the queue decides or the caller gives up.
+func (a *admitter) wait(ctx context.Context, id admission.ID, waiter chan admission.Outcome) (admission.ID, error) {
+	select {
+	case outcome := <-waiter:
+		if outcome.Started {
+			return id, nil
+		}
+		return 0, &refusal{reason: outcome.Reason, ran: reason.No, detail: "the request waited in the target's queue", retryAfter: outcome.RetryAfter}
+	case <-ctx.Done():
+		a.release(id, false)
+		return 0, refuse(reason.DeadlineExceeded, reason.No, "the caller gave up while the request waited in the target's queue")
 	}
-	a.count[t.Name]++
-	return true
 }
 
-func (a *admission) end(target string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.count[target]--
+// release ends a request, whether it runs or waits.
+func (a *admitter) release(id admission.ID, completed bool) {
+	a.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
+		delete(a.waiters, id)
+		return c.Release(now, id, completed, out)
+	})
 }
 
-func (a *admission) loads() map[string]int {
+// snapshot copies the controller's state.
+func (a *admitter) snapshot() admission.Snapshot {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return maps.Clone(a.count)
+	return a.controller.Snapshot(a.clock.Now())
 }
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
@@ -90,11 +91,28 @@
 	if !snapshot.Owned[t.Name] {
 		return refuse(reason.NotOwner, reason.No, "the gate does not own "+t.Name)
 	}
-	if !c.gate.admission.begin(t, nil) {
-		return refuse(reason.OverLimit, reason.No, t.Name+" is at its load limit")
+	id, err := c.gate.admission.acquire(ctx, &admission.Request{
+		Target:     t.Name,
+		Customer:   c.request.Customer,
+		Class:      catalogue.Class(c.request.Class),
+		Deadline:   c.deadline(ctx),
+		Candidates: c.request.Candidates,
+	})
+	if err != nil {
+		return err
+	}
+	err = c.forward(ctx, t)
+	c.gate.admission.release(id, err == nil)
+	return err
+}
+
+// deadline returns the end of the request on the gate's clock.
+func (c *call) deadline(ctx context.Context) time.Duration {
+	limit, ok := ctx.Deadline()
+	if !ok {
+		return 0
 	}
-	defer c.gate.admission.end(t.Name)
-	return c.forward(ctx, t)
+	return c.gate.clock.Now() + time.Until(limit)
 }
 
 // forward sends the request to the target and relays the answer.
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,121 @@
+// Package gossip spreads small versioned records between daemons in the heartbeats that they exchange anyway.
+//
+// A Table holds the newest version of each record and remembers, for each peer, which versions that peer has seen, so
+// that every record crosses a link about once. Records end by age. A message that is lost delays a record until its
+// next version or until Forget is called for the peer; it never makes an old version replace a newer one.
+//
+// The package does no I/O and reads no clock.
+package gossip
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Record is one version of a value.
+type Record[P any] struct {
+	// Key identifies the value; a restarted daemon uses another key than its predecessor.
+	Key string
+	// Version orders the records of a key.
+	Version uint64
+	// Age is the time since the origin made the version, transit included.
+	Age time.Duration
+	// Payload is shared between daemons' goroutines and must not be changed.
+	Payload P
+}
+
+// Table holds records. It is not safe for concurrent use.
+type Table[P any] struct {
+	lifetime time.Duration
+	records  map[string]entry[P]
+	peers    map[string]map[string]uint64
+}
+
+type entry[P any] struct {
+	version uint64
+	made    time.Duration
+	payload P
+}
+
+// New returns an empty table whose records end after the lifetime.
+func New[P any](lifetime time.Duration) *Table[P] {
+	return &Table[P]{lifetime: lifetime, records: make(map[string]entry[P]), peers: make(map[string]map[string]uint64)}
+}
+
+// Put stores a version that this daemon made now.
+func (t *Table[P]) Put(now time.Duration, key string, version uint64, payload P) {
+	t.records[key] = entry[P]{version: version, made: now, payload: payload}
+}
+
+// Merge stores the records that a peer sent and reports those that are new here.
+func (t *Table[P]) Merge(now time.Duration, peer string, records []Record[P]) []Record[P] {
+	known := t.known(peer)
+	var fresh []Record[P]
+	for _, record := range records {
+		known[record.Key] = max(known[record.Key], record.Version)
+		current, ok := t.records[record.Key]
+		if record.Age > t.lifetime || (ok && current.version >= record.Version) {
+			continue
+		}
+		t.records[record.Key] = entry[P]{version: record.Version, made: now - record.Age, payload: record.Payload}
+		fresh = append(fresh, record)
+	}
+	return fresh
+}
+
+// News returns the records that the peer is not known to have, and counts them as sent. Ages grow by the transit,
+// an upper bound of the time that the message takes to the peer.
+func (t *Table[P]) News(now time.Duration, peer string, transit time.Duration) []Record[P] {
+	known := t.known(peer)
+	var news []Record[P]
+	for key, e := range t.records {
+		if known[key] >= e.version {
+			continue
+		}
+		known[key] = e.version
+		news = append(news, Record[P]{Key: key, Version: e.version, Age: now - e.made + transit, Payload: e.payload})
+	}
+	return news
+}
+
+// Forget drops what is known of a peer, so that it gets every record again. Call it when a message to the peer may
+// have been lost and when the peer has restarted.
+func (t *Table[P]) Forget(peer string) {
+	delete(t.peers, peer)
+}
+
+// Remove drops a record.
+func (t *Table[P]) Remove(key string) {
+	delete(t.records, key)
+	for _, known := range t.peers {
+		delete(known, key)
+	}
+}
+
+// Expire drops the records that are past the lifetime.
+func (t *Table[P]) Expire(now time.Duration) {
+	for _, key := range slices.Collect(maps.Keys(t.records)) {
+		if now-t.records[key].made > t.lifetime {
+			t.Remove(key)
+		}
+	}
+}
+
+// All returns every record with its present age.
+func (t *Table[P]) All(now time.Duration) []Record[P] {
+	all := make([]Record[P], 0, len(t.records))
+	for key, e := range t.records {
+		all = append(all, Record[P]{Key: key, Version: e.version, Age: now - e.made, Payload: e.payload})
+	}
+	return all
+}
+
+func (t *Table[P]) known(peer string) map[string]uint64 {
+	known, ok := t.peers[peer]
+	if !ok {
+		known = make(map[string]uint64)
+		t.peers[peer] = known
+	}
+	return known
+}
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,87 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+const lifetime = 10 * time.Second
+
+// Guards against a late message that brings an old version back.
+func TestOldVersionDoesNotReplaceNewer(t *testing.T) {
+	table := New[string](lifetime)
+	table.Merge(time.Second, "p", []Record[string]{{Key: "k", Version: 2, Payload: "new"}})
+	fresh := table.Merge(2*time.Second, "q", []Record[string]{{Key: "k", Version: 1, Payload: "old"}})
+	if len(fresh) != 0 || table.All(2 * time.Second)[0].Payload != "new" {
+		t.Fatalf("old version was taken: %v", table.All(2*time.Second))
+	}
+}
+
+// Guards against control traffic that repeats what the peer has.
+func TestRecordCrossesALinkOnce(t *testing.T) {
+	table := New[string](lifetime)
+	table.Put(0, "own", 1, "a")
+	table.Merge(0, "p", []Record[string]{{Key: "k", Version: 1, Payload: "b"}})
+	if news := table.News(0, "p", 0); len(news) != 1 || news[0].Key != "own" {
+		t.Fatalf("first message: %v", news)
+	}
+	if news := table.News(0, "p", 0); len(news) != 0 {
+		t.Fatalf("second message repeats %v", news)
+	}
+	table.Forget("p")
+	if news := table.News(0, "p", 0); len(news) != 2 {
+		t.Fatalf("after a loss: %v", news)
+	}
+}
+
+// Guards against ages that shrink on the way, which would make stale loads look fresh.
+func TestAgeGrowsThroughRelaysAndEnds(t *testing.T) {
+	a, b := New[string](lifetime), New[string](lifetime)
+	a.Put(0, "k", 1, "x")
+	b.Merge(500*time.Second, "a", a.News(time.Second, "b", 100*time.Millisecond))
+	if age := b.All(501 * time.Second)[0].Age; age != 2100*time.Millisecond {
+		t.Fatalf("age is %s", age)
+	}
+	b.Expire(520 * time.Second)
+	if len(b.All(520*time.Second)) != 0 {
+		t.Fatal("the record has no end")
+	}
+}
+
+// Guards against daemons that never learn a record although messages get through in the end.
+func TestRecordsSpreadDespiteLoss(t *testing.T) {
+	const nodes, rounds = 9, 60
+	seed := time.Now().UnixNano()
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewSource(seed))
+	tables := make([]*Table[int], nodes)
+	for i := range tables {
+		tables[i] = New[int](time.Hour)
+		tables[i].Put(0, fmt.Sprint(i), 1, i)
+	}
+	for round := range rounds {
+		now := time.Duration(round) * time.Second
+		for i := range tables {
+			for _, step := range []int{1, 2} {
+				exchange(random, tables, now, i, (i+step)%nodes)
+			}
+		}
+	}
+	for i, table := range tables {
+		if count := len(table.All(time.Minute)); count != nodes {
+			t.Errorf("daemon %d knows %d of %d records", i, count, nodes)
+		}
+	}
+}
+
+func exchange(random *rand.Rand, tables []*Table[int], now time.Duration, from, to int) {
+	if random.Float64() < 0.3 {
+		tables[from].News(now, fmt.Sprint(to), 0)
+		tables[from].Forget(fmt.Sprint(to))
+		return
+	}
+	tables[to].Merge(now, fmt.Sprint(from), tables[from].News(now, fmt.Sprint(to), 0))
+	tables[from].Merge(now, fmt.Sprint(to), tables[to].News(now, fmt.Sprint(from), 0))
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,187 @@
+// Package wire converts between the messages of internal/pb and the types of the pure packages, so that those
+// packages stay free of protobuf.
+package wire
+
+import (
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/configsync"
+	"github.com/amaranthlb/amaranthlb/internal/gossip"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+)
+
+// Gate converts a gate.
+func Gate(g membership.Gate) *pb.GateRef {
+	return &pb.GateRef{Name: g.Name, Address: g.Address, Zone: g.Zone, Region: g.Region, Incarnation: g.Incarnation}
+}
+
+// GateFrom converts a gate; a missing one gives the zero Gate.
+func GateFrom(g *pb.GateRef) membership.Gate {
+	return membership.Gate{
+		Name:        g.GetName(),
+		Address:     g.GetAddress(),
+		Zone:        g.GetZone(),
+		Region:      g.GetRegion(),
+		Incarnation: g.GetIncarnation(),
+	}
+}
+
+// Heartbeat puts the membership part of a heartbeat into a message.
+func Heartbeat(m membership.Message) *pb.HeartbeatMessage {
+	message := &pb.HeartbeatMessage{
+		Self:           Gate(m.From),
+		Draining:       m.Draining,
+		ViewVersion:    m.ViewVersion,
+		ViewDigest:     m.ViewDigest,
+		ListRevision:   m.ListRevision,
+		LeavingTargets: m.LeavingTargets,
+	}
+	for _, news := range m.News {
+		message.News = append(message.News, &pb.PeerNews{
+			Gate:     Gate(news.Gate),
+			AgeMs:    milliseconds(news.Age),
+			Draining: news.Draining,
+		})
+	}
+	return message
+}
+
+// HeartbeatFrom reads the membership part of a heartbeat.
+func HeartbeatFrom(m *pb.HeartbeatMessage) membership.Message {
+	message := membership.Message{
+		From:           GateFrom(m.Self),
+		Draining:       m.Draining,
+		ViewVersion:    m.ViewVersion,
+		ViewDigest:     m.ViewDigest,
+		ListRevision:   m.ListRevision,
+		LeavingTargets: m.LeavingTargets,
+	}
+	for _, news := range m.News {
+		message.News = append(message.News, membership.News{
+			Gate:     GateFrom(news.Gate),
+			Age:      duration(news.AgeMs),
+			Draining: news.Draining,
+		})
+	}
+	return message
+}
+
+// Loads converts load records; the keys are rebuilt by LoadsFrom.
+func Loads(records []gossip.Record[*pb.LoadRecord]) []*pb.LoadRecord {
+	loads := make([]*pb.LoadRecord, len(records))
+	for i, record := range records {
+		loads[i] = &pb.LoadRecord{
+			Gate:        record.Payload.Gate,
+			Incarnation: record.Payload.Incarnation,
+			Version:     record.Version,
+			AgeMs:       milliseconds(record.Age),
+			Targets:     record.Payload.Targets,
+			Uses:        record.Payload.Uses,
+		}
+	}
+	return loads
+}
+
+// LoadsFrom converts load records.
+func LoadsFrom(loads []*pb.LoadRecord) []gossip.Record[*pb.LoadRecord] {
+	records := make([]gossip.Record[*pb.LoadRecord], len(loads))
+	for i, load := range loads {
+		records[i] = gossip.Record[*pb.LoadRecord]{
+			Key:     LoadKey(load.Gate, load.Incarnation),
+			Version: load.Version,
+			Age:     duration(load.AgeMs),
+			Payload: load,
+		}
+	}
+	return records
+}
+
+// LoadKey is the key of a gate process's load record.
+func LoadKey(gate string, incarnation uint64) string {
+	key := make([]byte, 0, len(gate)+9)
+	key = append(key, gate...)
+	key = append(key, '/')
+	for shift := 0; shift < 64; shift += 8 {
+		key = append(key, byte(incarnation>>shift))
+	}
+	return string(key)
+}
+
+// Notices converts notices.
+func Notices(records []gossip.Record[*pb.Notice]) []*pb.Notice {
+	notices := make([]*pb.Notice, len(records))
+	for i, record := range records {
+		notices[i] = &pb.Notice{
+			Key:     record.Key,
+			Version: record.Version,
+			AgeMs:   milliseconds(record.Age),
+			Note:    record.Payload.Note,
+			Charge:  record.Payload.Charge,
+		}
+	}
+	return notices
+}
+
+// NoticesFrom converts notices.
+func NoticesFrom(notices []*pb.Notice) []gossip.Record[*pb.Notice] {
+	records := make([]gossip.Record[*pb.Notice], len(notices))
+	for i, notice := range notices {
+		records[i] = gossip.Record[*pb.Notice]{
+			Key:     notice.Key,
+			Version: notice.Version,
+			Age:     duration(notice.AgeMs),
+			Payload: notice,
+		}
+	}
+	return records
+}
+
+// Pull asks for the entries that differ from the base.
+func Pull(base *catalogue.Catalogue) *pb.CatalogueRequest {
+	request := &pb.CatalogueRequest{HaveRevision: base.Version().Revision}
+	for key, digest := range configsync.Digests(base) {
+		request.Have = append(request.Have, &pb.EntryDigest{Key: key, Digest: digest})
+	}
+	return request
+}
+
+// Difference answers a pull.
+func Difference(current *catalogue.Catalogue, request *pb.CatalogueRequest) *pb.CatalogueReply {
+	have := make(map[string]uint64, len(request.Have))
+	for _, entry := range request.Have {
+		have[entry.Key] = entry.Digest
+	}
+	difference := configsync.DifferenceFrom(current, have)
+	reply := &pb.CatalogueReply{
+		Revision: difference.Version.Revision,
+		Digest:   difference.Version.Digest,
+		Removed:  difference.Removed,
+	}
+	for _, entry := range difference.Changed {
+		reply.Changed = append(reply.Changed, &pb.CatalogueEntry{Key: entry.Key, Document: entry.Document})
+	}
+	return reply
+}
+
+// DifferenceFrom reads the answer to a pull.
+func DifferenceFrom(reply *pb.CatalogueReply) configsync.Difference {
+	difference := configsync.Difference{
+		Version: catalogue.Version{Revision: reply.Revision, Digest: reply.Digest},
+		Removed: reply.Removed,
+	}
+	for _, entry := range reply.Changed {
+		difference.Changed = append(difference.Changed, catalogue.Entry{Key: entry.Key, Document: entry.Document})
+	}
+	return difference
+}
+
+// milliseconds rounds up, since an age must not become younger on the way.
+func milliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+func duration(milliseconds int64) time.Duration {
+	return time.Duration(milliseconds) * time.Millisecond
+}
