Add the state chart interpreter and the charts

Cause: the design asks for request, ticket, target, ownership and daemon charts that the code interprets and that are refused at start when they name a state, event or action that the code does not know.

Change: charts are loaded against typed lists of states, events and actions. A fault names the chart and the path in the document. Steps and refusals are built at load, so firing allocates nothing (checked by a test).

Ruled out: allocating the error of an unlisted event when it occurs, because the traffic path may meet one.

Conclusion: all six charts load; eleven kinds of bad chart are refused with chart and place.

--- /dev/null
+++ b/internal/statechart/statechart_test.go
@@ -0,0 +1,122 @@
+package statechart
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+// loadAll loads every embedded chart, as the daemons do at start.
+func loadAll() error {
+	_, request := Load(RequestVocabulary())
+	_, executor := Load(ExecutorVocabulary())
+	_, witness := Load(WitnessVocabulary())
+	_, target := Load(TargetVocabulary())
+	_, ownership := Load(OwnershipVocabulary())
+	_, daemon := Load(DaemonVocabulary())
+	return errors.Join(request, executor, witness, target, ownership, daemon)
+}
+
+// Guards against an embedded chart that a daemon would refuse at start, and against a file that nothing loads.
+func TestEmbeddedChartsLoad(t *testing.T) {
+	if err := loadAll(); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := files.ReadDir("charts")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(entries) != 6 {
+		t.Fatalf("%d chart files, 6 are loaded", len(entries))
+	}
+}
+
+var lamp = Vocabulary[string, string, string]{
+	Chart: "lamp", States: []string{"off", "on"}, Events: []string{"press", "cut"}, Actions: []string{"heat"},
+}
+
+const lampChart = `
+name: lamp
+initial: off
+states:
+  off: {on: {press: {to: on, do: [heat]}}}
+  on: {on: {press: {to: off}}}
+`
+
+// Guards against a chart fault that is found only when the event occurs, and against errors that don't say where.
+func TestBadChartsAreRefused(t *testing.T) {
+	tests := []struct{ name, old, new, want string }{
+		{"unknown state", "to: off", "to: dim", `chart lamp: states.on.on.press.to: unknown state "dim"`},
+		{"unknown event", "on: {on: {press", "on: {on: {kick", "chart lamp: states.on.on.kick: unknown event"},
+		{"unknown action", "heat", "cool", `chart lamp: states.off.on.press.do[0]: unknown action "cool"`},
+		{"unreachable state", "to: on,", "to: off,", `chart lamp: states.on: is unreachable from "off"`},
+		{"missing initial", "initial: off", "", "chart lamp: initial: is missing"},
+		{"unknown initial", "initial: off", "initial: dim", `chart lamp: initial: unknown state "dim"`},
+		{"other name", "name: lamp", "name: fan", `chart lamp: name: is "fan", want "lamp"`},
+		{"unknown field", "to: off", "go: off", "unknown field"},
+		{"duplicate state", "  on: {on", "  off: {on", "already defined"},
+		{"state that the code misses", "  on: {on: {press: {to: off}}}", "", `chart lamp: states: state "on" of the code`},
+		{"state that the code lacks", "states:", "states:\n  dim: {on: {}}", "chart lamp: states.dim: the code knows no"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			text := strings.Replace(lampChart, test.old, test.new, 1)
+			if text == lampChart {
+				t.Fatal("the case changes nothing")
+			}
+			_, err := Parse(lamp, []byte(text))
+			if err == nil || !strings.Contains(err.Error(), test.want) || !strings.Contains(err.Error(), "chart lamp") {
+				t.Fatalf("got %v, want %s", err, test.want)
+			}
+		})
+	}
+}
+
+// Guards against transitions that are taken although the state doesn't list the event.
+func TestFire(t *testing.T) {
+	chart, err := Parse(lamp, []byte(lampChart))
+	if err != nil {
+		t.Fatal(err)
+	}
+	instance := chart.New()
+	actions, err := instance.Fire("press")
+	if err != nil || instance.State() != "on" || len(actions) != 1 || actions[0] != "heat" {
+		t.Fatalf("state %s, actions %v, error %v", instance.State(), actions, err)
+	}
+	for _, event := range []string{"cut", "never heard of"} {
+		var unlisted *EventError
+		if _, err := instance.Fire(event); !errors.As(err, &unlisted) || unlisted.Event != event || unlisted.State != "on" {
+			t.Fatalf("event %s: got %v", event, err)
+		}
+		if instance.State() != "on" || instance.Lists(event) {
+			t.Fatalf("event %s: state %s", event, instance.State())
+		}
+	}
+}
+
+// Guards against allocation on the traffic path, which fires the request chart for every chunk.
+func TestFireAllocatesNothing(t *testing.T) {
+	chart := MustLoad(RequestVocabulary())
+	allocations := testing.AllocsPerRun(100, func() {
+		instance := chart.New()
+		for _, event := range []RequestEvent{RequestOnAdmit, RequestOnWrite, RequestOnAnswer, RequestOnChunk, RequestOnEnd} {
+			if _, err := instance.Fire(event); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := instance.Fire(RequestOnAdmit); err == nil {
+			t.Fatal("a finished request was admitted")
+		}
+	})
+	if allocations != 0 {
+		t.Fatalf("%v allocations per request", allocations)
+	}
+}
+
+func BenchmarkFire(b *testing.B) {
+	chart := MustLoad(RequestVocabulary())
+	for b.Loop() {
+		instance := chart.New()
+		_, _ = instance.Fire(RequestOnAdmit)
+	}
+}
--- /dev/null
+++ b/internal/statechart/vocabulary.go
@@ -0,0 +1,454 @@
+package statechart
+
+// This file lists the states, events and actions that the code knows, for each embedded chart. The comments in
+// the chart files say what the states mean.
+
+// Types of the chart of one request at a gate.
+type (
+	// RequestState is a state of the chart.
+	RequestState string
+	// RequestEvent is an event of the chart.
+	RequestEvent string
+	// RequestAction is an action of the chart.
+	RequestAction string
+)
+
+// States of the request chart.
+const (
+	RequestReceived  RequestState = "received"
+	RequestQueued    RequestState = "queued"
+	RequestAdmitted  RequestState = "admitted"
+	RequestWritten   RequestState = "written"
+	RequestStreaming RequestState = "streaming"
+	RequestDone      RequestState = "done"
+	RequestRefused   RequestState = "refused"
+	RequestFailed    RequestState = "failed"
+	RequestCancelled RequestState = "cancelled"
+)
+
+// Events of the request chart.
+const (
+	RequestOnAdmit    RequestEvent = "admit"
+	RequestOnEnqueue  RequestEvent = "enqueue"
+	RequestOnRefuse   RequestEvent = "refuse"
+	RequestOnCancel   RequestEvent = "cancel"
+	RequestOnDeadline RequestEvent = "deadline"
+	RequestOnWrite    RequestEvent = "write"
+	RequestOnAnswer   RequestEvent = "answer"
+	RequestOnFail     RequestEvent = "fail"
+	RequestOnChunk    RequestEvent = "chunk"
+	RequestOnEnd      RequestEvent = "end"
+)
+
+// Actions of the request chart.
+const (
+	RequestDoReserve      RequestAction = "reserve"
+	RequestDoStartWait    RequestAction = "start_wait"
+	RequestDoSendRefusal  RequestAction = "send_refusal"
+	RequestDoRelease      RequestAction = "release"
+	RequestDoSendAdmitted RequestAction = "send_admitted"
+	RequestDoSendUnknown  RequestAction = "send_unknown"
+	RequestDoCancelTarget RequestAction = "cancel_target"
+	RequestDoSendChunk    RequestAction = "send_chunk"
+	RequestDoSendEnd      RequestAction = "send_end"
+)
+
+// RequestVocabulary returns what the code knows of the request chart.
+func RequestVocabulary() Vocabulary[RequestState, RequestEvent, RequestAction] {
+	return Vocabulary[RequestState, RequestEvent, RequestAction]{
+		Chart: "request",
+		States: []RequestState{
+			RequestReceived,
+			RequestQueued,
+			RequestAdmitted,
+			RequestWritten,
+			RequestStreaming,
+			RequestDone,
+			RequestRefused,
+			RequestFailed,
+			RequestCancelled,
+		},
+		Events: []RequestEvent{
+			RequestOnAdmit,
+			RequestOnEnqueue,
+			RequestOnRefuse,
+			RequestOnCancel,
+			RequestOnDeadline,
+			RequestOnWrite,
+			RequestOnAnswer,
+			RequestOnFail,
+			RequestOnChunk,
+			RequestOnEnd,
+		},
+		Actions: []RequestAction{
+			RequestDoReserve,
+			RequestDoStartWait,
+			RequestDoSendRefusal,
+			RequestDoRelease,
+			RequestDoSendAdmitted,
+			RequestDoSendUnknown,
+			RequestDoCancelTarget,
+			RequestDoSendChunk,
+			RequestDoSendEnd,
+		},
+	}
+}
+
+// Types of the chart of a ticket at its executor.
+type (
+	// ExecutorState is a state of the chart.
+	ExecutorState string
+	// ExecutorEvent is an event of the chart.
+	ExecutorEvent string
+	// ExecutorAction is an action of the chart.
+	ExecutorAction string
+)
+
+// States of the ticket_executor chart.
+const (
+	ExecutorFresh      ExecutorState = "fresh"
+	ExecutorAnnouncing ExecutorState = "announcing"
+	ExecutorRunning    ExecutorState = "running"
+	ExecutorAnswered   ExecutorState = "answered"
+	ExecutorUnknown    ExecutorState = "unknown"
+	ExecutorSealed     ExecutorState = "sealed"
+	ExecutorHanded     ExecutorState = "handed"
+	ExecutorDiscarded  ExecutorState = "discarded"
+)
+
+// Events of the ticket_executor chart.
+const (
+	ExecutorOnRequest            ExecutorEvent = "request"
+	ExecutorOnExpire             ExecutorEvent = "expire"
+	ExecutorOnHandOver           ExecutorEvent = "hand_over"
+	ExecutorOnRecorded           ExecutorEvent = "recorded"
+	ExecutorOnWitnessRefused     ExecutorEvent = "witness_refused"
+	ExecutorOnWitnessUnreachable ExecutorEvent = "witness_unreachable"
+	ExecutorOnNotWritten         ExecutorEvent = "not_written"
+	ExecutorOnAnswered           ExecutorEvent = "answered"
+	ExecutorOnLost               ExecutorEvent = "lost"
+	ExecutorOnDiscard            ExecutorEvent = "discard"
+)
+
+// Actions of the ticket_executor chart.
+const (
+	ExecutorDoSendIntent    ExecutorAction = "send_intent"
+	ExecutorDoSendRecord    ExecutorAction = "send_record"
+	ExecutorDoRun           ExecutorAction = "run"
+	ExecutorDoAnswerNotRun  ExecutorAction = "answer_not_run"
+	ExecutorDoJoin          ExecutorAction = "join"
+	ExecutorDoStoreAnswer   ExecutorAction = "store_answer"
+	ExecutorDoSendOutcome   ExecutorAction = "send_outcome"
+	ExecutorDoAnswerStored  ExecutorAction = "answer_stored"
+	ExecutorDoAnswerUnknown ExecutorAction = "answer_unknown"
+	ExecutorDoAnswerHeir    ExecutorAction = "answer_heir"
+)
+
+// ExecutorVocabulary returns what the code knows of the ticket_executor chart.
+func ExecutorVocabulary() Vocabulary[ExecutorState, ExecutorEvent, ExecutorAction] {
+	return Vocabulary[ExecutorState, ExecutorEvent, ExecutorAction]{
+		Chart: "ticket_executor",
+		States: []ExecutorState{
+			ExecutorFresh,
+			ExecutorAnnouncing,
+			ExecutorRunning,
+			ExecutorAnswered,
+			ExecutorUnknown,
+			ExecutorSealed,
+			ExecutorHanded,
+			ExecutorDiscarded,
+		},
+		Events: []ExecutorEvent{
+			ExecutorOnRequest,
+			ExecutorOnExpire,
+			ExecutorOnHandOver,
+			ExecutorOnRecorded,
+			ExecutorOnWitnessRefused,
+			ExecutorOnWitnessUnreachable,
+			ExecutorOnNotWritten,
+			ExecutorOnAnswered,
+			ExecutorOnLost,
+			ExecutorOnDiscard,
+		},
+		Actions: []ExecutorAction{
+			ExecutorDoSendIntent,
+			ExecutorDoSendRecord,
+			ExecutorDoRun,
+			ExecutorDoAnswerNotRun,
+			ExecutorDoJoin,
+			ExecutorDoStoreAnswer,
+			ExecutorDoSendOutcome,
+			ExecutorDoAnswerStored,
+			ExecutorDoAnswerUnknown,
+			ExecutorDoAnswerHeir,
+		},
+	}
+}
+
+// Types of the chart of a ticket at its witness.
+type (
+	// WitnessState is a state of the chart.
+	WitnessState string
+	// WitnessEvent is an event of the chart.
+	WitnessEvent string
+	// WitnessAction is an action of the chart.
+	WitnessAction string
+)
+
+// States of the ticket_witness chart.
+const (
+	WitnessOpen      WitnessState = "open"
+	WitnessRecorded  WitnessState = "recorded"
+	WitnessSettled   WitnessState = "settled"
+	WitnessSealed    WitnessState = "sealed"
+	WitnessHanded    WitnessState = "handed"
+	WitnessDiscarded WitnessState = "discarded"
+)
+
+// Events of the ticket_witness chart.
+const (
+	WitnessOnIntent        WitnessEvent = "intent"
+	WitnessOnSettle        WitnessEvent = "settle"
+	WitnessOnExpire        WitnessEvent = "expire"
+	WitnessOnHandOver      WitnessEvent = "hand_over"
+	WitnessOnOtherExecutor WitnessEvent = "other_executor"
+	WitnessOnOutcome       WitnessEvent = "outcome"
+	WitnessOnDiscard       WitnessEvent = "discard"
+)
+
+// Actions of the ticket_witness chart.
+const (
+	WitnessDoRecord        WitnessAction = "record"
+	WitnessDoAcknowledge   WitnessAction = "acknowledge"
+	WitnessDoAnswerNotRun  WitnessAction = "answer_not_run"
+	WitnessDoSendRecord    WitnessAction = "send_record"
+	WitnessDoRefuseIntent  WitnessAction = "refuse_intent"
+	WitnessDoStoreAnswer   WitnessAction = "store_answer"
+	WitnessDoAnswerUnknown WitnessAction = "answer_unknown"
+	WitnessDoAnswerStored  WitnessAction = "answer_stored"
+	WitnessDoAnswerHeir    WitnessAction = "answer_heir"
+)
+
+// WitnessVocabulary returns what the code knows of the ticket_witness chart.
+func WitnessVocabulary() Vocabulary[WitnessState, WitnessEvent, WitnessAction] {
+	return Vocabulary[WitnessState, WitnessEvent, WitnessAction]{
+		Chart: "ticket_witness",
+		States: []WitnessState{
+			WitnessOpen,
+			WitnessRecorded,
+			WitnessSettled,
+			WitnessSealed,
+			WitnessHanded,
+			WitnessDiscarded,
+		},
+		Events: []WitnessEvent{
+			WitnessOnIntent,
+			WitnessOnSettle,
+			WitnessOnExpire,
+			WitnessOnHandOver,
+			WitnessOnOtherExecutor,
+			WitnessOnOutcome,
+			WitnessOnDiscard,
+		},
+		Actions: []WitnessAction{
+			WitnessDoRecord,
+			WitnessDoAcknowledge,
+			WitnessDoAnswerNotRun,
+			WitnessDoSendRecord,
+			WitnessDoRefuseIntent,
+			WitnessDoStoreAnswer,
+			WitnessDoAnswerUnknown,
+			WitnessDoAnswerStored,
+			WitnessDoAnswerHeir,
+		},
+	}
+}
+
+// Types of the chart of a target in a view.
+type (
+	// TargetState is a state of the chart.
+	TargetState string
+	// TargetEvent is an event of the chart.
+	TargetEvent string
+	// TargetAction is an action of the chart.
+	TargetAction string
+)
+
+// States of the target chart.
+const (
+	TargetGone    TargetState = "gone"
+	TargetLive    TargetState = "live"
+	TargetLeaving TargetState = "leaving"
+)
+
+// Events of the target chart.
+const (
+	TargetOnListedLive      TargetEvent = "listed_live"
+	TargetOnListedLeaving   TargetEvent = "listed_leaving"
+	TargetOnUnlisted        TargetEvent = "unlisted"
+	TargetOnReportedLeaving TargetEvent = "reported_leaving"
+)
+
+// Actions of the target chart.
+const (
+	TargetDoStopNewWork TargetAction = "stop_new_work"
+)
+
+// TargetVocabulary returns what the code knows of the target chart.
+func TargetVocabulary() Vocabulary[TargetState, TargetEvent, TargetAction] {
+	return Vocabulary[TargetState, TargetEvent, TargetAction]{
+		Chart: "target",
+		States: []TargetState{
+			TargetGone,
+			TargetLive,
+			TargetLeaving,
+		},
+		Events: []TargetEvent{
+			TargetOnListedLive,
+			TargetOnListedLeaving,
+			TargetOnUnlisted,
+			TargetOnReportedLeaving,
+		},
+		Actions: []TargetAction{
+			TargetDoStopNewWork,
+		},
+	}
+}
+
+// Types of the chart of the ownership of one target at one gate.
+type (
+	// OwnershipState is a state of the chart.
+	OwnershipState string
+	// OwnershipEvent is an event of the chart.
+	OwnershipEvent string
+	// OwnershipAction is an action of the chart.
+	OwnershipAction string
+)
+
+// States of the ownership chart.
+const (
+	OwnershipIdle      OwnershipState = "idle"
+	OwnershipTaking    OwnershipState = "taking"
+	OwnershipProbation OwnershipState = "probation"
+	OwnershipFull      OwnershipState = "full"
+	OwnershipContested OwnershipState = "contested"
+	OwnershipSuspended OwnershipState = "suspended"
+	OwnershipHanded    OwnershipState = "handed"
+	OwnershipDrained   OwnershipState = "drained"
+)
+
+// Events of the ownership chart.
+const (
+	OwnershipOnChosen      OwnershipEvent = "chosen"
+	OwnershipOnDrain       OwnershipEvent = "drain"
+	OwnershipOnSettled     OwnershipEvent = "settled"
+	OwnershipOnReduced     OwnershipEvent = "reduced"
+	OwnershipOnContest     OwnershipEvent = "contest"
+	OwnershipOnInterrupted OwnershipEvent = "interrupted"
+	OwnershipOnGranted     OwnershipEvent = "granted"
+	OwnershipOnLost        OwnershipEvent = "lost"
+	OwnershipOnBlocked     OwnershipEvent = "blocked"
+	OwnershipOnConfirmed   OwnershipEvent = "confirmed"
+)
+
+// Actions of the ownership chart.
+const (
+	OwnershipDoSpreadClaim   OwnershipAction = "spread_claim"
+	OwnershipDoStopAdmitting OwnershipAction = "stop_admitting"
+)
+
+// OwnershipVocabulary returns what the code knows of the ownership chart.
+func OwnershipVocabulary() Vocabulary[OwnershipState, OwnershipEvent, OwnershipAction] {
+	return Vocabulary[OwnershipState, OwnershipEvent, OwnershipAction]{
+		Chart: "ownership",
+		States: []OwnershipState{
+			OwnershipIdle,
+			OwnershipTaking,
+			OwnershipProbation,
+			OwnershipFull,
+			OwnershipContested,
+			OwnershipSuspended,
+			OwnershipHanded,
+			OwnershipDrained,
+		},
+		Events: []OwnershipEvent{
+			OwnershipOnChosen,
+			OwnershipOnDrain,
+			OwnershipOnSettled,
+			OwnershipOnReduced,
+			OwnershipOnContest,
+			OwnershipOnInterrupted,
+			OwnershipOnGranted,
+			OwnershipOnLost,
+			OwnershipOnBlocked,
+			OwnershipOnConfirmed,
+		},
+		Actions: []OwnershipAction{
+			OwnershipDoSpreadClaim,
+			OwnershipDoStopAdmitting,
+		},
+	}
+}
+
+// Types of the chart of the lifecycle of a daemon.
+type (
+	// DaemonState is a state of the chart.
+	DaemonState string
+	// DaemonEvent is an event of the chart.
+	DaemonEvent string
+	// DaemonAction is an action of the chart.
+	DaemonAction string
+)
+
+// States of the daemon chart.
+const (
+	DaemonStarting DaemonState = "starting"
+	DaemonReady    DaemonState = "ready"
+	DaemonDraining DaemonState = "draining"
+	DaemonStopped  DaemonState = "stopped"
+	DaemonAborted  DaemonState = "aborted"
+)
+
+// Events of the daemon chart.
+const (
+	DaemonOnPrepared     DaemonEvent = "prepared"
+	DaemonOnTerminate    DaemonEvent = "terminate"
+	DaemonOnLimitReached DaemonEvent = "limit_reached"
+	DaemonOnFinished     DaemonEvent = "finished"
+)
+
+// Actions of the daemon chart.
+const (
+	DaemonDoReportReady   DaemonAction = "report_ready"
+	DaemonDoReportUnready DaemonAction = "report_unready"
+	DaemonDoHandOver      DaemonAction = "hand_over"
+	DaemonDoExitFailure   DaemonAction = "exit_failure"
+	DaemonDoExitSuccess   DaemonAction = "exit_success"
+)
+
+// DaemonVocabulary returns what the code knows of the daemon chart.
+func DaemonVocabulary() Vocabulary[DaemonState, DaemonEvent, DaemonAction] {
+	return Vocabulary[DaemonState, DaemonEvent, DaemonAction]{
+		Chart: "daemon",
+		States: []DaemonState{
+			DaemonStarting,
+			DaemonReady,
+			DaemonDraining,
+			DaemonStopped,
+			DaemonAborted,
+		},
+		Events: []DaemonEvent{
+			DaemonOnPrepared,
+			DaemonOnTerminate,
+			DaemonOnLimitReached,
+			DaemonOnFinished,
+		},
+		Actions: []DaemonAction{
+			DaemonDoReportReady,
+			DaemonDoReportUnready,
+			DaemonDoHandOver,
+			DaemonDoExitFailure,
+			DaemonDoExitSuccess,
+		},
+	}
+}
