Drive membership, configuration and admission from the control goroutines

The thin daemons read the platform directly and refused what did not fit. Gates now exchange heartbeats with membership, catalogue versions, loads and customers' use; only two gates of a zone watch the catalogue, and the others and the entries pull what differs from peers. Entries follow two gates. Admission queues instead of refusing.

TestStreamsSurviveKilledGate failed before: 18 of 24 streams got 503, since each gate saw only its own load and so a limit of 1, and the entry refused when its view showed no room. An entry now leaves that decision to the owner, whose queue waits for the limit to rise. After: 24 of 24 streams are exact with a gate killed on the way.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -3,84 +3,85 @@
 import (
 	"context"
 	"errors"
+	"math/rand"
 	"sync/atomic"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/configsync"
 	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/platform"
 	"github.com/amaranthlb/amaranthlb/internal/routing"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
 const (
-	watchWait    = 20 * time.Second
-	retryPause   = 500 * time.Millisecond
-	tickInterval = 100 * time.Millisecond
+	listWait     = 20 * time.Second
+	listPause    = 500 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 	gapLimit     = time.Second
+	pullTimeout  = 2 * time.Second
 	roleGate     = "gate"
+	// loadDecay is the age from which the loads of a gate that stopped telling them are ignored.
+	loadDecay = 5 * time.Second
 )
 
 // controlState is owned by the control goroutine.
 type controlState struct {
-	catalogue *catalogue.Catalogue
-	gates     []platform.VM
-	update    *pb.FollowUpdate
-	inFlight  map[string]*atomic.Int32
+	config *configsync.Machine
+	// listed are the gates of the VM list.
+	listed []membership.Gate
+	view   *membership.View
+	// followed are the gates that this entry follows, by slot.
+	followed [followedGates]followed
+	loads    map[string]reportedLoad
+	inFlight map[string]*atomic.Int32
 }
 
-func newControlState() controlState {
-	return controlState{inFlight: make(map[string]*atomic.Int32)}
+// reportedLoad is the last figure of a target.
+type reportedLoad struct {
+	load  int32
+	state membership.State
+	at    time.Duration
+}
+
+func newControlState(name, zone string) controlState {
+	random := rand.New(rand.NewSource(rand.Int63()))
+	return controlState{
+		config:   configsync.New(configsync.Settings{Self: name, Zone: zone, AskPeers: followedGates}, random),
+		loads:    make(map[string]reportedLoad),
+		inFlight: make(map[string]*atomic.Int32),
+	}
 }
 
 // startControl starts the control goroutine and what feeds it.
 func (e *Entry) startControl(ctx context.Context) {
+	e.lifetime = ctx
 	go e.loop.Run(ctx, control.Handlers{
-		Tick:     func(time.Duration) {},
+		Tick:     func(now time.Duration) { e.stepConfig(now, configsync.Tick{}) },
 		Gap:      func(_, gap time.Duration) { e.log.WithField("gap", gap).Warn("the process was paused") },
 		Interval: tickInterval,
 		GapLimit: gapLimit,
 	})
-	go e.watchConfig(ctx)
 	go e.watchVMs(ctx)
-	go e.follow(ctx)
-}
-
-func (e *Entry) watchConfig(ctx context.Context) {
-	var revision uint64
-	for ctx.Err() == nil {
-		document, err := e.platform.Config(ctx, e.settings.Platform.CatalogueKey, revision, watchWait)
-		if err != nil {
-			pauseAfter(ctx, err)
-			continue
-		}
-		revision = document.Revision
-		e.loop.Post(func(time.Duration) { e.acceptDocument(document.Body) })
+	for slot := range followedGates {
+		go e.follow(ctx, slot)
 	}
 }
 
-func (e *Entry) acceptDocument(body []byte) {
-	proposed, err := catalogue.Parse(body)
-	if err != nil {
-		e.meters.Event("catalogue_invalid")
-		e.log.WithError(err).Error("catalogue refused")
-		return
-	}
-	if e.state.catalogue != nil && proposed.Revision <= e.state.catalogue.Revision {
-		return
-	}
-	e.state.catalogue = proposed
-	e.publish()
-}
-
-// watchVMs learns which gates there are.
+// watchVMs learns which gates there are to follow.
 func (e *Entry) watchVMs(ctx context.Context) {
 	var revision uint64
 	for ctx.Err() == nil {
-		list, err := e.platform.VMs(ctx, revision, watchWait)
+		list, err := e.platform.VMs(ctx, revision, listWait)
+		if errors.Is(err, platform.ErrUnchanged) {
+			continue
+		}
 		if err != nil {
-			pauseAfter(ctx, err)
+			e.meters.ControlCall("vms", "failed")
+			sleep(ctx, listPause)
 			continue
 		}
 		revision = list.Revision
@@ -89,104 +90,90 @@
 }
 
 func (e *Entry) acceptVMs(list platform.VMList) {
-	e.state.gates = nil
+	e.state.listed = nil
 	for _, vm := range list.VMs {
 		if vm.Role == roleGate {
-			e.state.gates = append(e.state.gates, vm)
+			gate := membership.Gate{Name: vm.Name, Address: vm.Address, Zone: vm.Zone, Region: vm.Region}
+			e.state.listed = append(e.state.listed, gate)
 		}
 	}
 }
 
-func pauseAfter(ctx context.Context, err error) {
-	if errors.Is(err, platform.ErrUnchanged) {
-		return
-	}
+// sleep waits unless the context ends first.
+func sleep(ctx context.Context, pause time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(retryPause):
-	}
-}
-
-// follow keeps a stream of updates from one gate open.
-func (e *Entry) follow(ctx context.Context) {
-	for turn := 0; ctx.Err() == nil; turn++ {
-		if address, ok := e.gateToFollow(ctx, turn); ok {
-			e.followGate(ctx, address)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryPause):
+	case <-time.After(pause):
+	}
+}
+
+// stepConfig applies an event to the configuration machine and carries out the effects.
+func (e *Entry) stepConfig(now time.Duration, event configsync.Event) {
+	for _, effect := range e.state.config.Step(now, event) {
+		switch effect := effect.(type) {
+		case configsync.Pull:
+			e.pull(effect)
+		case configsync.Apply:
+			e.meters.Event("catalogue_applied")
+			e.log.WithField("revision", effect.Catalogue.Revision).Info("catalogue in force")
+			e.publish(now)
+		case configsync.Ready:
+			e.publish(now)
+		case configsync.Skipped:
+			e.meters.Event("catalogue_skipped_" + string(effect.Reason))
 		}
 	}
 }
 
-func (e *Entry) gateToFollow(ctx context.Context, turn int) (address string, ok bool) {
-	_ = e.loop.Call(ctx, func(time.Duration) {
-		var near, all []string
-		for _, vm := range e.state.gates {
-			all = append(all, vm.Address)
-			if vm.Zone == e.settings.Zone {
-				near = append(near, vm.Address)
-			}
-		}
-		if len(near) > 0 && turn%2 == 0 {
-			all = near
-		}
-		if len(all) > 0 {
-			address, ok = all[turn/2%len(all)], true
-		}
-	})
-	return address, ok
+// pull asks a followed gate for the catalogue entries that this entry lacks.
+func (e *Entry) pull(pull configsync.Pull) {
+	address := e.followedAddress(pull.Peer)
+	request := wire.Pull(pull.Base)
+	go func() {
+		event := e.pullOnce(address, pull.Pull, request)
+		e.loop.Post(func(now time.Duration) { e.stepConfig(now, event) })
+	}()
 }
 
-func (e *Entry) followGate(ctx context.Context, address string) {
-	client := pb.NewDRPCControlClient(e.control.Conn(ctx, address))
-	updates, err := client.Follow(ctx, &pb.FollowRequest{Entry: e.settings.Name, Zone: e.settings.Zone})
+func (e *Entry) pullOnce(address string, number uint64, request *pb.CatalogueRequest) configsync.Event {
+	ctx, cancel := context.WithTimeout(e.lifetime, pullTimeout)
+	defer cancel()
+	reply, err := pb.NewDRPCControlClient(e.control.Conn(ctx, address)).Catalogue(ctx, request)
 	if err != nil {
-		return
-	}
-	defer func() { _ = updates.Close() }()
-	for {
-		update, err := updates.Recv()
-		if err != nil {
-			return
-		}
-		e.loop.Post(func(time.Duration) {
-			e.state.update = update
-			e.publish()
-		})
+		e.meters.ControlCall("catalogue", "failed")
+		return configsync.PullFailed{Pull: number}
 	}
+	return configsync.Pulled{Pull: number, Difference: wire.DifferenceFrom(reply)}
 }
 
 // publish gives traffic a new snapshot.
-func (e *Entry) publish() {
-	if e.state.catalogue == nil || e.state.update == nil {
+func (e *Entry) publish(now time.Duration) {
+	current := e.state.config.Current()
+	if current == nil || e.state.view == nil || !e.state.config.Ready() {
 		return
 	}
-	view := viewOf(e.state.update)
-	loads := make(map[string]int32, len(e.state.update.Targets))
-	for _, t := range e.state.update.Targets {
-		loads[t.Target] = t.Load
+	pools := make([]*routing.Pool, 0, len(current.Pools))
+	for i := range current.Pools {
+		pools = append(pools, e.poolSnapshot(now, &current.Pools[i]))
 	}
-	pools := make([]*routing.Pool, 0, len(e.state.catalogue.Pools))
-	for i := range e.state.catalogue.Pools {
-		pools = append(pools, e.poolSnapshot(&e.state.catalogue.Pools[i], view, loads))
-	}
-	e.snapshot.Store(&Snapshot{Catalogue: e.state.catalogue, View: view, Routes: routing.NewTable(pools)})
+	e.snapshot.Store(&Snapshot{Catalogue: current, View: e.state.view, Routes: routing.NewTable(pools)})
 }
 
-func (e *Entry) poolSnapshot(pool *catalogue.Pool, view *membership.View, loads map[string]int32) *routing.Pool {
+func (e *Entry) poolSnapshot(now time.Duration, pool *catalogue.Pool) *routing.Pool {
 	candidates := make([]routing.Candidate, len(pool.Targets))
 	for i := range pool.Targets {
 		t := &pool.Targets[i]
+		known := e.state.loads[t.Name]
 		candidates[i] = routing.Candidate{
 			Target:   t,
 			Hash:     t.Hash(),
 			Distance: e.distance(t),
-			Open:     view.Target(t.Name) == membership.Live,
-			Reported: loads[t.Name],
+			Open:     known.state == membership.Live,
 			InFlight: e.inFlightOf(t.Name),
 		}
+		if now-known.at < loadDecay {
+			candidates[i].Reported = known.load
+		}
 	}
 	return routing.NewPool(pool, candidates)
 }
@@ -209,27 +196,3 @@
 	}
 	return counter
 }
-
-func viewOf(update *pb.FollowUpdate) *membership.View {
-	view := &membership.View{Version: update.ViewVersion, Targets: make(map[string]membership.State)}
-	for _, news := range update.Gates {
-		state := membership.Live
-		if news.Draining {
-			state = membership.Leaving
-		}
-		view.Gates = append(view.Gates, membership.Member{
-			Gate: membership.Gate{
-				Name:        news.Gate.Name,
-				Address:     news.Gate.Address,
-				Zone:        news.Gate.Zone,
-				Region:      news.Gate.Region,
-				Incarnation: news.Gate.Incarnation,
-			},
-			State: state,
-		})
-	}
-	for _, t := range update.Targets {
-		view.Targets[t.Target] = membership.State(t.State)
-	}
-	return view
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,9 @@
 	sealer   *placement.Codec
 	retries  *retries
 
+	// lifetime ends when the entry has drained; it bounds the calls that the control goroutine starts.
+	lifetime context.Context
+
 	// state belongs to the control goroutine.
 	state    controlState
 	snapshot atomic.Pointer[Snapshot]
@@ -86,7 +89,7 @@
 		traffic:  rpc.NewDialer(rpc.Traffic, tlsConfig, meters),
 		sealer:   placement.NewCodec(s.FleetKeys),
 		retries:  newRetries(clock),
-		state:    newControlState(),
+		state:    newControlState(s.Name, s.Zone),
 	}, nil
 }
 
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/configsync"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+const (
+	// followedGates is the number of gates that an entry follows, so that one may fail without a delay.
+	followedGates = 2
+	followPause   = 250 * time.Millisecond
+	// followSilence is the time without an update after which an entry follows another gate. Gates send one at
+	// least every second.
+	followSilence = 3 * time.Second
+)
+
+// followed is the gate in one slot.
+type followed struct {
+	gate membership.Gate
+	live bool
+}
+
+// follow keeps a stream of updates from one gate open, and takes another gate when it ends.
+func (e *Entry) follow(ctx context.Context, slot int) {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		if gate, ok := e.chooseGate(ctx, slot, attempt); ok {
+			e.followGate(ctx, slot, gate)
+		}
+		sleep(ctx, followPause)
+	}
+}
+
+// chooseGate takes the next gate by rank for this entry: those of its zone first, each slot another one.
+func (e *Entry) chooseGate(ctx context.Context, slot, attempt int) (gate membership.Gate, ok bool) {
+	_ = e.loop.Call(ctx, func(time.Duration) {
+		gates := e.rankedGates()
+		gates = slices.DeleteFunc(gates, func(g membership.Gate) bool {
+			return e.followedElsewhere(slot, g.Address)
+		})
+		if len(gates) > 0 {
+			gate, ok = gates[attempt%len(gates)], true
+		}
+		e.state.followed[slot] = followed{gate: gate}
+	})
+	return gate, ok
+}
+
+func (e *Entry) followedElsewhere(slot int, address string) bool {
+	for other, f := range e.state.followed {
+		if other != slot && f.gate.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// rankedGates returns the known gates in the order of this entry. Without a list or a view the seeds are asked.
+func (e *Entry) rankedGates() []membership.Gate {
+	var gates []membership.Gate
+	switch {
+	case e.state.view != nil:
+		for _, member := range e.state.view.Gates {
+			if member.State == membership.Live || member.State == membership.Joining {
+				gates = append(gates, member.Gate)
+			}
+		}
+	case len(e.state.listed) > 0:
+		gates = slices.Clone(e.state.listed)
+	default:
+		for _, seed := range e.settings.Seeds {
+			gates = append(gates, membership.Gate{Name: seed, Address: seed})
+		}
+	}
+	key := rendezvous.Hash(e.settings.Name)
+	slices.SortFunc(gates, func(a, b membership.Gate) int {
+		if near := e.nearness(b) - e.nearness(a); near != 0 {
+			return near
+		}
+		scoreA, scoreB := rendezvous.Score(key, rendezvous.Hash(a.Name)), rendezvous.Score(key, rendezvous.Hash(b.Name))
+		if scoreA != scoreB && scoreA > scoreB {
+			return -1
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return gates
+}
+
+// nearness orders gates by distance; more is nearer.
+func (e *Entry) nearness(gate membership.Gate) int {
+	switch {
+	case gate.Zone == e.settings.Zone:
+		return 2
+	case gate.Region == e.settings.Region:
+		return 1
+	}
+	return 0
+}
+
+// followGate reads updates until the stream ends or falls silent.
+func (e *Entry) followGate(ctx context.Context, slot int, gate membership.Gate) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(followSilence, cancel)
+	defer silence.Stop()
+	client := pb.NewDRPCControlClient(e.control.Conn(ctx, gate.Address))
+	updates, err := client.Follow(ctx, &pb.FollowRequest{Entry: e.settings.Name, Zone: e.settings.Zone})
+	if err != nil {
+		e.meters.ControlCall("follow", "failed")
+		return
+	}
+	defer func() { _ = updates.Close() }()
+	for {
+		update, err := updates.Recv()
+		if err != nil {
+			break
+		}
+		silence.Reset(followSilence)
+		e.loop.Post(func(now time.Duration) { e.acceptUpdate(now, slot, update) })
+		if update.Draining {
+			break
+		}
+	}
+	e.meters.Event("follow_ended")
+	e.loop.Post(func(time.Duration) { e.state.followed[slot] = followed{} })
+}
+
+// acceptUpdate takes over what a followed gate tells.
+func (e *Entry) acceptUpdate(now time.Duration, slot int, update *pb.FollowUpdate) {
+	gate := wire.GateFrom(update.Self)
+	e.state.followed[slot] = followed{gate: gate, live: true}
+	if update.ViewVersion > 0 {
+		e.state.view = e.viewFrom(update)
+		e.stepConfig(now, configsync.ViewChanged{View: e.state.view})
+	}
+	for _, load := range update.Targets {
+		e.state.loads[load.Target] = reportedLoad{load: load.Load, state: membership.State(load.State), at: now}
+	}
+	e.acceptNotices(now, update.Notices)
+	version := catalogue.Version{Revision: update.ConfigRevision, Digest: update.ConfigDigest}
+	e.stepConfig(now, configsync.Announced{Peer: gate.Name, Version: version})
+	e.publish(now)
+}
+
+func (e *Entry) followedAddress(name string) string {
+	for _, f := range e.state.followed {
+		if f.gate.Name == name {
+			return f.gate.Address
+		}
+	}
+	return ""
+}
+
+// viewFrom converts the gates of an update. Target states come apart, with their loads.
+func (e *Entry) viewFrom(update *pb.FollowUpdate) *membership.View {
+	view := &membership.View{Version: 1}
+	if e.state.view != nil {
+		view.Version = e.state.view.Version + 1
+	}
+	for _, state := range update.Gates {
+		view.Gates = append(view.Gates, membership.Member{Gate: wire.GateFrom(state.Gate), State: membership.State(state.State)})
+	}
+	slices.SortFunc(view.Gates, func(a, b membership.Member) int { return strings.Compare(a.Name, b.Name) })
+	return view
+}
+
+// acceptNotices takes over facts that gates spread.
+func (e *Entry) acceptNotices(_ time.Duration, _ []*pb.Notice) {}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -17,6 +17,9 @@
 	"github.com/amaranthlb/amaranthlb/internal/rpc"
 )
 
+// maximumCandidates bounds the candidates that a call names; admission looks at no more.
+const maximumCandidates = 16
+
 // request is one caller's request on its way through the entry.
 type request struct {
 	id          string
@@ -102,9 +105,12 @@
 	if !ok {
 		return refuse(reason.UnknownPool, "the catalogue no longer has pool %s", request.pool.Name)
 	}
-	position, ok := routes.Pick(request.chatHash, request.holder, tried)
+	position, room := routes.Pick(request.chatHash, request.holder, tried)
+	if !room {
+		position, ok = routes.LeastLoaded(request.chatHash, tried)
+	}
 	if !ok {
-		return &Refusal{Reason: reason.NoTarget, Ran: reason.No, Message: "no target of " + request.pool.Name + " has room", RetryAfter: time.Second}
+		return &Refusal{Reason: reason.NoTarget, Ran: reason.No, Message: "no target of " + request.pool.Name + " is open", RetryAfter: time.Second}
 	}
 	tried.Add(position)
 	candidate := &routes.Candidates[position]
@@ -114,7 +120,22 @@
 	}
 	candidate.InFlight.Add(1)
 	defer candidate.InFlight.Add(-1)
-	return e.callGate(ctx, owner, e.serveRequest(ctx, request, candidate.Target.Name), answer)
+	call := e.serveRequest(ctx, request, candidate.Target.Name)
+	if room {
+		call.Candidates = candidates(routes, tried)
+	}
+	return e.callGate(ctx, owner, call, answer)
+}
+
+// candidates names targets to which the gate may point the request; without any, the request waits at its target.
+func candidates(routes *routing.Pool, tried *routing.Tried) []string {
+	var names []string
+	for i := range routes.Candidates {
+		if routes.Open(i, tried) && len(names) < maximumCandidates {
+			names = append(names, routes.Candidates[i].Target.Name)
+		}
+	}
+	return names
 }
 
 func (e *Entry) serveRequest(ctx context.Context, request *request, target string) *pb.ServeRequest {
--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -3,26 +3,24 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"strings"
+	"math/rand"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/configsync"
 	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/gossip"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
-	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/platform"
 )
 
 const (
-	watchWait    = 20 * time.Second
-	watchBackoff = 500 * time.Millisecond
-	tickInterval = 100 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 	gapLimit     = time.Second
-	followPeriod = 500 * time.Millisecond
+	listWait     = 20 * time.Second
+	listPause    = 500 * time.Millisecond
+	// loadLifetime is how long the loads of a silent gate are kept; they count as zero long before.
+	loadLifetime = 10 * time.Second
 	roleGate     = "gate"
 	roleTarget   = "target"
 	stateLeaving = "leaving"
@@ -30,172 +28,110 @@
 
 // controlState is owned by the control goroutine.
 type controlState struct {
-	catalogue *catalogue.Catalogue
-	list      platform.VMList
-	view      *membership.View
+	members *membership.Machine
+	config  *configsync.Machine
+	loads   *gossip.Table[*pb.LoadRecord]
+	notices *gossip.Table[*pb.Notice]
+	// loadVersion counts this gate's load records.
+	loadVersion uint64
+	lastLoad    *pb.LoadRecord
+	lastLoadAt  time.Duration
+	// transit is the longest recent round trip to each peer, an upper bound of the age that a message gains.
+	transit map[string]time.Duration
+	// reads are the cancel functions of the reads of the platform under way.
+	reads map[uint64]context.CancelFunc
+	// subscribers get the updates that entries follow.
+	subscribers map[*subscriber]struct{}
+}
+
+func newControlState(g *Gate) controlState {
+	timing := g.settings.Timing
+	config := membership.DefaultConfig()
+	config.HeartbeatInterval = time.Duration(timing.Heartbeat)
+	config.SuspectAfter = time.Duration(timing.Suspicion)
+	config.ListDisagreement = time.Duration(timing.ListDisagreement)
+	random := rand.New(rand.NewSource(rand.Int63()))
+	noticeLifetime := time.Duration(timing.TicketExpiry + timing.TicketGrace)
+	return controlState{
+		members:     membership.New(config, g.self, g.clock.Now()),
+		config:      configsync.New(configsync.Settings{Self: g.self.Name, Zone: g.self.Zone, ReadsPlatform: true}, random),
+		loads:       gossip.New[*pb.LoadRecord](loadLifetime),
+		notices:     gossip.New[*pb.Notice](max(noticeLifetime, crashLifetime)),
+		transit:     make(map[string]time.Duration),
+		reads:       make(map[uint64]context.CancelFunc),
+		subscribers: make(map[*subscriber]struct{}),
+	}
 }
 
-// startControl starts the control goroutine and the watches that feed it.
+// startControl starts the control goroutine and the watch of the VM list that feeds it.
 func (g *Gate) startControl(ctx context.Context) {
+	g.lifetime = ctx
 	go g.loop.Run(ctx, control.Handlers{
-		Tick:     func(time.Duration) {},
-		Gap:      func(_, gap time.Duration) { g.log.WithField("gap", gap).Warn("the process was paused") },
+		Tick:     g.tick,
+		Gap:      g.clockGap,
 		Interval: tickInterval,
 		GapLimit: gapLimit,
 	})
-	go g.watchConfig(ctx)
 	go g.watchVMs(ctx)
 }
 
-// watchConfig feeds catalogue documents to the control goroutine.
-func (g *Gate) watchConfig(ctx context.Context) {
-	var revision uint64
-	for ctx.Err() == nil {
-		document, err := g.platform.Config(ctx, g.settings.Platform.CatalogueKey, revision, watchWait)
-		if err != nil {
-			pauseAfter(ctx, err)
-			continue
-		}
-		revision = document.Revision
-		g.loop.Post(func(time.Duration) { g.acceptDocument(document.Body) })
-	}
+// tick lets time pass in every state machine.
+func (g *Gate) tick(now time.Duration) {
+	g.stepMembers(now, membership.Tick{})
+	g.stepConfig(now, configsync.Tick{})
+	g.state.loads.Expire(now)
+	g.state.notices.Expire(now)
+	g.tickAdmission()
+	g.publishUpdates(now)
+}
+
+// clockGap handles a pause of the process.
+func (g *Gate) clockGap(_, gap time.Duration) {
+	g.meters.Event("clock_gap")
+	g.log.WithField("gap", gap).Warn("the process was paused")
 }
 
 // watchVMs feeds VM lists to the control goroutine.
 func (g *Gate) watchVMs(ctx context.Context) {
 	var revision uint64
 	for ctx.Err() == nil {
-		list, err := g.platform.VMs(ctx, revision, watchWait)
+		list, err := g.platform.VMs(ctx, revision, listWait)
+		if errors.Is(err, platform.ErrUnchanged) {
+			continue
+		}
 		if err != nil {
-			pauseAfter(ctx, err)
+			g.meters.ControlCall("vms", "failed")
+			sleep(ctx, listPause)
 			continue
 		}
 		revision = list.Revision
-		g.loop.Post(func(time.Duration) {
-			g.state.list = list
-			g.publish()
-		})
-	}
-}
-
-// pauseAfter waits before the next read of the platform unless the last one was a normal end of a long poll.
-func pauseAfter(ctx context.Context, err error) {
-	if errors.Is(err, platform.ErrUnchanged) {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(watchBackoff):
-	}
-}
-
-func (g *Gate) acceptDocument(body []byte) {
-	proposed, err := catalogue.Parse(body)
-	if err != nil {
-		g.meters.Event("catalogue_invalid")
-		g.log.WithError(err).Error("catalogue refused")
-		return
+		g.loop.Post(func(now time.Duration) { g.stepMembers(now, listUpdate(list)) })
 	}
-	if g.state.catalogue != nil && proposed.Revision <= g.state.catalogue.Revision {
-		return
-	}
-	g.state.catalogue = proposed
-	g.log.WithField("revision", proposed.Revision).Info("catalogue in force")
-	g.publish()
-}
-
-// publish computes the view and gives traffic a new snapshot.
-func (g *Gate) publish() {
-	if g.state.catalogue == nil || g.state.list.Revision == 0 {
-		return
-	}
-	g.state.view = g.computeView()
-	owned := make(map[string]bool)
-	for i := range g.state.catalogue.Pools {
-		for _, t := range g.state.catalogue.Pools[i].Targets {
-			owner, ok := ownership.Owner(g.state.view, t.Name, t.Zone)
-			owned[t.Name] = ok && owner.Name == g.self.Name
-		}
-	}
-	g.snapshot.Store(&Snapshot{Catalogue: g.state.catalogue, View: g.state.view, Owned: owned})
 }
 
-func (g *Gate) computeView() *membership.View {
-	view := &membership.View{Targets: make(map[string]membership.State)}
-	if g.state.view != nil {
-		view.Version = g.state.view.Version + 1
-	}
-	digest := xxhash.New()
-	for _, vm := range g.state.list.VMs {
+// listUpdate converts a VM list.
+func listUpdate(list platform.VMList) membership.ListUpdate {
+	update := membership.ListUpdate{Revision: list.Revision}
+	for _, vm := range list.VMs {
 		state := membership.Live
 		if vm.State == stateLeaving {
 			state = membership.Leaving
 		}
 		switch vm.Role {
-		case roleTarget:
-			view.Targets[vm.Name] = state
 		case roleGate:
-			view.Gates = append(view.Gates, membership.Member{
-				Gate:  membership.Gate{Name: vm.Name, Address: vm.Address, Zone: vm.Zone, Region: vm.Region},
-				State: state,
-			})
-		}
-	}
-	slices.SortFunc(view.Gates, func(a, b membership.Member) int { return strings.Compare(a.Name, b.Name) })
-	for _, member := range view.Gates {
-		_, _ = digest.WriteString(member.Name + string(member.State))
-	}
-	view.Digest = digest.Sum64()
-	return view
-}
-
-// controlServer serves control calls of daemons.
-type controlServer struct {
-	pb.DRPCControlUnimplementedServer
-	gate *Gate
-}
-
-// Follow sends an entry the view and the loads, again whenever something may have changed.
-func (s *controlServer) Follow(_ *pb.FollowRequest, out pb.DRPCControl_FollowStream) error {
-	ticker := time.NewTicker(followPeriod)
-	defer ticker.Stop()
-	for {
-		if snapshot := s.gate.snapshot.Load(); snapshot != nil {
-			if err := out.Send(s.gate.followUpdate(snapshot)); err != nil {
-				return err
-			}
-		}
-		select {
-		case <-out.Context().Done():
-			return nil
-		case <-ticker.C:
+			gate := membership.Gate{Name: vm.Name, Address: vm.Address, Zone: vm.Zone, Region: vm.Region}
+			update.Gates = append(update.Gates, membership.ListedGate{Gate: gate, State: state})
+		case roleTarget:
+			update.Targets = append(update.Targets, membership.ListedTarget{Name: vm.Name, State: state})
 		}
 	}
+	return update
 }
 
-func (g *Gate) followUpdate(snapshot *Snapshot) *pb.FollowUpdate {
-	update := &pb.FollowUpdate{
-		ViewVersion:    snapshot.View.Version,
-		ConfigRevision: snapshot.Catalogue.Revision,
-		ConfigDigest:   snapshot.Catalogue.Digest(),
-		Full:           true,
-		Draining:       g.draining.Load(),
-	}
-	for _, member := range snapshot.View.Gates {
-		update.Gates = append(update.Gates, &pb.PeerNews{
-			Gate: &pb.GateRef{
-				Name:        member.Name,
-				Address:     member.Address,
-				Zone:        member.Zone,
-				Region:      member.Region,
-				Incarnation: member.Incarnation,
-			},
-			Draining: member.State != membership.Live,
-		})
-	}
-	loads := g.admission.loads()
-	for name, state := range snapshot.View.Targets {
-		update.Targets = append(update.Targets, &pb.TargetLoad{Target: name, Load: int32(loads[name]), State: string(state)})
+// sleep waits unless the context ends first.
+func sleep(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
 	}
-	return update
 }
--- /dev/null
+++ b/internal/gate/follow.go
@@ -0,0 +1,151 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+// followInterval is the shortest time between two updates to an entry.
+const followInterval = 250 * time.Millisecond
+
+// followRefresh is the longest time between two updates, by which an entry knows that its gate is alive.
+const followRefresh = time.Second
+
+// subscriber is one entry that follows this gate. It is owned by the control goroutine, except for the channel.
+type subscriber struct {
+	updates chan *pb.FollowUpdate
+	// sent is what the entry has.
+	sentAt      time.Duration
+	viewVersion uint64
+	loads       map[string]*pb.TargetLoad
+	notices     map[string]uint64
+}
+
+// Follow sends an entry the view, the loads and the catalogue version, and again what changes.
+func (s *controlServer) Follow(_ *pb.FollowRequest, out pb.DRPCControl_FollowStream) error {
+	g := s.gate
+	sub := &subscriber{
+		updates: make(chan *pb.FollowUpdate, 1),
+		loads:   make(map[string]*pb.TargetLoad),
+		notices: make(map[string]uint64),
+		sentAt:  -followRefresh,
+	}
+	ctx := out.Context()
+	if err := g.loop.Call(ctx, func(now time.Duration) {
+		g.state.subscribers[sub] = struct{}{}
+		g.publishUpdates(now)
+	}); err != nil {
+		return err
+	}
+	defer g.loop.Post(func(time.Duration) { delete(g.state.subscribers, sub) })
+	return sendUpdates(ctx, sub, out)
+}
+
+func sendUpdates(ctx context.Context, sub *subscriber, out pb.DRPCControl_FollowStream) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case update := <-sub.updates:
+			if err := out.Send(update); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// publishUpdates gives each subscriber what has changed for it. A subscriber that has not taken its last update gets
+// the changes with the next one.
+func (g *Gate) publishUpdates(now time.Duration) {
+	snapshot := g.snapshot.Load()
+	if snapshot == nil || len(g.state.subscribers) == 0 {
+		return
+	}
+	var loads map[string]*pb.TargetLoad
+	for sub := range g.state.subscribers {
+		viewNews := sub.viewVersion != snapshot.View.Version
+		if len(sub.updates) > 0 || (!viewNews && now-sub.sentAt < followInterval) {
+			continue
+		}
+		if loads == nil {
+			loads = g.knownLoads(snapshot)
+		}
+		update := g.updateFor(now, sub, snapshot, loads)
+		if !viewNews && len(update.Targets) == 0 && len(update.Notices) == 0 && now-sub.sentAt < followRefresh {
+			continue
+		}
+		sub.sentAt = now
+		sub.updates <- update
+	}
+}
+
+func (g *Gate) updateFor(now time.Duration, sub *subscriber, snapshot *Snapshot, loads map[string]*pb.TargetLoad) *pb.FollowUpdate {
+	version := snapshot.Catalogue.Version()
+	update := &pb.FollowUpdate{
+		Self:           wire.Gate(g.self),
+		ConfigRevision: version.Revision,
+		ConfigDigest:   version.Digest,
+		Draining:       g.draining.Load(),
+	}
+	if sub.viewVersion != snapshot.View.Version {
+		sub.viewVersion = snapshot.View.Version
+		update.ViewVersion = snapshot.View.Version
+		update.Gates = gateStates(snapshot.View)
+	}
+	for name, load := range loads {
+		if last, ok := sub.loads[name]; !ok || last.Load != load.Load || last.State != load.State {
+			sub.loads[name] = load
+			update.Targets = append(update.Targets, load)
+		}
+	}
+	for _, record := range g.state.notices.All(now) {
+		if sub.notices[record.Key] < record.Version {
+			sub.notices[record.Key] = record.Version
+			update.Notices = append(update.Notices, &pb.Notice{
+				Key:     record.Key,
+				Version: record.Version,
+				AgeMs:   record.Age.Milliseconds(),
+				Note:    record.Payload.Note,
+				Charge:  record.Payload.Charge,
+			})
+		}
+	}
+	return update
+}
+
+func gateStates(view *membership.View) []*pb.GateState {
+	states := make([]*pb.GateState, 0, len(view.Gates))
+	for _, member := range view.Gates {
+		if member.State != membership.Gone {
+			states = append(states, &pb.GateState{Gate: wire.Gate(member.Gate), State: string(member.State)})
+		}
+	}
+	return states
+}
+
+// knownLoads returns the state and the best known load of every target of the catalogue.
+func (g *Gate) knownLoads(snapshot *Snapshot) map[string]*pb.TargetLoad {
+	loads := make(map[string]*pb.TargetLoad)
+	for i := range snapshot.Catalogue.Pools {
+		for _, t := range snapshot.Catalogue.Pools[i].Targets {
+			loads[t.Name] = &pb.TargetLoad{Target: t.Name, State: string(snapshot.View.Target(t.Name))}
+		}
+	}
+	for _, record := range g.state.loads.All(g.clock.Now()) {
+		for _, load := range record.Payload.Targets {
+			if known, ok := loads[load.Target]; ok {
+				known.Load = max(known.Load, load.Load)
+			}
+		}
+	}
+	for _, t := range g.admission.snapshot().Targets {
+		if known, ok := loads[t.Target]; ok && !t.Lost {
+			known.Load = int32(t.InFlight + t.Waiting)
+		}
+	}
+	return loads
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
@@ -41,12 +42,15 @@
 	control  *rpc.Dialer
 	traffic  *rpc.Dialer
 
+	// lifetime ends when the gate has drained; it bounds the calls that the control goroutine starts.
+	lifetime context.Context
+
 	// state belongs to the control goroutine.
 	state    controlState
 	snapshot atomic.Pointer[Snapshot]
 	draining atomic.Bool
 
-	admission admission
+	admission *admitter
 	inFlight  inFlight
 }
 
@@ -86,6 +90,8 @@
 		}
 	}
 	g.loop = control.NewLoop(g.clock)
+	g.admission = newAdmitter(g.clock, s.Name)
+	g.state = newControlState(g)
 	g.control = rpc.NewDialer(rpc.Control, g.tls, meters)
 	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters)
 	return g, nil
@@ -155,22 +161,24 @@
 
 // Status is the gate's state for operators.
 type Status struct {
-	Name     string           `json:"name"`
-	Zone     string           `json:"zone"`
-	Draining bool             `json:"draining"`
-	Revision uint64           `json:"catalogue_revision"`
-	View     *membership.View `json:"view"`
-	Loads    map[string]int   `json:"loads"`
-	InFlight int              `json:"in_flight"`
+	Name        string             `json:"name"`
+	Zone        string             `json:"zone"`
+	Incarnation uint64             `json:"incarnation"`
+	Draining    bool               `json:"draining"`
+	Revision    uint64             `json:"catalogue_revision"`
+	View        *membership.View   `json:"view"`
+	Admission   admission.Snapshot `json:"admission"`
+	InFlight    int                `json:"in_flight"`
 }
 
 func (g *Gate) status() any {
 	status := Status{
-		Name:     g.self.Name,
-		Zone:     g.self.Zone,
-		Draining: g.draining.Load(),
-		Loads:    g.admission.loads(),
-		InFlight: g.inFlight.count(),
+		Name:        g.self.Name,
+		Zone:        g.self.Zone,
+		Incarnation: g.self.Incarnation,
+		Draining:    g.draining.Load(),
+		Admission:   g.admission.snapshot(),
+		InFlight:    g.inFlight.count(),
 	}
 	if snapshot := g.snapshot.Load(); snapshot != nil {
 		status.Revision = snapshot.Catalogue.Revision
--- /dev/null
+++ b/internal/gate/loads.go
@@ -0,0 +1,115 @@
+package gate
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthlb/amaranthlb/internal/admission"
+	"github.com/amaranthlb/amaranthlb/internal/gossip"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+// loadRefresh is how often a load record without changes is made anew, so that it does not count as stale.
+const loadRefresh = time.Second
+
+// refreshLoads makes a new record of this gate's loads when they have changed or the last one grows old.
+func (g *Gate) refreshLoads(now time.Duration) {
+	record := g.loadRecord()
+	unchanged := g.state.lastLoad != nil && proto.Equal(record, g.state.lastLoad)
+	if unchanged && now-g.state.lastLoadAt < loadRefresh {
+		return
+	}
+	g.state.lastLoad, g.state.lastLoadAt = record, now
+	g.state.loadVersion++
+	g.state.loads.Put(now, wire.LoadKey(g.self.Name, g.self.Incarnation), g.state.loadVersion, record)
+}
+
+func (g *Gate) loadRecord() *pb.LoadRecord {
+	record := &pb.LoadRecord{Gate: g.self.Name, Incarnation: g.self.Incarnation}
+	g.admission.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
+		for _, t := range c.Snapshot(now).Targets {
+			if !t.Lost || t.InFlight > t.TakenOver {
+				record.Targets = append(record.Targets, &pb.TargetLoad{Target: t.Target, Load: int32(t.InFlight)})
+			}
+		}
+		for _, use := range c.Uses() {
+			record.Uses = append(record.Uses, &pb.CustomerUse{
+				Customer: use.Customer,
+				Rate:     share(use.Rate),
+				InFlight: share(use.InFlight),
+			})
+		}
+		return out
+	})
+	slices.SortFunc(record.Targets, func(a, b *pb.TargetLoad) int { return strings.Compare(a.Target, b.Target) })
+	slices.SortFunc(record.Uses, func(a, b *pb.CustomerUse) int { return strings.Compare(a.Customer, b.Customer) })
+	return record
+}
+
+func share(s admission.Share) *pb.Share {
+	return &pb.Share{Demand: s.Demand, Fraction: s.Fraction, Known: s.Known}
+}
+
+func shareFrom(s *pb.Share) admission.Share {
+	return admission.Share{Demand: s.GetDemand(), Fraction: s.GetFraction(), Known: s.GetKnown()}
+}
+
+// acceptLoads gives the loads of other gates to admission.
+func (g *Gate) acceptLoads(now time.Duration, records []gossip.Record[*pb.LoadRecord]) {
+	if len(records) == 0 {
+		return
+	}
+	g.admission.update(func(c *admission.Controller, _ time.Duration, out []admission.Outcome) []admission.Outcome {
+		for _, record := range records {
+			g.acceptLoad(c, now, record)
+		}
+		return out
+	})
+}
+
+// acceptLoad gives one gate's loads to admission, summed by pool and zone.
+func (g *Gate) acceptLoad(c *admission.Controller, now time.Duration, record gossip.Record[*pb.LoadRecord]) {
+	current := g.state.config.Current()
+	gate := record.Payload.Gate
+	if current == nil || gate == g.self.Name {
+		return
+	}
+	type key struct{ pool, zone string }
+	sums := make(map[key]*admission.PoolDigest)
+	for _, load := range record.Payload.Targets {
+		t, ok := current.Target(load.Target)
+		if !ok {
+			continue
+		}
+		c.SetTargetLoad(now, t.Name, int(load.Load), record.Age)
+		k := key{t.Pool().Name, t.Zone}
+		if sums[k] == nil {
+			sums[k] = &admission.PoolDigest{Pool: k.pool, Zone: k.zone, Gate: gate, Age: record.Age}
+		}
+		sums[k].Load += int(load.Load)
+		sums[k].Targets++
+	}
+	for _, digest := range sums {
+		c.SetPoolDigest(now, *digest)
+	}
+	for _, use := range record.Payload.Uses {
+		c.SetUse(now, admission.Use{
+			Customer: use.Customer,
+			Gate:     gate,
+			Rate:     shareFrom(use.Rate),
+			InFlight: shareFrom(use.InFlight),
+			Age:      record.Age,
+		})
+	}
+}
+
+// tickAdmission lets time pass in the admission controller.
+func (g *Gate) tickAdmission() {
+	g.admission.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
+		return c.Tick(now, out)
+	})
+}
--- /dev/null
+++ b/internal/gate/publish.go
@@ -0,0 +1,114 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/admission"
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+)
+
+// publish gives traffic a new snapshot of catalogue, view and ownership, and admission its settings.
+func (g *Gate) publish(now time.Duration) {
+	current := g.state.config.Current()
+	if current == nil || !g.state.config.Ready() {
+		return
+	}
+	view := g.state.members.View()
+	snapshot := &Snapshot{Catalogue: current, View: view, Owned: g.ownedTargets(current, view)}
+	g.configureAdmission(snapshot)
+	g.snapshot.Store(snapshot)
+	g.publishUpdates(now)
+}
+
+func (g *Gate) ownedTargets(current *catalogue.Catalogue, view *membership.View) map[string]bool {
+	owned := make(map[string]bool)
+	for i := range current.Pools {
+		for _, t := range current.Pools[i].Targets {
+			if owner, ok := ownership.Owner(view, t.Name, t.Zone); ok && owner.Name == g.self.Name {
+				owned[t.Name] = true
+			}
+		}
+	}
+	return owned
+}
+
+// configureAdmission passes catalogue, view and ownership on to the admission controller.
+func (g *Gate) configureAdmission(snapshot *Snapshot) {
+	g.admission.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
+		c.SetGates(now, otherGates(snapshot.View, g.self.Name))
+		c.SetCustomers(customers(snapshot.Catalogue))
+		c.SetPools(pools(snapshot))
+		for i := range snapshot.Catalogue.Pools {
+			pool := &snapshot.Catalogue.Pools[i]
+			for j := range pool.Targets {
+				out = g.configureTarget(c, now, snapshot, &pool.Targets[j], out)
+			}
+		}
+		return out
+	})
+}
+
+func (g *Gate) configureTarget(c *admission.Controller, now time.Duration, snapshot *Snapshot, t *catalogue.Target, out []admission.Outcome) []admission.Outcome {
+	switch {
+	case !snapshot.Owned[t.Name]:
+		return c.DropTarget(now, t.Name, reason.NotOwner, out)
+	case snapshot.View.Target(t.Name) != membership.Live:
+		c.SetTarget(t.Name, t.Zone, t.Pool().Name)
+		return c.SetCap(now, t.Name, admission.None(reason.TargetLeaving), out)
+	}
+	c.SetTarget(t.Name, t.Zone, t.Pool().Name)
+	return c.SetCap(now, t.Name, admission.Full(), out)
+}
+
+// otherGates names every gate that may still be running.
+func otherGates(view *membership.View, self string) []string {
+	var names []string
+	for _, member := range view.Gates {
+		if member.Name != self && member.State != membership.Gone {
+			names = append(names, member.Name)
+		}
+	}
+	return names
+}
+
+func customers(current *catalogue.Catalogue) []admission.Customer {
+	list := make([]admission.Customer, 0, len(current.Customers))
+	for i := range current.Customers {
+		customer := &current.Customers[i]
+		list = append(list, admission.Customer{
+			Name:              customer.Name,
+			Weight:            customer.Weight,
+			RequestsPerSecond: customer.RequestsPerSecond,
+			Concurrent:        customer.Concurrent,
+		})
+	}
+	return list
+}
+
+func pools(snapshot *Snapshot) []admission.Pool {
+	list := make([]admission.Pool, 0, len(snapshot.Catalogue.Pools))
+	for i := range snapshot.Catalogue.Pools {
+		pool := &snapshot.Catalogue.Pools[i]
+		targets := 0
+		for j := range pool.Targets {
+			if snapshot.View.Target(pool.Targets[j].Name) != membership.Gone {
+				targets++
+			}
+		}
+		list = append(list, admission.Pool{
+			Name:         pool.Name,
+			LoadMultiple: pool.LoadMultiple,
+			MaxInFlight:  pool.MaxInFlight,
+			QueueLength:  pool.QueueLength,
+			QueueWait:    time.Duration(pool.QueueWait),
+			Targets:      targets,
+		})
+	}
+	return list
+}
+
+// roundConfirmed notes that every reachable peer answered a heartbeat that was sent at the time.
+func (g *Gate) roundConfirmed(_, _ time.Duration) {}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -177,6 +177,30 @@
 	return holder, holds
 }
 
+// Open reports whether a target takes new work and has not been tried.
+func (p *Pool) Open(position int, tried *Tried) bool {
+	return p.Candidates[position].Open && !tried.has(position)
+}
+
+// LeastLoaded returns the open target with the least load, for a request that finds every target at its limit and
+// has to wait at one of them. It reports false when no target is open.
+func (p *Pool) LeastLoaded(chat uint64, tried *Tried) (int, bool) {
+	best := -1
+	var bestLoad int32
+	var bestScore uint64
+	for i := range p.Candidates {
+		if !p.Open(i, tried) {
+			continue
+		}
+		load := p.Candidates[i].Load()
+		score := rendezvous.Score(chat, p.Candidates[i].Hash)
+		if best < 0 || load < bestLoad || (load == bestLoad && score > bestScore) {
+			best, bestLoad, bestScore = i, load, score
+		}
+	}
+	return best, best >= 0
+}
+
 func (p *Pool) eligible(position int, tried *Tried) bool {
 	candidate := &p.Candidates[position]
 	return candidate.Open && candidate.Load() < p.Limit && !tried.has(position)
--- a/standin/fleet/spec.go
+++ b/standin/fleet/spec.go
@@ -56,16 +56,43 @@
 		Engines:        4,
 		Services:       2,
 		Customers:      []catalogue.Customer{Customer("rose", 1), Customer("press", 1)},
-		Model: catalogue.Pool{
-			Name: ModelPool, Owner: "demo", Kind: catalogue.Model, Version: "v1", LoadMultiple: 1.5,
-			MaxInFlight: 32, Resumable: true, FateQuery: true, KVTransfer: true, ChecksFencing: true,
-			Deadline: catalogue.Duration(30 * time.Second),
-		},
-		Service: catalogue.Pool{
-			Name: ServicePool, Owner: "demo", Kind: catalogue.Service, LoadMultiple: 2, MaxInFlight: 32,
-			Deadline:      catalogue.Duration(10 * time.Second),
-			NonRepeatable: []catalogue.Call{{Method: "POST", Path: "/submit"}},
-		},
+		Model:   modelPool(),
+		Service: servicePool(),
+	}
+}
+
+func modelPool() catalogue.Pool {
+	pool := basicPool(ModelPool, catalogue.Model)
+	pool.Version = "v1"
+	pool.Resumable = true
+	pool.FateQuery = true
+	pool.KVTransfer = true
+	pool.ChecksFencing = true
+	return pool
+}
+
+func servicePool() catalogue.Pool {
+	pool := basicPool(ServicePool, catalogue.Service)
+	pool.LoadMultiple = 2
+	pool.NonRepeatable = []catalogue.Call{{Method: "POST", Path: "/submit"}}
+	return pool
+}
+
+// basicPool returns a pool with every field that a document would get by default.
+func basicPool(name string, kind catalogue.Kind) catalogue.Pool {
+	return catalogue.Pool{
+		Name:         name,
+		Owner:        "demo",
+		Kind:         kind,
+		Class:        catalogue.Standard,
+		LoadMultiple: 1.5,
+		MaxInFlight:  32,
+		QueueLength:  catalogue.DefaultQueueLength,
+		QueueWait:    catalogue.Duration(catalogue.DefaultQueueWait),
+		Deadline:     catalogue.Duration(30 * time.Second),
+		ReuseWeight:  catalogue.DefaultReuseWeight,
+		SkewWeight:   catalogue.DefaultSkewWeight,
+		ZoneWeight:   catalogue.DefaultZoneWeight,
 	}
 }
 
--- a/test/e2e/stream_test.go
+++ b/test/e2e/stream_test.go
@@ -51,7 +51,8 @@
 	for i, r := range streamMany(t, f, 24, 150) {
 		text, done := streamText(r.got.body)
 		if r.got.status != http.StatusOK || !done || text != r.want {
-			t.Errorf("stream %d: status %d, whole %v, %d of %d bytes, error %v", i, r.got.status, done, len(text), len(r.want), r.got.err)
+			code, _ := r.got.errorCode()
+			t.Errorf("stream %d: status %d, code %s, whole %v, %d of %d bytes, error %v", i, r.got.status, code, done, len(text), len(r.want), r.got.err)
 		}
 	}
 }
