Add the state machines of executor, witness and heir

Ruled out: an heir that acts on the drain note alone, since the executor may have sealed a ticket and said so; taking hand-overs regardless of the heir's incarnation, since a late copy revives old records in a restarted heir; discarding records by the shorter of the two expiries, since a wall clock that lags behind the issuer's would let a forgotten ticket run again; answering "not run" when another executor's intent is recorded. Change: Executor, Witness and Notes as pure machines that interpret the charts in charts/; bounded store with room for seals; drain that finishes open tickets, hands over once and names one heir.

--- /dev/null
+++ b/internal/atmostonce/effects.go
@@ -0,0 +1,100 @@
+package atmostonce
+
+import "github.com/amaranthlb/amaranthlb/internal/ticket"
+
+// Effect is an output of a machine, for the daemon to perform.
+type Effect interface{ effect() }
+
+// Reply answers a Submit.
+type Reply struct {
+	Call   Call
+	ID     ticket.ID
+	Result Result
+}
+
+// SendIntent asks the witness to record the intent.
+type SendIntent struct {
+	To       ticket.Gate
+	Ticket   ticket.Ticket
+	Executor ticket.Gate
+}
+
+// Execute asks the daemon to prepare the run of the request that came with Call.
+type Execute struct {
+	ID   ticket.ID
+	Call Call
+	// Attempt counts from 1.
+	Attempt int
+}
+
+// Write permits the first byte, while the daemon still holds the mutex under which it fed Start.
+type Write struct{ ID ticket.ID }
+
+// Abort forbids the run that a Start announced.
+type Abort struct{ ID ticket.ID }
+
+// SendOutcome tells the witness the result.
+type SendOutcome struct {
+	To     ticket.Gate
+	Ticket ticket.Ticket
+	Result Result
+}
+
+// IntentReply answers an Intent.
+type IntentReply struct {
+	Call    Call
+	ID      ticket.ID
+	Verdict Verdict
+	Heir    ticket.Gate
+}
+
+// SettleReply answers a Settle. Result is what the caller gets for every verdict but SettleNotWitness with an Heir.
+type SettleReply struct {
+	Call    Call
+	ID      ticket.ID
+	Verdict SettleVerdict
+	Result  Result
+	Heir    ticket.Gate
+}
+
+// OutcomeReply answers an Outcome.
+type OutcomeReply struct {
+	Call   Call
+	ID     ticket.ID
+	Stored bool
+}
+
+// SendRecords hands the records of one incarnation to the heir.
+type SendRecords struct {
+	Role    Role
+	From    ticket.Gate
+	To      ticket.Gate
+	Records []Record
+}
+
+// SpreadNote asks the daemon to add the note to its Notes and to gossip it.
+type SpreadNote struct{ Note Note }
+
+// InheritReply answers an Inherit.
+type InheritReply struct {
+	Call     Call
+	From     ticket.Gate
+	Accepted bool
+}
+
+// Drained says that the heir has all records of the role.
+type Drained struct{ Role Role }
+
+func (Reply) effect()        {}
+func (SendIntent) effect()   {}
+func (Execute) effect()      {}
+func (Write) effect()        {}
+func (Abort) effect()        {}
+func (SendOutcome) effect()  {}
+func (IntentReply) effect()  {}
+func (SettleReply) effect()  {}
+func (OutcomeReply) effect() {}
+func (SendRecords) effect()  {}
+func (SpreadNote) effect()   {}
+func (InheritReply) effect() {}
+func (Drained) effect()      {}
--- /dev/null
+++ b/internal/atmostonce/events.go
@@ -0,0 +1,120 @@
+package atmostonce
+
+import (
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
+)
+
+// Event is an input of a machine.
+type Event interface{ event() }
+
+// Submit asks the executor to run a ticket or to answer a repeat of it.
+type Submit struct {
+	Ticket ticket.Ticket
+	// Left is the time to the ticket's expiry by wall clock.
+	Left time.Duration
+	Call Call
+}
+
+// IntentAnswered is the witness's answer to a SendIntent.
+type IntentAnswered struct {
+	ID      ticket.ID
+	Verdict Verdict
+	// Heir is the zero Gate unless the verdict is IntentNotWitness and the answering gate knows the heir.
+	Heir ticket.Gate
+}
+
+// WitnessUnreachable says that a SendIntent got no answer.
+type WitnessUnreachable struct{ ID ticket.ID }
+
+// Start asks for permission to write the first byte to a target.
+type Start struct{ ID ticket.ID }
+
+// NotStarted says that an Execute ended before the first byte was written.
+type NotStarted struct {
+	ID     ticket.ID
+	Reason reason.Reason
+	// Retry asks for another Execute, at another target.
+	Retry bool
+}
+
+// Finish is the end of a run.
+type Finish struct {
+	ID     ticket.ID
+	Result Result
+}
+
+// OutcomeStored says that the witness confirmed a SendOutcome.
+type OutcomeStored struct{ ID ticket.ID }
+
+// CallerGone says that the caller of an open Submit closed its connection. The run goes on.
+type CallerGone struct {
+	ID   ticket.ID
+	Call Call
+}
+
+// Intent asks the witness to record that an executor is about to run a ticket.
+type Intent struct {
+	Ticket   ticket.Ticket
+	Left     time.Duration
+	Executor ticket.Gate
+	Call     Call
+}
+
+// Settle asks the witness for the fate of a ticket whose executor can't be reached.
+type Settle struct {
+	Ticket ticket.Ticket
+	Left   time.Duration
+	Call   Call
+}
+
+// Outcome tells the witness the result of a ticket.
+type Outcome struct {
+	Ticket ticket.Ticket
+	Left   time.Duration
+	Result Result
+	Call   Call
+}
+
+// Drain begins the graceful shutdown of a role. Only the first one counts.
+type Drain struct{ Heir ticket.Gate }
+
+// HandOver ends the wait of a draining executor for its open tickets.
+type HandOver struct{}
+
+// Inherit brings the records of an incarnation that stopped.
+type Inherit struct {
+	From ticket.Gate
+	// To is the heir that the sender chose, with its incarnation.
+	To      ticket.Gate
+	Records []Record
+	Call    Call
+}
+
+// Inherited is the heir's answer to a SendRecords.
+type Inherited struct {
+	From     ticket.Gate
+	Accepted bool
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Submit) event()             {}
+func (IntentAnswered) event()     {}
+func (WitnessUnreachable) event() {}
+func (Start) event()              {}
+func (NotStarted) event()         {}
+func (Finish) event()             {}
+func (OutcomeStored) event()      {}
+func (CallerGone) event()         {}
+func (Intent) event()             {}
+func (Settle) event()             {}
+func (Outcome) event()            {}
+func (Drain) event()              {}
+func (HandOver) event()           {}
+func (Inherit) event()            {}
+func (Inherited) event()          {}
+func (Tick) event()               {}
--- /dev/null
+++ b/internal/atmostonce/executor.go
@@ -0,0 +1,340 @@
+package atmostonce
+
+import (
+	"slices"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
+)
+
+// maxMoves bounds the heirs that one intent follows, so that wrong notes can't make it circulate.
+const maxMoves = 3
+
+// maxResends bounds the outcomes that one Tick sends again.
+const maxResends = 64
+
+var executorWords = vocabulary{
+	states: []string{"absent", "intending", "ready", "running", "finished", "sealed", "unknown"},
+	events: []string{
+		"submit", "submit_refused", "submit_unrecorded", "acknowledged", "moved", "not_run", "other_executor",
+		"start", "start_refused", "not_started", "finish", "finish_too_large", "outcome_stored",
+	},
+	actions: []string{
+		"record", "join", "reply", "replay", "conclude", "send_intent", "execute", "write", "abort",
+		"send_outcome", "stop_sending",
+	},
+}
+
+var executorChart = mustChart("executor", executorWords)
+
+// Executor is the state machine of the gate that runs tickets, for its own and inherited incarnations.
+type Executor struct {
+	holder
+	tickets *chart
+
+	// The rest is the input of the Step in progress.
+	now    time.Duration
+	call   Call
+	result Result
+	out    []Effect
+}
+
+// NewExecutor returns the executor of one gate process.
+func NewExecutor(self ticket.Gate, config Config) *Executor {
+	return &Executor{holder: newHolder(ExecutorRole, self, config), tickets: executorChart}
+}
+
+// Step handles one event and returns the effects, in the order in which to perform them. Events of the witness
+// are ignored, and so are events that come late or twice.
+func (e *Executor) Step(now time.Duration, ev Event) []Effect {
+	e.now, e.call, e.result, e.out = now, 0, Result{}, nil
+	e.dispatch(ev)
+	if e.active == 0 {
+		e.emit(e.advance(now, "idle", ticket.Gate{})...)
+	}
+	return e.out
+}
+
+// Open returns the number of tickets that have not ended. A daemon may log it while draining.
+func (e *Executor) Open() int {
+	return e.active
+}
+
+func (e *Executor) dispatch(ev Event) {
+	switch ev := ev.(type) {
+	case Submit:
+		e.submit(ev)
+	case IntentAnswered:
+		e.intentAnswered(ev)
+	case WitnessUnreachable:
+		e.conclude(ev.ID, "not_run", notRun(reason.WitnessUnreachable))
+	case Start:
+		e.start(ev)
+	case NotStarted:
+		e.notStarted(ev)
+	case Finish:
+		e.finish(ev)
+	case OutcomeStored:
+		e.feed(ev.ID, "outcome_stored")
+	case CallerGone:
+		e.callerGone(ev)
+	case Drain:
+		e.emit(e.advance(e.now, "drain", ev.Heir)...)
+	case HandOver:
+		e.handOver()
+	case Inherit:
+		e.emit(e.inherit(e.now, ev)...)
+	case Inherited:
+		e.emit(e.confirm(ev)...)
+	case Tick:
+		e.tick()
+	}
+}
+
+func (e *Executor) emit(effects ...Effect) {
+	e.out = append(e.out, effects...)
+}
+
+func (e *Executor) submit(ev Submit) {
+	e.call = ev.Call
+	rec, known := e.records[ev.Ticket.ID]
+	if !e.mayAct(ev.Ticket, known) {
+		e.result = unknownOutcome()
+		e.result.Heir = e.heirOf(ev.Ticket.Executor)
+		e.emit(Reply{Call: ev.Call, ID: ev.Ticket.ID, Result: e.result})
+		return
+	}
+	if known {
+		e.fire(rec, "submit")
+		return
+	}
+	rec = e.newRecord(e.now, ev.Ticket, ev.Left, e.tickets.Initial)
+	rec.first = ev.Call
+	e.fire(rec, e.classify(ev))
+}
+
+func (e *Executor) mayAct(t ticket.Ticket, known bool) bool {
+	if !e.actsFor(t.Executor) {
+		return false
+	}
+	if known {
+		return e.permits("known")
+	}
+	return e.permits("new")
+}
+
+// classify names the event of a first submit and sets the result of a refusal.
+func (e *Executor) classify(ev Submit) string {
+	switch {
+	case ev.Left <= -e.config.Timing.Grace:
+		e.result = unknownOutcome()
+		return "submit_unrecorded"
+	case !e.roomForSeal():
+		e.result = Result{Reason: reason.QueueFull, Ran: reason.Unknown}
+		return "submit_unrecorded"
+	case ev.Left <= 0:
+		e.result = notRun(reason.TicketExpired)
+		return "submit_refused"
+	case !e.roomForActive():
+		e.result = notRun(reason.QueueFull)
+		return "submit_refused"
+	}
+	return "submit"
+}
+
+func (e *Executor) intentAnswered(ev IntentAnswered) {
+	rec := e.records[ev.ID]
+	switch ev.Verdict {
+	case IntentRecorded:
+		e.acknowledged(ev.ID)
+	case IntentOtherExecutor:
+		e.conclude(ev.ID, "other_executor", unknownOutcome())
+	case IntentSealed:
+		e.conclude(ev.ID, "not_run", notRun(reason.TicketSealed))
+	case IntentExpired:
+		e.conclude(ev.ID, "not_run", notRun(reason.TicketExpired))
+	default:
+		if rec == nil || ev.Heir == (ticket.Gate{}) || rec.moves == maxMoves {
+			e.conclude(ev.ID, "not_run", notRun(reason.WitnessUnreachable))
+			return
+		}
+		e.moved(rec, ev.Heir)
+	}
+}
+
+func (e *Executor) moved(rec *record, heir ticket.Gate) {
+	if rec.state != "intending" {
+		return
+	}
+	rec.moves++
+	rec.witness = heir
+	e.fire(rec, "moved")
+}
+
+func (e *Executor) acknowledged(id ticket.ID) {
+	if rec := e.records[id]; rec != nil && e.now >= rec.startBy {
+		e.conclude(id, "not_run", notRun(reason.TicketExpired))
+		return
+	}
+	e.feed(id, "acknowledged")
+}
+
+func (e *Executor) start(ev Start) {
+	rec := e.records[ev.ID]
+	switch {
+	case rec == nil:
+		e.emit(Abort(ev))
+	case e.now >= rec.startBy:
+		e.conclude(ev.ID, "start_refused", notRun(reason.TicketExpired))
+	default:
+		e.feed(ev.ID, "start")
+	}
+}
+
+func (e *Executor) notStarted(ev NotStarted) {
+	rec := e.records[ev.ID]
+	if ev.Retry && rec != nil && e.now < rec.startBy {
+		e.feed(ev.ID, "not_started")
+		return
+	}
+	why := ev.Reason
+	if why == "" {
+		why = reason.TargetUnreachable
+	}
+	if rec != nil && rec.state == "ready" {
+		e.conclude(ev.ID, "not_run", notRun(why))
+	}
+}
+
+func (e *Executor) finish(ev Finish) {
+	result := Result{Answer: ev.Result.Answer}
+	if result.Answer == nil {
+		result = Result{Reason: ev.Result.Reason, Ran: reason.Unknown}
+	}
+	event := "finish"
+	if result.size() > e.config.Limits.AnswerSize {
+		event = "finish_too_large"
+	}
+	e.conclude(ev.ID, event, result)
+}
+
+func (e *Executor) callerGone(ev CallerGone) {
+	rec := e.records[ev.ID]
+	if rec == nil {
+		return
+	}
+	rec.calls = slices.DeleteFunc(rec.calls, func(c Call) bool { return c == ev.Call })
+}
+
+// handOver ends the tickets that have not started; the running ones become unknown at the heir.
+func (e *Executor) handOver() {
+	if e.life != "draining" {
+		return
+	}
+	waiting := func(r *record) bool { return r.state == "intending" || r.state == "ready" }
+	for _, rec := range e.sorted(waiting) {
+		e.conclude(rec.ticket.ID, "not_run", notRun(reason.Draining))
+	}
+	e.emit(e.advance(e.now, "idle", ticket.Gate{})...)
+}
+
+func (e *Executor) tick() {
+	e.forget(e.now, isActive)
+	e.emit(e.advance(e.now, "tick", ticket.Gate{})...)
+	due := func(r *record) bool { return r.unsent && e.now >= r.sentAt+e.config.Timing.Resend }
+	for i, rec := range e.sorted(due) {
+		if i == maxResends {
+			return
+		}
+		e.sendOutcome(rec)
+	}
+}
+
+// isActive reports whether the ticket has not ended.
+func isActive(rec *record) bool {
+	return rec.state == "intending" || rec.state == "ready" || rec.state == "running"
+}
+
+// conclude feeds an event that ends the ticket with a result.
+func (e *Executor) conclude(id ticket.ID, event string, result Result) {
+	e.result = result
+	e.feed(id, event)
+}
+
+// feed fires an event at a stored record.
+func (e *Executor) feed(id ticket.ID, event string) {
+	if rec := e.records[id]; rec != nil {
+		e.fire(rec, event)
+	}
+}
+
+func (e *Executor) fire(rec *record, event string) {
+	next, ok := e.tickets.next(rec.state, event)
+	if !ok {
+		return
+	}
+	before := isActive(rec)
+	rec.state = next.To
+	e.countActive(before, isActive(rec))
+	for _, action := range next.Do {
+		e.perform(rec, action)
+	}
+}
+
+func (e *Executor) countActive(before, after bool) {
+	if before && !after {
+		e.active--
+	}
+	if after && !before {
+		e.active++
+	}
+}
+
+func (e *Executor) perform(rec *record, action string) {
+	id := rec.ticket.ID
+	switch action {
+	case "record":
+		e.insert(rec)
+	case "join":
+		rec.calls = append(rec.calls, e.call)
+	case "reply":
+		e.emit(Reply{Call: e.call, ID: id, Result: e.result})
+	case "replay":
+		e.emit(Reply{Call: e.call, ID: id, Result: rec.result})
+	case "conclude":
+		e.settle(rec)
+	case "send_intent":
+		e.emit(SendIntent{To: rec.witness, Ticket: rec.ticket, Executor: e.self})
+	case "execute":
+		rec.attempt++
+		e.emit(Execute{ID: id, Call: rec.first, Attempt: rec.attempt})
+	case "write":
+		e.emit(Write{ID: id})
+	case "abort":
+		e.emit(Abort{ID: id})
+	case "send_outcome":
+		rec.unsent = true
+		e.sendOutcome(rec)
+	case "stop_sending":
+		rec.unsent = false
+	}
+}
+
+// settle stores the result and gives it to everyone who waits.
+func (e *Executor) settle(rec *record) {
+	for _, call := range rec.calls {
+		e.emit(Reply{Call: call, ID: rec.ticket.ID, Result: e.result})
+	}
+	rec.calls = nil
+	stored := e.result
+	if rec.state == "unknown" {
+		stored = unknownOutcome()
+	}
+	e.setResult(rec, stored)
+}
+
+func (e *Executor) sendOutcome(rec *record) {
+	rec.sentAt = e.now
+	e.emit(SendOutcome{To: rec.witness, Ticket: rec.ticket, Result: rec.result})
+}
--- /dev/null
+++ b/internal/atmostonce/notes.go
@@ -0,0 +1,80 @@
+package atmostonce
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
+)
+
+const (
+	// maxNotes bounds the notes held: a zone that restarts all of its gates within two minutes needs far fewer.
+	maxNotes = 1024
+	// maxChain bounds the heirs followed for one lookup, so that wrong notes can't form a loop.
+	maxChain = 8
+)
+
+// Note says that a gate process stopped and which heir acts in its roles.
+type Note struct {
+	From ticket.Gate
+	Heir ticket.Gate
+	// Left is the time to the note's expiry.
+	Left time.Duration
+}
+
+type heldNote struct {
+	note   Note
+	expiry time.Duration
+}
+
+// Notes holds the drain notes that a daemon knows. It is not safe for concurrent use.
+type Notes struct {
+	held map[uint64]heldNote
+}
+
+// NewNotes returns an empty set of notes.
+func NewNotes() *Notes {
+	return &Notes{held: make(map[uint64]heldNote)}
+}
+
+// Add stores a note and reports whether it is new. The first heir of an incarnation stays, and relayed copies do
+// not prolong a note.
+func (n *Notes) Add(now time.Duration, note Note) bool {
+	n.Expire(now)
+	if _, known := n.held[note.From.Incarnation]; known || note.Left <= 0 || len(n.held) >= maxNotes {
+		return false
+	}
+	n.held[note.From.Incarnation] = heldNote{note: note, expiry: now + note.Left}
+	return true
+}
+
+// Resolve returns the gate process that acts in place of the given one: the last heir of the chain of notes, or
+// the gate itself.
+func (n *Notes) Resolve(now time.Duration, gate ticket.Gate) ticket.Gate {
+	for range maxChain {
+		held, ok := n.held[gate.Incarnation]
+		if !ok || now >= held.expiry {
+			return gate
+		}
+		gate = held.note.Heir
+	}
+	return gate
+}
+
+// Active returns the notes to gossip, with the time left to each, in a fixed order.
+func (n *Notes) Active(now time.Duration) []Note {
+	n.Expire(now)
+	var notes []Note
+	for _, incarnation := range slices.Sorted(maps.Keys(n.held)) {
+		held := n.held[incarnation]
+		held.note.Left = held.expiry - now
+		notes = append(notes, held.note)
+	}
+	return notes
+}
+
+// Expire forgets the notes whose time is over.
+func (n *Notes) Expire(now time.Duration) {
+	maps.DeleteFunc(n.held, func(_ uint64, held heldNote) bool { return now >= held.expiry })
+}
--- /dev/null
+++ b/internal/atmostonce/witness_test.go
@@ -0,0 +1,147 @@
+package atmostonce
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
+)
+
+func intentOf(executor ticket.Gate) Intent {
+	return Intent{Ticket: ticketNumber(1), Left: time.Minute, Executor: executor}
+}
+
+var settle = Settle{Ticket: ticketNumber(1), Left: time.Minute}
+
+func outcomeOf(result Result) Outcome {
+	return Outcome{Ticket: ticketNumber(1), Left: time.Minute, Result: result}
+}
+
+// Guards against an acknowledgement after a seal or to a second executor, and against a wrong fate.
+func TestWitnessVerdicts(t *testing.T) {
+	expired := intentOf(self)
+	expired.Left = 0
+	forgotten := settle
+	forgotten.Left = -time.Minute
+	stranger := settle
+	stranger.Ticket.Witness = foreign
+	sealed := notRun(reason.TicketSealed)
+	noTarget := notRun(reason.NoTarget)
+	unknown := Result{Reason: reason.UnknownOutcome, Ran: reason.Unknown}
+	id := ticketNumber(1).ID
+	cases := []struct {
+		name   string
+		before []Event
+		ev     Event
+		want   Effect
+	}{
+		{"first intent", nil, intentOf(self), IntentReply{ID: id, Verdict: IntentRecorded}},
+		{"repeated intent", []Event{intentOf(self)}, intentOf(self), IntentReply{ID: id, Verdict: IntentRecorded}},
+		{"other executor", []Event{intentOf(self)}, intentOf(heir), IntentReply{ID: id, Verdict: IntentOtherExecutor}},
+		{"intent after seal", []Event{settle}, intentOf(self), IntentReply{ID: id, Verdict: IntentSealed}},
+		{"intent after outcome", []Event{intentOf(self), outcomeOf(good)}, intentOf(self), IntentReply{ID: id, Verdict: IntentOtherExecutor}},
+		{"expired intent", nil, expired, IntentReply{ID: id, Verdict: IntentExpired}},
+		{"settle first", nil, settle, SettleReply{ID: id, Verdict: SettleSealed, Result: sealed}},
+		{"settle after intent", []Event{intentOf(self)}, settle, SettleReply{ID: id, Verdict: SettleUnknown, Result: unknown}},
+		{"settle after outcome", []Event{intentOf(self), outcomeOf(good)}, settle, SettleReply{ID: id, Verdict: SettleOutcome, Result: good}},
+		{"settle after the executor sealed", []Event{intentOf(self), outcomeOf(noTarget)}, settle, SettleReply{ID: id, Verdict: SettleSealed, Result: noTarget}},
+		{"settle after a seal without intent", []Event{outcomeOf(noTarget)}, settle, SettleReply{ID: id, Verdict: SettleSealed, Result: noTarget}},
+		{"settle after grace", nil, forgotten, SettleReply{ID: id, Verdict: SettleUnknown, Result: unknown}},
+		{"settle at a stranger", nil, stranger, SettleReply{ID: id, Verdict: SettleNotWitness, Result: unknown}},
+		{"outcome without intent", nil, outcomeOf(good), OutcomeReply{ID: id}},
+		{"outcome twice", []Event{intentOf(self), outcomeOf(good)}, outcomeOf(good), OutcomeReply{ID: id, Stored: true}},
+		{"intent after drain", []Event{Drain{Heir: heir}}, intentOf(self), IntentReply{ID: id, Verdict: IntentNotWitness, Heir: heir}},
+	}
+	for _, c := range cases {
+		w := NewWitness(peer, DefaultConfig())
+		for _, ev := range c.before {
+			w.Step(0, ev)
+		}
+		if got := w.Step(0, c.ev); len(got) != 1 || got[0] != c.want {
+			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against a full witness that acknowledges without a record, or claims "not run" without a seal.
+func TestFullWitness(t *testing.T) {
+	config := DefaultConfig()
+	config.Limits.Records, config.Limits.Seals = 1, 0
+	w := NewWitness(peer, config)
+	w.Step(0, Intent{Ticket: ticketNumber(2), Left: time.Minute, Executor: self})
+	if got := w.Step(0, intentOf(self))[0].(IntentReply); got.Verdict != IntentNotWitness {
+		t.Errorf("intent got %+v", got)
+	}
+	if got := w.Step(0, settle)[0].(SettleReply); got.Verdict != SettleUnknown {
+		t.Errorf("settle got %+v", got)
+	}
+}
+
+// Guards against an heir of the witness that forgets who the executor is or what was sealed.
+func TestWitnessHeirActs(t *testing.T) {
+	w := NewWitness(peer, DefaultConfig())
+	w.Step(0, intentOf(self))
+	handed := w.Step(0, Drain{Heir: heir})[0].(SendRecords)
+	h := NewWitness(heir, DefaultConfig())
+	h.Step(0, Inherit{From: handed.From, To: handed.To, Records: handed.Records})
+	if got := h.Step(0, intentOf(foreign))[0].(IntentReply); got.Verdict != IntentOtherExecutor {
+		t.Errorf("another executor got %+v", got)
+	}
+	if got := h.Step(0, intentOf(self))[0].(IntentReply); got.Verdict != IntentRecorded {
+		t.Errorf("the executor got %+v", got)
+	}
+}
+
+// Guards against a note that replaces the first heir, lives for ever or leads into a loop.
+func TestNotes(t *testing.T) {
+	n := NewNotes()
+	if !n.Add(0, Note{From: self, Heir: heir, Left: time.Minute}) {
+		t.Fatal("the first note was refused")
+	}
+	if n.Add(0, Note{From: self, Heir: foreign, Left: time.Hour}) {
+		t.Fatal("a second heir was taken")
+	}
+	n.Add(0, Note{From: heir, Heir: foreign, Left: time.Hour})
+	if got := n.Resolve(0, self); got != foreign {
+		t.Fatalf("the chain ends at %v", got)
+	}
+	if got := n.Active(time.Second); len(got) != 2 || got[0].Left != 59*time.Second {
+		t.Fatalf("notes to gossip: %+v", got)
+	}
+	if got := n.Resolve(time.Minute, self); got != self {
+		t.Fatalf("an expired note leads to %v", got)
+	}
+	n.Add(0, Note{From: foreign, Heir: heir, Left: time.Hour})
+	n.Resolve(0, heir)
+}
+
+// Guards against a chart that names what the code can't do, which would fail only when the event comes.
+func TestChartIsChecked(t *testing.T) {
+	words := vocabulary{states: []string{"a"}, events: []string{"go"}, actions: []string{"act"}}
+	cases := []struct{ text, problem string }{
+		{"{name: c, initial: a, states: {a: {on: {go: {to: a, do: [act]}}}}}", ""},
+		{"{name: c, initial: b, states: {a: {}}}", `unknown state "b"`},
+		{"{name: c, initial: a, states: {}}", `state "a" is missing`},
+		{"{name: c, initial: a, states: {a: {}, b: {}}}", `unknown state "b"`},
+		{"{name: c, initial: a, states: {a: {on: {stop: {to: a}}}}}", `unknown event "stop"`},
+		{"{name: c, initial: a, states: {a: {on: {go: {to: b}}}}}", `unknown state "b"`},
+		{"{name: c, initial: a, states: {a: {on: {go: {to: a, do: [fly]}}}}}", `unknown action "fly"`},
+		{"{name: c, initial: a, colour: red}", "colour"},
+	}
+	for _, c := range cases {
+		_, err := parseChart([]byte(c.text), words)
+		if c.problem == "" {
+			if err != nil {
+				t.Errorf("%s: %v", c.text, err)
+			}
+			continue
+		}
+		var chartError *ChartError
+		if !errors.As(err, &chartError) || !strings.Contains(err.Error(), c.problem) {
+			t.Errorf("%s: got %v, want %s", c.text, err, c.problem)
+		}
+	}
+}
