--- /dev/null
+++ b/cmd/amaranth-replay/main_test.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"amaranth-replay": func() { os.Exit(run()) }})
+}
+
+// Guards against wrong exit codes and unclear errors, on which scripts and CI rely.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata"})
+}
