--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -70,6 +70,9 @@
 	if token, ok := e.placementOf(c, pool); ok {
 		request.useHolder(routes, token)
 	}
+	if !request.repeatable {
+		return e.serveOnce(c, request)
+	}
 	return e.serve(c, request)
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/rpc"
 	"github.com/amaranthlb/amaranthlb/internal/settings"
 	"github.com/amaranthlb/amaranthlb/internal/telemetry"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
 )
 
 const (
@@ -47,6 +48,8 @@
 	traffic  *rpc.Dialer
 	sealer   *placement.Codec
 	retries  *retries
+	codec    *ticket.Codec
+	heirs    *heirs
 
 	// lifetime ends when the entry has drained; it bounds the calls that the control goroutine starts.
 	lifetime context.Context
@@ -77,6 +80,10 @@
 			return nil, trace.Wrap(err)
 		}
 	}
+	codec, err := ticket.NewCodec(s.FleetKeys...)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	clock := control.NewClock()
 	return &Entry{
 		settings: s,
@@ -89,6 +96,8 @@
 		traffic:  rpc.NewDialer(rpc.Traffic, tlsConfig, meters),
 		sealer:   placement.NewCodec(s.FleetKeys),
 		retries:  newRetries(clock),
+		codec:    codec,
+		heirs:    newHeirs(),
 		state:    newControlState(s.Name, s.Zone),
 	}, nil
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -171,6 +171,3 @@
 	slices.SortFunc(view.Gates, func(a, b membership.Member) int { return strings.Compare(a.Name, b.Name) })
 	return view
 }
-
-// acceptNotices takes over facts that gates spread.
-func (e *Entry) acceptNotices(_ time.Duration, _ []*pb.Notice) {}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -13,7 +13,9 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
 )
 
 // Headers of the caller API.
@@ -33,6 +35,11 @@
 	RetryAfter time.Duration
 	// next names targets that the gate says have room.
 	next []string
+	// owner is the gate to ask instead, when the refusing one is not the owner and knows it.
+	owner membership.Gate
+	// elsewhere says that another gate may know more of a ticket: heir if it is set, else the witness.
+	elsewhere bool
+	heir      ticket.Gate
 }
 
 func (r *Refusal) Error() string { return string(r.Reason) + ": " + r.Message }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/retry"
 	"github.com/amaranthlb/amaranthlb/internal/routing"
 	"github.com/amaranthlb/amaranthlb/internal/rpc"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
 // maximumCandidates bounds the candidates that a call names; admission looks at no more.
@@ -124,7 +125,13 @@
 	if room {
 		call.Candidates = candidates(routes, tried)
 	}
-	return e.callGate(ctx, owner, call, answer)
+	err := e.callGate(ctx, owner, call, answer)
+	var refusal *Refusal
+	if errors.As(err, &refusal) && refusal.owner.Name != "" && refusal.owner.Name != owner.Name {
+		e.meters.Event("redirected")
+		return e.callGate(ctx, refusal.owner, call, answer)
+	}
+	return err
 }
 
 // candidates names targets to which the gate may point the request; without any, the request waits at its target.
@@ -203,15 +210,14 @@
 
 // refusalOf turns a gate's refusal into the entry's form.
 func refusalOf(r *pb.Refusal) *Refusal {
-	ran := reason.No
-	if r.Ran != pb.Ran_RAN_NO {
-		ran = reason.Unknown
-	}
 	return &Refusal{
 		Reason:     reason.Reason(r.Reason),
-		Ran:        ran,
+		Ran:        wire.RanFrom(r.Ran),
 		Message:    r.Detail,
 		RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond,
 		next:       r.Next,
+		owner:      wire.GateFrom(r.Owner),
+		elsewhere:  r.Elsewhere,
+		heir:       wire.TicketGateFrom(r.Heir),
 	}
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -37,7 +37,7 @@
 	if query := c.Request().URL.RawQuery; query != "" {
 		location += "?" + query
 	}
-	return e.serve(c, &request{
+	request := &request{
 		id:          id,
 		customer:    c.customer,
 		pool:        pool,
@@ -49,7 +49,11 @@
 		chatHash:    rendezvous.Hash(id),
 		holder:      routing.NoHolder,
 		repeatable:  !pool.NonRepeatableCall(c.Request().Method, servicePath),
-	})
+	}
+	if !request.repeatable {
+		return e.serveOnce(c, request)
+	}
+	return e.serve(c, request)
 }
 
 // cleanPath returns the path within the service. Forms that a service could read in another way than the catalogue's
--- /dev/null
+++ b/internal/entry/tickets.go
@@ -0,0 +1,274 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
+	"github.com/amaranthlb/amaranthlb/internal/routing"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+const (
+	headerTicket = "Amaranth-Ticket"
+	// planTimeout bounds the call that asks an executor for the gates that it reaches.
+	planTimeout = time.Second
+	// planAttempts bounds the executors that are asked for one ticket.
+	planAttempts  = 3
+	settleTimeout = 3 * time.Second
+	// settleAttempts bounds the calls to the witness, or its heirs, for one caller's request.
+	settleAttempts = 3
+	// maximumHeirs bounds the chain of heirs that is followed for one caller's request.
+	maximumHeirs = 3
+)
+
+// heirs guards the drain notes, which name the gates that act in place of stopped ones.
+type heirs struct {
+	mu    sync.Mutex
+	notes *atmostonce.Notes
+}
+
+func newHeirs() *heirs { return &heirs{notes: atmostonce.NewNotes()} }
+
+func (h *heirs) add(now time.Duration, note atmostonce.Note) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notes.Expire(now)
+	h.notes.Add(now, note)
+}
+
+// resolve returns the gate process that acts in place of the given one.
+func (h *heirs) resolve(now time.Duration, gate ticket.Gate) ticket.Gate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.notes.Resolve(now, gate)
+}
+
+// acceptNotices takes over facts that gates spread.
+func (e *Entry) acceptNotices(now time.Duration, notices []*pb.Notice) {
+	for _, record := range wire.NoticesFrom(notices) {
+		if note := record.Payload.Note; note != nil {
+			e.heirs.add(now, atmostonce.Note{
+				From: wire.TicketGateFrom(note.From),
+				Heir: wire.TicketGateFrom(note.Heir),
+				Left: time.Duration(note.RemainingMs)*time.Millisecond - record.Age,
+			})
+		}
+	}
+}
+
+// serveOnce handles a request that may run at most once.
+func (e *Entry) serveOnce(c *caller, request *request) error {
+	ctx, cancel := context.WithDeadline(c.Request().Context(), request.deadline)
+	defer cancel()
+	text := c.Request().Header.Get(headerTicket)
+	if text == "" {
+		return e.issueTicket(ctx, c, request)
+	}
+	t, err := e.openTicket(request, text)
+	if err != nil {
+		return err
+	}
+	encoded, err := e.codec.Encode(t)
+	if err != nil {
+		return err
+	}
+	answer := newAnswer(e, c, request)
+	if err := e.runTicket(ctx, request, t, encoded, answer); err != nil {
+		return err
+	}
+	return answer.finish()
+}
+
+// openTicket checks that a ticket was issued for this very request.
+func (e *Entry) openTicket(request *request, text string) (ticket.Ticket, error) {
+	t, err := e.codec.DecodeText(text)
+	if err != nil {
+		return ticket.Ticket{}, refuse(reason.TicketInvalid, "header %s: %v", headerTicket, err)
+	}
+	if t.Customer != request.customer.Name {
+		return ticket.Ticket{}, refuse(reason.ForeignCustomer, "header %s: the ticket belongs to another customer", headerTicket)
+	}
+	if !t.Binds(request.customer.Name, request.pool.Name, ticket.Digest(request.method, request.path, request.body)) {
+		return ticket.Ticket{}, refuse(reason.TicketInvalid, "header %s: the ticket was issued for another method, path or body", headerTicket)
+	}
+	return t, nil
+}
+
+// issueTicket refuses the request, which did not run, and gives the caller a ticket with which it may.
+func (e *Entry) issueTicket(ctx context.Context, c *caller, request *request) error {
+	var tried routing.Tried
+	last := error(refuse(reason.NoTarget, "no target of %s is open", request.pool.Name))
+	for range planAttempts {
+		t, err := e.planTicket(ctx, request, &tried)
+		if err != nil {
+			last = err
+			continue
+		}
+		text, err := e.codec.EncodeText(t)
+		if err != nil {
+			return err
+		}
+		c.Response().Header().Set(headerTicket, text)
+		return refuse(reason.TicketRequired, "send the request again with the header %s", headerTicket)
+	}
+	return last
+}
+
+// planTicket names the owner of a target as executor and a gate that it reaches as witness.
+func (e *Entry) planTicket(ctx context.Context, request *request, tried *routing.Tried) (ticket.Ticket, error) {
+	snapshot := e.snapshot.Load()
+	routes, ok := snapshot.Routes.Pool(request.pool.Name)
+	if !ok {
+		return ticket.Ticket{}, refuse(reason.UnknownPool, "the catalogue no longer has pool %s", request.pool.Name)
+	}
+	position, ok := routes.LeastLoaded(request.chatHash, tried)
+	if !ok {
+		return ticket.Ticket{}, refuse(reason.NoTarget, "no target of %s is open", request.pool.Name)
+	}
+	tried.Add(position)
+	chosen := routes.Candidates[position].Target
+	owner, ok := ownership.Owner(snapshot.View, chosen.Name, chosen.Zone)
+	if !ok {
+		return ticket.Ticket{}, refuse(reason.NoGate, "no gate is live")
+	}
+	plan, err := e.plan(ctx, owner)
+	if err != nil {
+		return ticket.Ticket{}, err
+	}
+	return e.newTicket(request, plan)
+}
+
+func (e *Entry) plan(ctx context.Context, owner membership.Gate) (*pb.PlanReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, planTimeout)
+	defer cancel()
+	plan, err := pb.NewDRPCTicketsClient(e.traffic.Conn(ctx, owner.Address)).Plan(ctx, &pb.PlanRequest{})
+	if err != nil {
+		return nil, refuse(reason.GateUnreachable, "gate %s can't be asked for a ticket", owner.Name)
+	}
+	if plan.Draining {
+		return nil, refuse(reason.Draining, "gate %s is stopping", owner.Name)
+	}
+	return plan, nil
+}
+
+func (e *Entry) newTicket(request *request, plan *pb.PlanReply) (ticket.Ticket, error) {
+	id, err := ticket.NewID(rand.Reader)
+	if err != nil {
+		return ticket.Ticket{}, err
+	}
+	executor := wire.TicketGateFrom(plan.Self)
+	witness, ok := chooseWitness(id, executor, plan.Reachable)
+	if !ok {
+		return ticket.Ticket{}, refuse(reason.WitnessUnreachable, "gate %s reaches no other gate", executor.Name)
+	}
+	return ticket.Ticket{
+		ID:       id,
+		Executor: executor,
+		Witness:  witness,
+		Customer: request.customer.Name,
+		Entry:    e.settings.Name,
+		Pool:     request.pool.Name,
+		Body:     ticket.Digest(request.method, request.path, request.body),
+		Expiry:   time.Now().Add(time.Duration(e.settings.Timing.TicketExpiry)),
+	}, nil
+}
+
+// chooseWitness takes a gate of another zone, or of the same zone when the executor reaches no other.
+func chooseWitness(id ticket.ID, executor ticket.Gate, reachable []*pb.GateRef) (ticket.Gate, bool) {
+	gates := make(map[string]ticket.Gate)
+	var same, other []string
+	for _, ref := range reachable {
+		gates[ref.Name] = wire.TicketGateFrom(ref)
+		if ref.Zone == executor.Zone {
+			same = append(same, ref.Name)
+		} else {
+			other = append(other, ref.Name)
+		}
+	}
+	if len(other) == 0 {
+		other = same
+	}
+	name, ok := rendezvous.First(id.String(), other)
+	return gates[name], ok
+}
+
+// runTicket asks the executor, or its heirs, to run the ticket. What they don't know, the witness decides.
+func (e *Entry) runTicket(ctx context.Context, request *request, t ticket.Ticket, encoded []byte, answer *answer) error {
+	gate := e.heirs.resolve(e.clock.Now(), t.Executor)
+	for range maximumHeirs {
+		call := e.serveRequest(ctx, request, "")
+		call.Ticket = encoded
+		answer.reset()
+		err := e.callGate(ctx, membership.Gate(gate), call, answer)
+		if err == nil {
+			return nil
+		}
+		var refusal *Refusal
+		if !errors.As(err, &refusal) {
+			return err
+		}
+		if refusal.heir.Name == "" {
+			return e.afterExecutor(ctx, refusal, t, encoded, answer)
+		}
+		gate = refusal.heir
+	}
+	return e.settle(ctx, t, encoded, answer)
+}
+
+// afterExecutor decides on a refusal of the executor, or on a failure to reach it.
+func (e *Entry) afterExecutor(ctx context.Context, refusal *Refusal, t ticket.Ticket, encoded []byte, answer *answer) error {
+	switch {
+	case refusal.elsewhere:
+	case refusal.Reason == reason.GateUnreachable, refusal.Reason == reason.GateFailed, refusal.Reason == reason.BrokenAnswer:
+	default:
+		return refusal
+	}
+	e.meters.Event("ticket_settled")
+	return e.settle(ctx, t, encoded, answer)
+}
+
+// settle asks the witness, or its heirs, for the fate of a ticket.
+func (e *Entry) settle(ctx context.Context, t ticket.Ticket, encoded []byte, answer *answer) error {
+	gate := e.heirs.resolve(e.clock.Now(), t.Witness)
+	for range settleAttempts {
+		reply, err := e.askWitness(ctx, gate, encoded)
+		if err != nil {
+			sleep(ctx, listPause)
+			gate = e.heirs.resolve(e.clock.Now(), gate)
+			continue
+		}
+		if reply.Verdict == pb.SettleVerdict_SETTLE_NOT_WITNESS && reply.Heir.GetName() != "" {
+			gate = wire.TicketGateFrom(reply.Heir)
+			continue
+		}
+		return answer.acceptResult(wire.ResultFrom(reply.Answer))
+	}
+	return &Refusal{Reason: reason.UnknownOutcome, Ran: reason.Unknown, Message: "neither the executor nor the witness of the ticket can be asked"}
+}
+
+func (e *Entry) askWitness(ctx context.Context, gate ticket.Gate, encoded []byte) (*pb.SettleReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	client := pb.NewDRPCTicketsClient(e.traffic.Conn(ctx, gate.Address))
+	return client.Settle(ctx, &pb.SettleRequest{Ticket: encoded})
+}
+
+// acceptResult takes over the end of a ticketed request that the witness knows.
+func (a *answer) acceptResult(result atmostonce.Result) error {
+	if result.Answer == nil {
+		return &Refusal{Reason: result.Reason, Ran: result.Ran, Message: "the ticket was settled without its executor"}
+	}
+	a.admitted = &pb.Admitted{Status: int32(result.Answer.Status), ContentType: result.Answer.ContentType}
+	a.buffer = append(a.buffer[:0], result.Answer.Body...)
+	return nil
+}
--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -42,6 +42,7 @@
 	reads map[uint64]context.CancelFunc
 	// subscribers get the updates that entries follow.
 	subscribers map[*subscriber]struct{}
+	deskTicked  time.Duration
 }
 
 func newControlState(g *Gate) controlState {
@@ -82,6 +83,10 @@
 	g.state.loads.Expire(now)
 	g.state.notices.Expire(now)
 	g.tickAdmission()
+	if now-g.state.deskTicked >= deskTick {
+		g.state.deskTicked = now
+		g.desk.tick()
+	}
 	g.publishUpdates(now)
 }
 
--- /dev/null
+++ b/internal/gate/desk.go
@@ -0,0 +1,197 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
+	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
+)
+
+// desk guards the machines of the at-most-once protocol and carries out their effects.
+type desk struct {
+	clock control.Clock
+	perform
+
+	mu       sync.Mutex
+	executor *atmostonce.Executor
+	witness  *atmostonce.Witness
+	notes    *atmostonce.Notes
+	lastCall atmostonce.Call
+	// replies holds the channels of open calls. Each channel has room for its one reply.
+	replies map[atmostonce.Call]chan atmostonce.Effect
+	drained map[atmostonce.Role]bool
+}
+
+// perform are the effects that need the network or the rest of the gate. They return at once.
+type perform struct {
+	sendIntent  func(atmostonce.SendIntent)
+	execute     func(atmostonce.Execute)
+	sendOutcome func(atmostonce.SendOutcome)
+	sendRecords func(atmostonce.SendRecords)
+	spreadNote  func(atmostonce.SpreadNote)
+}
+
+func newDesk(clock control.Clock, self ticket.Gate, config atmostonce.Config, perform perform) *desk {
+	return &desk{
+		clock:    clock,
+		perform:  perform,
+		executor: atmostonce.NewExecutor(self, config),
+		witness:  atmostonce.NewWitness(self, config),
+		notes:    atmostonce.NewNotes(),
+		replies:  make(map[atmostonce.Call]chan atmostonce.Effect),
+		drained:  make(map[atmostonce.Role]bool),
+	}
+}
+
+// open returns a new call and the channel of its reply.
+func (d *desk) open() (atmostonce.Call, <-chan atmostonce.Effect) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastCall++
+	reply := make(chan atmostonce.Effect, 1)
+	d.replies[d.lastCall] = reply
+	return d.lastCall, reply
+}
+
+// close forgets a call that nobody waits for.
+func (d *desk) close(call atmostonce.Call) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.replies, call)
+}
+
+// feed applies an event of the executor and carries out the effects.
+func (d *desk) feed(event atmostonce.Event) {
+	d.mu.Lock()
+	effects := d.executor.Step(d.clock.Now(), event)
+	d.mu.Unlock()
+	d.carryOut(effects)
+}
+
+// feedWitness applies an event of the witness and carries out the effects.
+func (d *desk) feedWitness(event atmostonce.Event) {
+	d.mu.Lock()
+	effects := d.witness.Step(d.clock.Now(), event)
+	d.mu.Unlock()
+	d.carryOut(effects)
+}
+
+// feedBoth applies an event that concerns both roles.
+func (d *desk) feedBoth(event atmostonce.Event) {
+	d.feed(event)
+	d.feedWitness(event)
+}
+
+// start asks for the permission to write the first byte. When it is given, the lock stays held until the caller
+// calls written, because a hand-over between the permission and the write would let the heir act on the same ticket.
+func (d *desk) start(id ticket.ID) bool {
+	d.mu.Lock()
+	for _, effect := range d.executor.Step(d.clock.Now(), atmostonce.Start{ID: id}) {
+		if _, ok := effect.(atmostonce.Write); ok {
+			return true
+		}
+		defer d.carryOut([]atmostonce.Effect{effect})
+	}
+	d.mu.Unlock()
+	return false
+}
+
+// written ends what start began.
+func (d *desk) written() { d.mu.Unlock() }
+
+// carryOut performs effects; the lock is not held.
+func (d *desk) carryOut(effects []atmostonce.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case atmostonce.Reply:
+			d.reply(e.Call, e)
+		case atmostonce.IntentReply:
+			d.reply(e.Call, e)
+		case atmostonce.SettleReply:
+			d.reply(e.Call, e)
+		case atmostonce.OutcomeReply:
+			d.reply(e.Call, e)
+		case atmostonce.InheritReply:
+			d.reply(e.Call, e)
+		case atmostonce.SendIntent:
+			d.sendIntent(e)
+		case atmostonce.Execute:
+			d.execute(e)
+		case atmostonce.SendOutcome:
+			d.sendOutcome(e)
+		case atmostonce.SendRecords:
+			d.sendRecords(e)
+		case atmostonce.SpreadNote:
+			d.addNote(e.Note)
+			d.spreadNote(e)
+		case atmostonce.Drained:
+			d.setDrained(e.Role)
+		}
+	}
+}
+
+func (d *desk) reply(call atmostonce.Call, effect atmostonce.Effect) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if reply, ok := d.replies[call]; ok {
+		reply <- effect
+		delete(d.replies, call)
+	}
+}
+
+func (d *desk) addNote(note atmostonce.Note) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.notes.Add(d.clock.Now(), note)
+}
+
+// resolve returns the gate process that acts in place of the given one.
+func (d *desk) resolve(gate ticket.Gate) ticket.Gate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.notes.Resolve(d.clock.Now(), gate)
+}
+
+func (d *desk) setDrained(role atmostonce.Role) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.drained[role] = true
+}
+
+// finished reports whether the heir has the records of both roles.
+func (d *desk) finished() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.drained[atmostonce.ExecutorRole] && d.drained[atmostonce.WitnessRole]
+}
+
+// tick lets time pass.
+func (d *desk) tick() {
+	d.mu.Lock()
+	d.notes.Expire(d.clock.Now())
+	d.mu.Unlock()
+	d.feedBoth(atmostonce.Tick{})
+}
+
+// openTickets returns the number of tickets that have not ended.
+func (d *desk) openTickets() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.executor.Open()
+}
+
+// await returns the reply of a call, and false when it does not come in time.
+func await[E atmostonce.Effect](done <-chan struct{}, reply <-chan atmostonce.Effect) (E, bool) {
+	var none E
+	select {
+	case effect := <-reply:
+		e, ok := effect.(E)
+		return e, ok
+	case <-done:
+		return none, false
+	}
+}
+
+const deskTick = time.Second
--- /dev/null
+++ b/internal/gate/drain.go
@@ -0,0 +1,87 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
+)
+
+const (
+	drainPoll = 50 * time.Millisecond
+	// noteSpread is how long a gate goes on answering after its records are at the heir, so that the note that
+	// names the heir has reached every gate and entry.
+	noteSpread = 2 * time.Second
+)
+
+// drain stops taking new work, hands targets and tickets over and finishes the work in flight.
+func (g *Gate) drain() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(g.settings.Timing.DrainLimit))
+	defer cancel()
+	g.draining.Store(true)
+	g.log.WithField("in_flight", g.inFlight.count()).Info("gate is draining")
+	heir, found := g.announceDrain(ctx)
+	if found {
+		g.desk.feedBoth(atmostonce.Drain{Heir: heir})
+	}
+	if !g.inFlight.wait(ctx.Done()) {
+		g.desk.feed(atmostonce.HandOver{})
+		return trace.LimitExceeded("%d requests were still running after the drain limit", g.inFlight.count())
+	}
+	if found && !g.awaitHandOver(ctx) {
+		return trace.LimitExceeded("heir %s has not taken the ticket records within the drain limit", heir.Name)
+	}
+	g.log.Info("gate has finished its work")
+	return nil
+}
+
+// announceDrain tells the peers and chooses the heir of the ticket records.
+func (g *Gate) announceDrain(ctx context.Context) (heir ticket.Gate, found bool) {
+	_ = g.loop.Call(ctx, func(now time.Duration) {
+		heir, found = chooseHeir(g.state.members.View(), g.self)
+		g.stepMembers(now, membership.Drain{})
+		g.heartbeatNow(now, nil)
+	})
+	return heir, found
+}
+
+// chooseHeir returns the first live gate by rank, of this gate's zone where there is one.
+func chooseHeir(view *membership.View, self membership.Gate) (ticket.Gate, bool) {
+	var near, far []string
+	for _, member := range view.Gates {
+		if member.Name == self.Name || member.State != membership.Live || !member.Direct || member.Incarnation == 0 {
+			continue
+		}
+		if member.Zone == self.Zone {
+			near = append(near, member.Name)
+		} else {
+			far = append(far, member.Name)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	name, ok := rendezvous.First(self.Name, near)
+	if !ok {
+		return ticket.Gate{}, false
+	}
+	member, _ := view.Gate(name)
+	return ticket.Gate(member.Gate), true
+}
+
+// awaitHandOver waits until the heir has all records and the note of it has spread.
+func (g *Gate) awaitHandOver(ctx context.Context) bool {
+	for !g.desk.finished() {
+		if ctx.Err() != nil {
+			return false
+		}
+		sleep(ctx, drainPoll)
+	}
+	sleep(ctx, noteSpread)
+	return true
+}
--- /dev/null
+++ b/internal/gate/execute.go
@@ -0,0 +1,245 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/admission"
+	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/target"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+const (
+	// maximumOnceBody bounds the answer of a non-repeatable request.
+	maximumOnceBody = 8 << 20
+	// maximumOnceAttempts bounds the targets that are tried before the first byte.
+	maximumOnceAttempts = 2
+	fateTimeout         = 2 * time.Second
+	fatePause           = 200 * time.Millisecond
+	fateDone            = "done"
+	fateRunning         = "running"
+)
+
+// runs keeps the requests of open ticket calls until their runs end.
+type runs struct {
+	mu       sync.Mutex
+	requests map[atmostonce.Call]*heldRequest
+}
+
+// heldRequest is a request that a caller waits for, that a run uses, or both.
+type heldRequest struct {
+	request *pb.ServeRequest
+	expires time.Time
+	holders int
+}
+
+func newRuns() *runs { return &runs{requests: make(map[atmostonce.Call]*heldRequest)} }
+
+func (r *runs) add(id atmostonce.Call, request *pb.ServeRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	expires := time.Now().Add(time.Duration(request.DeadlineMs) * time.Millisecond)
+	r.requests[id] = &heldRequest{request: request, expires: expires, holders: 1}
+}
+
+// hold keeps a request for a run; it reports false when the request is gone.
+func (r *runs) hold(id atmostonce.Call) (*heldRequest, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held, ok := r.requests[id]
+	if ok {
+		held.holders++
+	}
+	return held, ok
+}
+
+func (r *runs) release(id atmostonce.Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held, ok := r.requests[id]
+	if !ok {
+		return
+	}
+	held.holders--
+	if held.holders == 0 {
+		delete(r.requests, id)
+	}
+}
+
+// execute runs a ticketed request once the witness has recorded the intent. The run does not end with the caller.
+func (g *Gate) execute(e atmostonce.Execute) {
+	held, ok := g.runs.hold(e.Call)
+	if !ok {
+		g.desk.feed(atmostonce.NotStarted{ID: e.ID, Reason: reason.CallerGone})
+		return
+	}
+	defer g.runs.release(e.Call)
+	g.inFlight.begin()
+	defer g.inFlight.end()
+	ctx, cancel := context.WithDeadline(g.lifetime, held.expires)
+	defer cancel()
+	run := &onceRun{gate: g, id: e.ID, attempt: e.Attempt, request: held.request}
+	run.run(ctx)
+}
+
+// onceRun is one attempt to run a ticketed request.
+type onceRun struct {
+	gate    *Gate
+	id      ticket.ID
+	attempt int
+	request *pb.ServeRequest
+}
+
+func (r *onceRun) run(ctx context.Context) {
+	t, why := r.chooseTarget()
+	if t == nil {
+		r.notStarted(why, false)
+		return
+	}
+	id, err := r.gate.admission.acquire(ctx, &admission.Request{
+		Target:   t.Name,
+		Customer: r.request.Customer,
+		Class:    catalogue.Class(r.request.Class),
+		Deadline: r.gate.clock.Now() + remaining(ctx),
+	})
+	if err != nil {
+		r.notStarted(reasonOf(err), false)
+		return
+	}
+	completed := r.send(ctx, t)
+	r.gate.admission.release(id, completed)
+}
+
+func remaining(ctx context.Context) time.Duration {
+	limit, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return time.Until(limit)
+}
+
+// chooseTarget returns the target that the entry chose if this gate owns it, else another one of the pool that it owns.
+func (r *onceRun) chooseTarget() (*catalogue.Target, reason.Reason) {
+	snapshot := r.gate.snapshot.Load()
+	pool, ok := snapshot.Catalogue.Pool(r.request.Pool)
+	if !ok {
+		return nil, reason.UnknownPool
+	}
+	var owned []*catalogue.Target
+	for i := range pool.Targets {
+		t := &pool.Targets[i]
+		if snapshot.Owned[t.Name] && snapshot.View.Target(t.Name) == membership.Live {
+			owned = append(owned, t)
+		}
+	}
+	if len(owned) == 0 {
+		return nil, reason.NotOwner
+	}
+	for i, t := range owned {
+		if t.Name == r.request.Target {
+			return owned[(i+r.attempt-1)%len(owned)], ""
+		}
+	}
+	return owned[(r.attempt-1)%len(owned)], ""
+}
+
+// send writes the request to the target, if the executor permits it, and reports whether the answer is whole.
+func (r *onceRun) send(ctx context.Context, t *catalogue.Target) bool {
+	attempt := &target.Attempt{
+		Guard:   func() bool { return r.gate.mayWrite(t) && r.gate.desk.start(r.id) },
+		Written: r.gate.desk.written,
+	}
+	call := &call{gate: r.gate, request: r.request}
+	request := call.targetRequest()
+	request.ID = r.id.String()
+	response, err := r.gate.targets.DoOnce(ctx, t.Address, request, attempt)
+	if err != nil && !attempt.Started() {
+		r.notStarted(reason.TargetUnreachable, r.attempt < maximumOnceAttempts)
+		return false
+	}
+	result, whole := r.read(response, err)
+	if !whole {
+		result = r.gate.fateOf(ctx, t, r.id, result)
+	}
+	r.gate.desk.feed(atmostonce.Finish{ID: r.id, Result: result})
+	return whole
+}
+
+// read reads the whole answer.
+func (r *onceRun) read(response *target.Response, err error) (atmostonce.Result, bool) {
+	unknown := atmostonce.Result{Reason: reason.UnknownOutcome, Ran: reason.Unknown}
+	if err != nil {
+		return unknown, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maximumOnceBody+1))
+	if err != nil || len(body) > maximumOnceBody {
+		return unknown, false
+	}
+	answer := &atmostonce.Answer{Status: response.Status, ContentType: response.ContentType, Body: body}
+	return atmostonce.Result{Answer: answer}, true
+}
+
+func (r *onceRun) notStarted(why reason.Reason, retry bool) {
+	r.gate.desk.feed(atmostonce.NotStarted{ID: r.id, Reason: why, Retry: retry})
+}
+
+func reasonOf(err error) reason.Reason {
+	var refused *refusal
+	if errors.As(err, &refused) {
+		return refused.reason
+	}
+	return reason.Internal
+}
+
+// fateOf asks a target for the outcome of a request by its id, where the catalogue says that it can be asked, and
+// waits while it says that the request runs.
+func (g *Gate) fateOf(ctx context.Context, t *catalogue.Target, id ticket.ID, unknown atmostonce.Result) atmostonce.Result {
+	if !t.Pool().FateQuery {
+		return unknown
+	}
+	for {
+		fate, err := g.targets.Fate(ctx, t.Address, id.String())
+		switch {
+		case err == nil && fate.State == fateDone:
+			return atmostonce.Result{Answer: &atmostonce.Answer{Status: fate.Status, ContentType: fate.ContentType, Body: fate.Body}}
+		case err != nil || fate.State != fateRunning || ctx.Err() != nil:
+			return unknown
+		}
+		sleep(ctx, fatePause)
+	}
+}
+
+// askTargets looks for the outcome of a ticket at every target of its pool, when neither gate knows it.
+func (g *Gate) askTargets(ctx context.Context, t ticket.Ticket, settled *pb.SettleReply) {
+	snapshot := g.snapshot.Load()
+	if snapshot == nil {
+		return
+	}
+	pool, ok := snapshot.Catalogue.Pool(t.Pool)
+	if !ok || !pool.FateQuery {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fateTimeout)
+	defer cancel()
+	found := make(chan atmostonce.Result, len(pool.Targets))
+	for i := range pool.Targets {
+		go func() { found <- g.fateOf(ctx, &pool.Targets[i], t.ID, atmostonce.Result{}) }()
+	}
+	for range pool.Targets {
+		if result := <-found; result.Answer != nil {
+			settled.Verdict = pb.SettleVerdict_SETTLE_OUTCOME
+			settled.Answer = wire.Result(result)
+			return
+		}
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,7 +10,6 @@
 	"crypto/tls"
 	"net"
 	"sync/atomic"
-	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
@@ -26,6 +25,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/settings"
 	"github.com/amaranthlb/amaranthlb/internal/target"
 	"github.com/amaranthlb/amaranthlb/internal/telemetry"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
 )
 
 // Gate is one gate daemon.
@@ -51,6 +51,9 @@
 	draining atomic.Bool
 
 	admission *admitter
+	codec     *ticket.Codec
+	desk      *desk
+	runs      *runs
 	inFlight  inFlight
 }
 
@@ -92,6 +95,12 @@
 	g.loop = control.NewLoop(g.clock)
 	g.admission = newAdmitter(g.clock, s.Name)
 	g.state = newControlState(g)
+	g.codec, err = ticket.NewCodec(s.FleetKeys...)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	g.desk = g.newDesk()
+	g.runs = newRuns()
 	g.control = rpc.NewDialer(rpc.Control, g.tls, meters)
 	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters)
 	return g, nil
@@ -134,19 +143,10 @@
 	if err := pb.DRPCRegisterTraffic(mux, &trafficServer{gate: g}); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(pb.DRPCRegisterControl(mux, &controlServer{gate: g}))
-}
-
-// drain stops taking new work and waits for the work in flight.
-func (g *Gate) drain() error {
-	g.draining.Store(true)
-	g.log.WithField("in_flight", g.inFlight.count()).Info("gate is draining")
-	limit := time.Duration(g.settings.Timing.DrainLimit)
-	if !g.inFlight.wait(limit) {
-		return trace.LimitExceeded("%d requests were still running after the drain limit of %s", g.inFlight.count(), limit)
+	if err := pb.DRPCRegisterTickets(mux, &ticketServer{gate: g}); err != nil {
+		return trace.Wrap(err)
 	}
-	g.log.Info("gate has finished its work")
-	return nil
+	return trace.Wrap(pb.DRPCRegisterControl(mux, &controlServer{gate: g}))
 }
 
 func (g *Gate) ready() (bool, string) {
@@ -169,6 +169,7 @@
 	View        *membership.View   `json:"view"`
 	Admission   admission.Snapshot `json:"admission"`
 	InFlight    int                `json:"in_flight"`
+	OpenTickets int                `json:"open_tickets"`
 }
 
 func (g *Gate) status() any {
@@ -179,6 +180,7 @@
 		Draining:    g.draining.Load(),
 		Admission:   g.admission.snapshot(),
 		InFlight:    g.inFlight.count(),
+		OpenTickets: g.desk.openTickets(),
 	}
 	if snapshot := g.snapshot.Load(); snapshot != nil {
 		status.Revision = snapshot.Catalogue.Revision
--- a/internal/gate/inflight.go
+++ b/internal/gate/inflight.go
@@ -1,9 +1,6 @@
 package gate
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 // inFlight counts the calls that a drain has to wait for.
 type inFlight struct {
@@ -35,7 +32,7 @@
 }
 
 // wait blocks until no call is left and reports false when the limit passes first.
-func (f *inFlight) wait(limit time.Duration) bool {
+func (f *inFlight) wait(limit <-chan struct{}) bool {
 	f.mu.Lock()
 	if f.calls == 0 {
 		f.mu.Unlock()
@@ -47,7 +44,7 @@
 	select {
 	case <-drained:
 		return true
-	case <-time.After(limit):
+	case <-limit:
 		return false
 	}
 }
--- a/internal/gate/notices.go
+++ b/internal/gate/notices.go
@@ -1,14 +1,49 @@
 package gate
 
 import (
+	"encoding/hex"
 	"time"
 
+	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
 	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/gossip"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
-const crashLifetime = crashguard.Lifetime
+const (
+	crashLifetime = crashguard.Lifetime
+	// noticeVersion is the version of notices, which never change.
+	noticeVersion = 1
+)
 
 // acceptNotices takes over facts that other gates spread.
-func (g *Gate) acceptNotices(_ time.Duration, _ []gossip.Record[*pb.Notice]) {}
+func (g *Gate) acceptNotices(now time.Duration, records []gossip.Record[*pb.Notice]) {
+	for _, record := range records {
+		if record.Payload.Note != nil {
+			g.desk.addNote(noteFrom(record))
+		}
+	}
+}
+
+func noteFrom(record gossip.Record[*pb.Notice]) atmostonce.Note {
+	return atmostonce.Note{
+		From: wire.TicketGateFrom(record.Payload.Note.From),
+		Heir: wire.TicketGateFrom(record.Payload.Note.Heir),
+		Left: time.Duration(record.Payload.Note.RemainingMs)*time.Millisecond - record.Age,
+	}
+}
+
+// spreadNote gossips which gate takes over the tickets of a stopped one.
+func (g *Gate) spreadNote(e atmostonce.SpreadNote) {
+	notice := &pb.Notice{Note: &pb.DrainNote{
+		From:        wire.TicketGate(e.Note.From),
+		Heir:        wire.TicketGate(e.Note.Heir),
+		RemainingMs: e.Note.Left.Milliseconds(),
+	}}
+	key := "note/" + wire.LoadKey(e.Note.From.Name, e.Note.From.Incarnation)
+	g.loop.Post(func(now time.Duration) {
+		g.state.notices.Put(now, hex.EncodeToString([]byte(key)), noticeVersion, notice)
+		g.heartbeatNow(now, nil)
+	})
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -9,10 +9,14 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/stream"
 	"github.com/amaranthlb/amaranthlb/internal/target"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
 const (
@@ -34,6 +38,11 @@
 	detail     string
 	retryAfter time.Duration
 	next       []string
+	// owner is the gate to ask instead, when this one is not the owner and knows it.
+	owner membership.Gate
+	// elsewhere says that another gate may know more of a ticket: heir if it is set, else the witness.
+	elsewhere bool
+	heir      ticket.Gate
 }
 
 func (r *refusal) Error() string { return string(r.reason) + ": " + r.detail }
@@ -78,6 +87,9 @@
 	if snapshot == nil {
 		return refuse(reason.NotReady, reason.No, "the gate has no catalogue yet")
 	}
+	if len(c.request.Ticket) > 0 {
+		return c.runTicket(ctx)
+	}
 	t, ok := snapshot.Catalogue.Target(c.request.Target)
 	if !ok {
 		return refuse(reason.NoTarget, reason.No, "the catalogue has no target "+c.request.Target)
@@ -86,10 +98,10 @@
 		return c.resume(ctx, t, c.request.ResumeFrom)
 	}
 	if c.gate.draining.Load() {
-		return refuse(reason.Draining, reason.No, "the gate is stopping")
+		return c.redirect(snapshot, t, reason.Draining, "the gate is stopping")
 	}
 	if !snapshot.Owned[t.Name] {
-		return refuse(reason.NotOwner, reason.No, "the gate does not own "+t.Name)
+		return c.redirect(snapshot, t, reason.NotOwner, "the gate does not own "+t.Name)
 	}
 	id, err := c.gate.admission.acquire(ctx, &admission.Request{
 		Target:     t.Name,
@@ -115,6 +127,18 @@
 	return c.gate.clock.Now() + time.Until(limit)
 }
 
+// redirect refuses a request and names the gate that owns the target, as far as this gate knows.
+func (c *call) redirect(snapshot *Snapshot, t *catalogue.Target, why reason.Reason, detail string) error {
+	refused := refuse(why, reason.No, detail)
+	for _, gate := range ownership.Ranked(snapshot.View, t.Name, t.Zone) {
+		if gate.Name != c.gate.self.Name {
+			refused.owner = gate
+			break
+		}
+	}
+	return refused
+}
+
 // forward sends the request to the target and relays the answer.
 func (c *call) forward(ctx context.Context, t *catalogue.Target) error {
 	attempt := &target.Attempt{Guard: func() bool { return c.gate.mayWrite(t) }}
@@ -281,19 +305,25 @@
 }
 
 func (c *call) sendRefusal(r *refusal) error {
-	ran := pb.Ran_RAN_NO
-	if r.ran == reason.Unknown {
-		ran = pb.Ran_RAN_UNKNOWN
-	}
 	return c.send(&pb.ServeEvent{Event: &pb.ServeEvent_Refusal{Refusal: &pb.Refusal{
 		Reason:       string(r.reason),
-		Ran:          ran,
+		Ran:          wire.Ran(r.ran),
 		RetryAfterMs: r.retryAfter.Milliseconds(),
 		Next:         r.next,
 		Detail:       r.detail,
+		Owner:        owner(r.owner),
+		Elsewhere:    r.elsewhere,
+		Heir:         wire.TicketGate(r.heir),
 	}}})
 }
 
+func owner(gate membership.Gate) *pb.GateRef {
+	if gate.Name == "" {
+		return nil
+	}
+	return wire.Gate(gate)
+}
+
 func (c *call) send(event *pb.ServeEvent) error {
 	event.RequestId = c.request.RequestId
 	return c.out.Send(event)
--- /dev/null
+++ b/internal/gate/tickets.go
@@ -0,0 +1,274 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/stream"
+	"github.com/amaranthlb/amaranthlb/internal/target"
+	"github.com/amaranthlb/amaranthlb/internal/ticket"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+const (
+	// ticketCallTimeout bounds one call of the ticket protocol between gates.
+	ticketCallTimeout = time.Second
+	inheritTimeout    = 5 * time.Second
+)
+
+// ticketConfig returns the periods of the settings.
+func ticketConfig(expiry, grace time.Duration) atmostonce.Config {
+	config := atmostonce.DefaultConfig()
+	config.Timing.Expiry = expiry
+	config.Timing.Grace = grace
+	return config
+}
+
+func (g *Gate) newDesk() *desk {
+	timing := g.settings.Timing
+	config := ticketConfig(time.Duration(timing.TicketExpiry), time.Duration(timing.TicketGrace))
+	return newDesk(g.clock, ticket.Gate(g.self), config, perform{
+		sendIntent:  func(e atmostonce.SendIntent) { go g.sendIntent(e) },
+		execute:     func(e atmostonce.Execute) { go g.execute(e) },
+		sendOutcome: func(e atmostonce.SendOutcome) { go g.sendOutcome(e) },
+		sendRecords: func(e atmostonce.SendRecords) { go g.sendRecords(e) },
+		spreadNote:  g.spreadNote,
+	})
+}
+
+// ticketsClient returns a client of the ticket service of a gate, or of its heir.
+func (g *Gate) ticketsClient(ctx context.Context, gate ticket.Gate) pb.DRPCTicketsClient {
+	return pb.NewDRPCTicketsClient(g.traffic.Conn(ctx, g.desk.resolve(gate).Address))
+}
+
+func (g *Gate) sendIntent(e atmostonce.SendIntent) {
+	ctx, cancel := context.WithTimeout(g.lifetime, ticketCallTimeout)
+	defer cancel()
+	unreachable := atmostonce.WitnessUnreachable{ID: e.Ticket.ID}
+	encoded, err := g.codec.Encode(e.Ticket)
+	if err != nil {
+		g.desk.feed(unreachable)
+		return
+	}
+	request := &pb.IntentRequest{Ticket: encoded, Executor: wire.TicketGate(e.Executor)}
+	reply, err := g.ticketsClient(ctx, e.To).Intent(ctx, request)
+	if err != nil {
+		g.meters.ControlCall("intent", "failed")
+		g.desk.feed(unreachable)
+		return
+	}
+	g.desk.feed(atmostonce.IntentAnswered{
+		ID:      e.Ticket.ID,
+		Verdict: wire.VerdictFrom(reply.Verdict),
+		Heir:    wire.TicketGateFrom(reply.Heir),
+	})
+}
+
+func (g *Gate) sendOutcome(e atmostonce.SendOutcome) {
+	ctx, cancel := context.WithTimeout(g.lifetime, ticketCallTimeout)
+	defer cancel()
+	encoded, err := g.codec.Encode(e.Ticket)
+	if err != nil {
+		return
+	}
+	request := &pb.OutcomeRequest{Ticket: encoded, Answer: wire.Result(e.Result)}
+	reply, err := g.ticketsClient(ctx, e.To).Outcome(ctx, request)
+	if err != nil {
+		g.meters.ControlCall("outcome", "failed")
+		return
+	}
+	if reply.Stored {
+		g.desk.feed(atmostonce.OutcomeStored{ID: e.Ticket.ID})
+	}
+}
+
+// sendRecords hands the records of an incarnation to the heir. The machine asks again until the heir has accepted.
+func (g *Gate) sendRecords(e atmostonce.SendRecords) {
+	ctx, cancel := context.WithTimeout(g.lifetime, inheritTimeout)
+	defer cancel()
+	records, err := wire.Records(e.Records, g.codec)
+	if err != nil {
+		g.log.WithError(err).Error("ticket records can't be encoded")
+		return
+	}
+	client := pb.NewDRPCTicketsClient(g.traffic.Conn(ctx, e.To.Address))
+	reply, err := client.Inherit(ctx, &pb.InheritRequest{
+		From:    wire.TicketGate(e.From),
+		To:      wire.TicketGate(e.To),
+		Role:    string(e.Role),
+		Records: records,
+	})
+	if err != nil {
+		g.meters.ControlCall("inherit", "failed")
+		return
+	}
+	inherited := atmostonce.Inherited{From: e.From, Accepted: reply.Accepted}
+	if e.Role == atmostonce.WitnessRole {
+		g.desk.feedWitness(inherited)
+		return
+	}
+	g.desk.feed(inherited)
+}
+
+// runTicket answers a call for a non-repeatable request.
+func (c *call) runTicket(ctx context.Context) error {
+	g := c.gate
+	t, err := g.codec.Decode(c.request.Ticket)
+	if err != nil {
+		return refuse(reason.TicketInvalid, reason.No, err.Error())
+	}
+	if !t.Binds(c.request.Customer, c.request.Pool, ticket.Digest(c.request.Method, c.request.Path, c.request.Body)) {
+		return refuse(reason.TicketInvalid, reason.No, "the ticket was issued for another request")
+	}
+	id, reply := g.desk.open()
+	defer g.desk.close(id)
+	g.runs.add(id, c.request)
+	defer g.runs.release(id)
+	g.desk.feed(atmostonce.Submit{Ticket: t, Left: t.Left(time.Now()), Call: id})
+	answer, ok := await[atmostonce.Reply](ctx.Done(), reply)
+	if !ok {
+		g.desk.feed(atmostonce.CallerGone{ID: t.ID, Call: id})
+		return refuse(reason.DeadlineExceeded, reason.Unknown, "the deadline passed before the request's outcome was known")
+	}
+	return c.sendResult(answer.Result)
+}
+
+// sendResult sends the end of a ticketed request to the entry.
+func (c *call) sendResult(result atmostonce.Result) error {
+	if result.Answer == nil {
+		return &refusal{
+			reason:    result.Reason,
+			ran:       result.Ran,
+			detail:    "the request's ticket ended without an answer",
+			elsewhere: result.Elsewhere,
+			heir:      result.Heir,
+		}
+	}
+	response := &target.Response{Status: result.Answer.Status, ContentType: result.Answer.ContentType}
+	if err := c.send(&pb.ServeEvent{Event: &pb.ServeEvent_Admitted{Admitted: &pb.Admitted{
+		Target:      c.request.Target,
+		Status:      int32(response.Status),
+		ContentType: response.ContentType,
+	}}}); err != nil {
+		return err
+	}
+	writer := stream.NewWriter(0)
+	if err := c.sendChunk(writer, result.Answer.Body); err != nil {
+		return err
+	}
+	return c.sendEnd(writer, response)
+}
+
+// ticketServer serves the ticket protocol.
+type ticketServer struct {
+	gate *Gate
+}
+
+var errNoReply = errors.New("the gate is stopping")
+
+// Plan names this process and the gates that it reaches, for a new ticket.
+func (s *ticketServer) Plan(ctx context.Context, _ *pb.PlanRequest) (*pb.PlanReply, error) {
+	g := s.gate
+	reply := &pb.PlanReply{Self: wire.Gate(g.self), Draining: g.draining.Load()}
+	if snapshot := g.snapshot.Load(); snapshot != nil {
+		for _, member := range snapshot.View.Gates {
+			if member.State == membership.Live && member.Direct && member.Incarnation != 0 && member.Name != g.self.Name {
+				reply.Reachable = append(reply.Reachable, wire.Gate(member.Gate))
+			}
+		}
+	}
+	return reply, nil
+}
+
+// Intent records that an executor is about to run a ticket.
+func (s *ticketServer) Intent(ctx context.Context, request *pb.IntentRequest) (*pb.IntentReply, error) {
+	d := s.gate.desk
+	t, err := s.gate.codec.Decode(request.Ticket)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	id, reply := d.open()
+	defer d.close(id)
+	d.feedWitness(atmostonce.Intent{Ticket: t, Left: t.Left(time.Now()), Executor: wire.TicketGateFrom(request.Executor), Call: id})
+	answer, ok := await[atmostonce.IntentReply](ctx.Done(), reply)
+	if !ok {
+		return nil, errNoReply
+	}
+	return &pb.IntentReply{Verdict: wire.Verdict(answer.Verdict), Heir: wire.TicketGate(answer.Heir)}, nil
+}
+
+// Settle decides a ticket whose executor can't be reached.
+func (s *ticketServer) Settle(ctx context.Context, request *pb.SettleRequest) (*pb.SettleReply, error) {
+	d := s.gate.desk
+	t, err := s.gate.codec.Decode(request.Ticket)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	id, reply := d.open()
+	defer d.close(id)
+	d.feedWitness(atmostonce.Settle{Ticket: t, Left: t.Left(time.Now()), Call: id})
+	answer, ok := await[atmostonce.SettleReply](ctx.Done(), reply)
+	if !ok {
+		return nil, errNoReply
+	}
+	settled := &pb.SettleReply{
+		Verdict: pb.SettleVerdict(answer.Verdict),
+		Answer:  wire.Result(answer.Result),
+		Heir:    wire.TicketGate(answer.Heir),
+	}
+	if answer.Verdict == atmostonce.SettleUnknown {
+		s.gate.askTargets(ctx, t, settled)
+	}
+	return settled, nil
+}
+
+// Outcome stores the answer of a ticket.
+func (s *ticketServer) Outcome(ctx context.Context, request *pb.OutcomeRequest) (*pb.OutcomeReply, error) {
+	d := s.gate.desk
+	t, err := s.gate.codec.Decode(request.Ticket)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	id, reply := d.open()
+	defer d.close(id)
+	d.feedWitness(atmostonce.Outcome{Ticket: t, Left: t.Left(time.Now()), Result: wire.ResultFrom(request.Answer), Call: id})
+	answer, ok := await[atmostonce.OutcomeReply](ctx.Done(), reply)
+	if !ok {
+		return nil, errNoReply
+	}
+	return &pb.OutcomeReply{Stored: answer.Stored}, nil
+}
+
+// Inherit takes over the records of a gate that is stopping.
+func (s *ticketServer) Inherit(ctx context.Context, request *pb.InheritRequest) (*pb.InheritReply, error) {
+	d := s.gate.desk
+	records, err := wire.RecordsFrom(request.Records, s.gate.codec)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	id, reply := d.open()
+	defer d.close(id)
+	event := atmostonce.Inherit{
+		From:    wire.TicketGateFrom(request.From),
+		To:      wire.TicketGateFrom(request.To),
+		Records: records,
+		Call:    id,
+	}
+	if atmostonce.Role(request.Role) == atmostonce.WitnessRole {
+		d.feedWitness(event)
+	} else {
+		d.feed(event)
+	}
+	answer, ok := await[atmostonce.InheritReply](ctx.Done(), reply)
+	if !ok {
+		return nil, errNoReply
+	}
+	return &pb.InheritReply{Accepted: answer.Accepted}, nil
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -48,12 +48,14 @@
 // Attempt follows one try at a target.
 type Attempt struct {
 	// Guard is asked directly before the first byte is written; false forbids the write.
-	Guard   func() bool
-	written atomic.Bool
+	Guard func() bool
+	// Written is called directly after the first write that Guard permitted.
+	Written func()
+	started atomic.Bool
 }
 
-// Written reports whether a byte of the request may have reached the target.
-func (a *Attempt) Written() bool { return a.written.Load() }
+// Started reports whether a byte of the request may have reached the target.
+func (a *Attempt) Started() bool { return a.started.Load() }
 
 // Kind tells failures apart.
 type Kind string
@@ -133,11 +135,15 @@
 
 func (c *guardedConn) Write(p []byte) (int, error) {
 	attempt := c.attempt.Load()
-	if attempt != nil && !attempt.written.Load() {
-		if attempt.Guard != nil && !attempt.Guard() {
-			return 0, errForbidden
-		}
-		attempt.written.Store(true)
+	if attempt == nil || attempt.started.Load() {
+		return c.Conn.Write(p)
+	}
+	if attempt.Guard != nil && !attempt.Guard() {
+		return 0, errForbidden
+	}
+	attempt.started.Store(true)
+	if attempt.Written != nil {
+		defer attempt.Written()
 	}
 	return c.Conn.Write(p)
 }
@@ -177,7 +183,7 @@
 
 func kindOf(err error, attempt *Attempt) Kind {
 	switch {
-	case attempt.Written():
+	case attempt.Started():
 		return Failed
 	case errors.Is(err, errForbidden):
 		return Forbidden
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -86,23 +87,29 @@
 }
 
 func (f *Fleet) assignAddresses() error {
+	fields := []*string{&f.platform, &f.Balancer, &f.link}
 	for _, n := range f.order {
 		f.nodes[n.name] = n
-		targets := []*string{&n.address, &n.admin}
+		fields = append(fields, &n.address, &n.admin)
 		if f.spec.ThroughLinks && n.role == roleGate {
-			targets = append(targets, &n.linked)
-		}
-		if err := assign(targets...); err != nil {
-			return err
+			fields = append(fields, &n.linked)
 		}
 	}
-	return assign(&f.platform, &f.Balancer, &f.link)
+	return assign(fields...)
 }
 
+// Ports lie below the range from which the kernel takes ports of outgoing connections, since one of those could
+// take an address between its choice here and the start of its process.
+const (
+	firstPort  = 12000
+	portCount  = 18000
+	portTrials = 200
+)
+
 // assign finds a free loopback address for each field. The ports are held until all are chosen, so that they differ.
 func assign(fields ...*string) error {
 	for _, field := range fields {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := listenAny()
 		if err != nil {
 			return err
 		}
@@ -112,6 +119,18 @@
 	return nil
 }
 
+func listenAny() (net.Listener, error) {
+	var err error
+	for range portTrials {
+		var listener net.Listener
+		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err == nil {
+			return listener, nil
+		}
+	}
+	return nil, err
+}
+
 func (f *Fleet) write(name string, content []byte) error {
 	return os.WriteFile(filepath.Join(f.directory, name), content, 0o600)
 }
--- a/test/e2e/main_test.go
+++ b/test/e2e/main_test.go
@@ -12,10 +12,14 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/amaranthlb/amaranthlb/standin/fleet"
 )
 
+// startLimit bounds the start or the graceful stop of a daemon.
+const startLimit = 30 * time.Second
+
 var binaries string
 
 func TestMain(m *testing.M) {
