Add orders, the state machine that makes engines conform to the catalogue

Ruled out: plain "present number + 1" (two owners that read the same number send equal ones; 16 bits of the incarnation now tell them apart); no wait for an ignoring engine after a confirmed handover (its report is late by up to L, so it waits L); a new issuer that waits one permit lifetime only (its predecessor may issue for D longer while views differ, so it waits both).

Change: Machine reads the engine's state, gets a permit where weights are needed, sends one order at a time with a time after which it must not be written, and reads back every 5 s. An order without an answer is waited out for D + L, also when the target is lost and acquired again meanwhile.

Removing the wait-out, the read-back, the lease check, the issuer's wait, the rate, or the handling of busy engines each makes a test fail.

--- /dev/null
+++ b/internal/orders/machine.go
@@ -0,0 +1,200 @@
+package orders
+
+import (
+	"maps"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+)
+
+// Settings of the machine.
+type Settings struct {
+	// Self is the gate's name, Incarnation the number of this process.
+	Self        string
+	Incarnation uint64
+	// Disagreement is D, the longest time for which views differ.
+	Disagreement time.Duration
+	// ReportLag is L, the longest time by which an engine's report is late.
+	ReportLag time.Duration
+	// PermitInterval is the least time between two permits of the weight store.
+	PermitInterval time.Duration
+	// PermitLifetime is how long a permit may be used after it was requested.
+	PermitLifetime time.Duration
+}
+
+// Default settings.
+const (
+	DefaultDisagreement   = 5 * time.Second
+	DefaultReportLag      = 2 * time.Second
+	DefaultPermitInterval = time.Second
+	DefaultPermitLifetime = 5 * time.Second
+)
+
+// Machine reconciles the engines that one gate owns.
+type Machine struct {
+	settings  Settings
+	random    *rand.Rand
+	view      *membership.View
+	catalogue *catalogue.Catalogue
+	lease     time.Duration
+	issuer    issuer
+	engines   map[string]*engine
+	// unresolved holds, by target, until when an order of a former ownership may still arrive.
+	unresolved map[string]time.Duration
+	// calls holds the engine of each call in flight.
+	calls    map[uint64]*engine
+	lastCall uint64
+	effects  []Effect
+}
+
+// New returns a machine that owns nothing. Zero settings get their defaults.
+func New(settings Settings, random *rand.Rand) *Machine {
+	setDefault(&settings.Disagreement, DefaultDisagreement)
+	setDefault(&settings.ReportLag, DefaultReportLag)
+	setDefault(&settings.PermitInterval, DefaultPermitInterval)
+	setDefault(&settings.PermitLifetime, DefaultPermitLifetime)
+	return &Machine{
+		settings:   settings,
+		random:     random,
+		view:       &membership.View{},
+		engines:    map[string]*engine{},
+		unresolved: map[string]time.Duration{},
+		calls:      map[uint64]*engine{},
+	}
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// OrderInFlight reports whether an order to the target has no result yet or may still arrive. A predecessor
+// with one must not confirm a handover as released.
+func (m *Machine) OrderInFlight(now time.Duration, target string) bool {
+	if e, ok := m.engines[target]; ok {
+		return e.phase == ordering || now < e.quietUntil
+	}
+	return now < m.unresolved[target]
+}
+
+// Step handles one event.
+func (m *Machine) Step(now time.Duration, event Event) []Effect {
+	m.effects = nil
+	switch e := event.(type) {
+	case ViewChanged:
+		m.view = e.View
+	case CatalogueChanged:
+		m.changeCatalogue(now, e.Catalogue)
+	case LeaseRenewed:
+		m.renewLease(now, e.Until)
+	case Acquired:
+		m.acquired(now, e)
+	case Lost:
+		m.lost(e.Target)
+	case StatusRead:
+		m.statusRead(now, e)
+	case StatusFailed:
+		m.statusFailed(now, e.Read)
+	case OrderAnswered:
+		m.orderAnswered(now, e.Order, e.Result)
+	case PermitRequested:
+		m.permitRequested(now, e)
+	case PermitAnswered:
+		m.permitAnswered(now, e)
+	}
+	m.updateIssuer(now)
+	m.advance(now)
+	return m.effects
+}
+
+func (m *Machine) emit(effect Effect) { m.effects = append(m.effects, effect) }
+
+// holdsLease reports whether this gate may act on what it owns.
+func (m *Machine) holdsLease(now time.Duration) bool { return now < m.lease }
+
+func (m *Machine) changeCatalogue(now time.Duration, c *catalogue.Catalogue) {
+	m.catalogue = c
+	for _, e := range m.engines {
+		m.setDesired(now, e)
+	}
+}
+
+// setDesired reads the engine's desired state from the catalogue. Targets of services get no orders.
+func (m *Machine) setDesired(now time.Duration, e *engine) {
+	e.managed = false
+	if m.catalogue == nil {
+		return
+	}
+	target, ok := m.catalogue.Target(e.name)
+	if !ok || target.Pool().Kind != catalogue.Model {
+		return
+	}
+	e.managed = true
+	e.checksFencing = target.Pool().ChecksFencing
+	if desired := DesiredOf(target); !desired.equal(e.desired) {
+		e.desired = desired
+		e.attempts, e.retryAt, e.reconciled = 0, 0, false
+		e.nextAt = min(e.nextAt, now)
+	}
+}
+
+func (m *Machine) acquired(now time.Duration, event Acquired) {
+	if _, ok := m.engines[event.Target]; ok {
+		return
+	}
+	e := &engine{name: event.Target, nextAt: now}
+	m.engines[event.Target] = e
+	m.setDesired(now, e)
+	e.released = event.Released
+	e.acquiredAt = now
+	e.quietUntil = m.unresolved[event.Target]
+	delete(m.unresolved, event.Target)
+}
+
+// lost forgets the engine, but not that an order may still arrive there.
+func (m *Machine) lost(target string) {
+	e, ok := m.engines[target]
+	if !ok {
+		return
+	}
+	m.unresolved[target] = e.quietUntil
+	if e.phase == ordering {
+		m.unresolved[target] = e.deadline + m.waitOut()
+	}
+	delete(m.calls, e.call)
+	delete(m.engines, target)
+}
+
+// waitOut is the time after which an order of a cut off owner has arrived or never will, and shows in reports.
+func (m *Machine) waitOut() time.Duration { return m.settings.Disagreement + m.settings.ReportLag }
+
+// advance acts on every engine whose time has come, in the order of names, so that runs can be repeated.
+func (m *Machine) advance(now time.Duration) {
+	maps.DeleteFunc(m.unresolved, func(_ string, until time.Duration) bool { return now >= until })
+	for _, name := range slices.Sorted(maps.Keys(m.engines)) {
+		m.advanceEngine(now, m.engines[name])
+	}
+}
+
+// call registers a call of an engine and returns its number.
+func (m *Machine) call(e *engine, next phase, deadline time.Duration) uint64 {
+	m.lastCall++
+	e.phase, e.call, e.deadline = next, m.lastCall, deadline
+	m.calls[e.call] = e
+	return e.call
+}
+
+// answered returns the engine of a call in the phase, and false when the call was given up.
+func (m *Machine) answered(call uint64, expected phase) (*engine, bool) {
+	e, ok := m.calls[call]
+	if !ok || e.phase != expected {
+		return nil, false
+	}
+	delete(m.calls, call)
+	e.phase = waiting
+	return e, true
+}
--- /dev/null
+++ b/internal/orders/state.go
@@ -0,0 +1,72 @@
+package orders
+
+import (
+	"slices"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+)
+
+// Desired is the state that the catalogue wants of an engine. An empty Version or Role leaves the engine's own.
+type Desired struct {
+	Model    string
+	Version  string
+	Adapters []string
+	Role     string
+}
+
+// Status is the state that an engine reports.
+type Status struct {
+	Model    string
+	Version  string
+	Adapters []string
+	Role     string
+	// Fence is the number of the last order that the engine took.
+	Fence uint64
+	// Busy is true while the engine carries out an order.
+	Busy bool
+}
+
+// DesiredOf returns the desired state of a model pool's target. The model has the name of the pool.
+func DesiredOf(target *catalogue.Target) Desired {
+	pool := target.Pool()
+	return Desired{Model: pool.Name, Version: pool.Version, Adapters: pool.Adapters, Role: target.Role}
+}
+
+func (d Desired) equal(other Desired) bool {
+	return d.Model == other.Model && d.Version == other.Version && d.Role == other.Role &&
+		slices.Equal(d.Adapters, other.Adapters)
+}
+
+// metBy reports whether the engine has the desired state. Adapters compare as sets.
+func (d Desired) metBy(s Status) bool {
+	roleMet := d.Role == "" || d.Role == s.Role
+	return d.modelMetBy(s) && roleMet && len(d.Adapters) == len(s.Adapters) && d.adaptersLoadedBy(s)
+}
+
+// needsWeights reports whether the engine has to read the weight store to reach the desired state.
+func (d Desired) needsWeights(s Status) bool {
+	return !d.modelMetBy(s) || !d.adaptersLoadedBy(s)
+}
+
+func (d Desired) modelMetBy(s Status) bool {
+	return d.Model == s.Model && (d.Version == "" || d.Version == s.Version)
+}
+
+func (d Desired) adaptersLoadedBy(s Status) bool {
+	for _, adapter := range d.Adapters {
+		if !slices.Contains(s.Adapters, adapter) {
+			return false
+		}
+	}
+	return true
+}
+
+// fenceTagBits is the part of a fencing number that identifies the sender. Two owners that read the same number
+// then send different ones, and the engine can't take both as current.
+const fenceTagBits = 16
+
+// nextFence returns a number above the engine's present one.
+func nextFence(present, incarnation uint64) uint64 {
+	tag := incarnation & (1<<fenceTagBits - 1)
+	return (present>>fenceTagBits+1)<<fenceTagBits | tag
+}
