--- a/internal/catalogue/decode.go
+++ b/internal/catalogue/decode.go
@@ -19,10 +19,16 @@
 // defaulter is a type with fields that have a default other than the zero value.
 type defaulter interface{ setDefaults() }
 
-func decodeYAML(body ast.Node, c *Catalogue) FieldErrors {
+// decodeYAML returns no catalogue when the document is not a mapping at all.
+func decodeYAML(body ast.Node) (*Catalogue, FieldErrors) {
 	var d decoder
-	d.value("", body, reflect.ValueOf(c).Elem())
-	return d.errs
+	var c Catalogue
+	if _, ok := body.(ast.MapNode); !ok {
+		d.fail("", body, "must be a mapping of fields")
+		return nil, d.errs
+	}
+	d.value("", body, reflect.ValueOf(&c).Elem())
+	return &c, d.errs
 }
 
 func (d *decoder) fail(path string, node ast.Node, format string, args ...any) {
@@ -34,7 +40,7 @@
 
 // value decodes a node; null leaves the default.
 func (d *decoder) value(path string, node ast.Node, out reflect.Value) {
-	if node == nil || (node.Type() == ast.NullType && path != "") {
+	if node == nil || node.Type() == ast.NullType {
 		return
 	}
 	if _, ok := out.Interface().(Duration); ok {
--- a/internal/catalogue/parse.go
+++ b/internal/catalogue/parse.go
@@ -21,15 +21,30 @@
 	if len(errs) > 0 {
 		return nil, errs
 	}
-	var c Catalogue
-	if errs := decodeYAML(body, &c); len(errs) > 0 {
-		return nil, errs
+	c, errs := decodeYAML(body)
+	if c != nil {
+		errs = merge(errs, c.validate())
 	}
-	if errs := c.validate(); len(errs) > 0 {
+	if len(errs) > 0 {
 		return nil, withLines(errs, body)
 	}
 	c.finish()
-	return &c, nil
+	return c, nil
+}
+
+// merge adds what validation found to the errors of decoding. A field that could not be decoded holds its
+// default, so what validation says of it is left out.
+func merge(decoding, validation FieldErrors) FieldErrors {
+	undecoded := make(map[string]bool, len(decoding))
+	for _, err := range decoding {
+		undecoded[err.Path] = true
+	}
+	for _, err := range validation {
+		if !undecoded[err.Path] {
+			decoding = append(decoding, err)
+		}
+	}
+	return decoding
 }
 
 // finish brings a valid catalogue into canonical order and computes its tables and digests.
--- a/internal/catalogue/parse_test.go
+++ b/internal/catalogue/parse_test.go
@@ -147,10 +147,13 @@
 
 // Guards against a parser that stops at the first wrong field, which costs operators one try per fault.
 func TestAllWrongFieldsAreReported(t *testing.T) {
-	_, err := Parse([]byte("revision: 1\ncustomers:\n  - wieght: 1\n    weight: x\npools:\n  - kind: 3\n    deadline: 7\n"))
+	_, err := Parse([]byte("revision: 1\ncustomers:\n  - wieght: 1\n    weight: x\n    name: a\n    owner: o\n" +
+		"pools:\n  - name: p\n    kind: 3\n    owner: o\n    deadline: 7\n"))
 	want := `customers[0].wieght (line 3): is not a known field
+customers[0].key_sha256 (line 3): needs at least one digest
 customers[0].weight (line 4): must be a number, is "x"
-pools[0].deadline (line 7): "7" is not a duration with a unit, such as 2s`
+pools[0].kind (line 9): "3" is not a kind: use model or service
+pools[0].deadline (line 11): "7" is not a duration with a unit, such as 2s`
 	if err == nil || err.Error() != want {
 		t.Errorf("got:\n%v\nwant:\n%s", err, want)
 	}
--- a/internal/catalogue/yaml.go
+++ b/internal/catalogue/yaml.go
@@ -1,7 +1,9 @@
 package catalogue
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -85,13 +87,16 @@
 	return nil
 }
 
-// withLines adds the lines of the document to errors that name only paths.
+// withLines adds the lines of the document to errors that name only paths, and sorts by line.
 func withLines(errs FieldErrors, body ast.Node) FieldErrors {
 	lines := lineIndex{}
 	ast.Walk(lines, body)
 	for i := range errs {
-		errs[i].Line = lines.find(errs[i].Path)
+		if errs[i].Line == 0 {
+			errs[i].Line = lines.find(errs[i].Path)
+		}
 	}
+	slices.SortStableFunc(errs, func(a, b FieldError) int { return cmp.Compare(a.Line, b.Line) })
 	return errs
 }
 
