Add amaranthctl with check and diff

Cause: operators need to see errors and changes before they publish.

Ruled out: exit code 1 for an invalid catalogue (1 is a finding; the house exit codes name bad input 2).

Change: cmd/amaranthctl calls internal/ctl, which has one type per command with a run method; status and explain add a type and a field.

--- /dev/null
+++ b/cmd/amaranthctl/main.go
@@ -0,0 +1,12 @@
+// Command amaranthctl checks and compares catalogues.
+package main
+
+import (
+	"os"
+
+	"github.com/amaranthlb/amaranthlb/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/ctl/check.go
@@ -0,0 +1,63 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+)
+
+// checkCommand checks one catalogue file as the daemons do.
+type checkCommand struct {
+	File string `arg:"positional,required" placeholder:"FILE" help:"catalogue to check"`
+	JSON bool   `arg:"--json" help:"write the result as JSON"`
+}
+
+// checkResult is the JSON form of a check.
+type checkResult struct {
+	Valid     bool                   `json:"valid"`
+	File      string                 `json:"file"`
+	Revision  uint64                 `json:"revision,omitempty"`
+	Digest    string                 `json:"digest,omitempty"`
+	Customers int                    `json:"customers"`
+	Pools     int                    `json:"pools"`
+	Targets   int                    `json:"targets"`
+	Errors    []catalogue.FieldError `json:"errors,omitempty"`
+}
+
+func (c *checkCommand) run(out output) int {
+	parsed, wrong := load(c.File)
+	if wrong != nil {
+		c.refuse(out, wrong)
+		return BadInput
+	}
+	result := summary(c.File, parsed)
+	if c.JSON {
+		out.json(result)
+		return Good
+	}
+	fmt.Fprintf(out.stdout, "%s: valid, revision %d, digest %s, %d customers, %d pools, %d targets\n",
+		c.File, result.Revision, result.Digest, result.Customers, result.Pools, result.Targets)
+	return Good
+}
+
+func (c *checkCommand) refuse(out output, wrong *fileErrors) {
+	wrong.print(out.stderr)
+	if c.JSON {
+		out.json(checkResult{File: c.File, Errors: wrong.Errors})
+	}
+}
+
+func summary(file string, c *catalogue.Catalogue) checkResult {
+	result := checkResult{
+		Valid:     true,
+		File:      file,
+		Revision:  c.Revision,
+		Digest:    fmt.Sprintf("%016x", c.Digest()),
+		Customers: len(c.Customers),
+		Pools:     len(c.Pools),
+	}
+	for i := range c.Pools {
+		result.Targets += len(c.Pools[i].Targets)
+	}
+	return result
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,90 @@
+// Package ctl implements the commands of amaranthctl.
+//
+// Each command writes its result to standard output, as text or JSON, and errors to standard error.
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes of all commands.
+const (
+	// Good means that there is nothing to report.
+	Good = 0
+	// Finding means that the command ran and found something, such as a difference.
+	Finding = 1
+	// BadInput means that the arguments or a file can't be used.
+	BadInput = 2
+)
+
+// program is the name in help texts.
+const program = "amaranthctl"
+
+// arguments holds one field per command; the parser sets the one that is given.
+type arguments struct {
+	Check *checkCommand `arg:"subcommand:check" help:"check a catalogue"`
+	Diff  *diffCommand  `arg:"subcommand:diff" help:"compare two catalogues"`
+}
+
+// Description is the first line of the help text.
+func (arguments) Description() string {
+	return "Checks and compares catalogues. Exit codes: 0 good, 1 finding, 2 bad input."
+}
+
+// command is implemented by every subcommand.
+type command interface {
+	run(out output) int
+}
+
+// output is where a command writes.
+type output struct {
+	stdout, stderr io.Writer
+}
+
+// Run runs the command line without the program's name and returns the exit code.
+func Run(argv []string, stdout, stderr io.Writer) int {
+	var args arguments
+	parser, err := arg.NewParser(arg.Config{Program: program, IgnoreEnv: true, Out: stderr}, &args)
+	if err != nil {
+		panic("ctl: wrong argument definitions: " + err.Error())
+	}
+	err = parser.Parse(argv)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		return help(parser, stdout)
+	case err != nil:
+		return usage(parser, stderr, err.Error())
+	}
+	selected, ok := parser.Subcommand().(command)
+	if !ok {
+		return usage(parser, stderr, "a command is required")
+	}
+	return selected.run(output{stdout, stderr})
+}
+
+func help(parser *arg.Parser, stdout io.Writer) int {
+	if err := parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...); err != nil {
+		return BadInput
+	}
+	return Good
+}
+
+func usage(parser *arg.Parser, stderr io.Writer, message string) int {
+	_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
+	fmt.Fprintln(stderr, "error:", message)
+	return BadInput
+}
+
+// json writes a value as indented JSON.
+func (o output) json(value any) {
+	encoder := json.NewEncoder(o.stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		fmt.Fprintln(o.stderr, "error:", err)
+	}
+}
--- /dev/null
+++ b/internal/ctl/diff.go
@@ -0,0 +1,74 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+)
+
+// diffCommand compares two catalogue files, and says when daemons that hold the old one would not accept the
+// new one.
+type diffCommand struct {
+	Old  string `arg:"positional,required" placeholder:"OLD" help:"catalogue in force"`
+	New  string `arg:"positional,required" placeholder:"NEW" help:"proposed catalogue"`
+	JSON bool   `arg:"--json" help:"write the result as JSON"`
+}
+
+// diffResult is the JSON form of a comparison.
+type diffResult struct {
+	Equal    bool                   `json:"equal"`
+	Accepted bool                   `json:"accepted"`
+	Reason   catalogue.AcceptReason `json:"reason,omitempty"`
+	Changes  []catalogue.Change     `json:"changes"`
+	Errors   []*fileErrors          `json:"errors,omitempty"`
+}
+
+func (c *diffCommand) run(out output) int {
+	old, oldWrong := load(c.Old)
+	new, newWrong := load(c.New)
+	if oldWrong != nil || newWrong != nil {
+		c.refuse(out, oldWrong, newWrong)
+		return BadInput
+	}
+	result := compare(old, new)
+	if c.JSON {
+		out.json(result)
+	} else {
+		result.print(out)
+	}
+	if result.Equal {
+		return Good
+	}
+	return Finding
+}
+
+func (c *diffCommand) refuse(out output, files ...*fileErrors) {
+	result := diffResult{Changes: []catalogue.Change{}}
+	for _, wrong := range files {
+		if wrong != nil {
+			wrong.print(out.stderr)
+			result.Errors = append(result.Errors, wrong)
+		}
+	}
+	if c.JSON {
+		out.json(result)
+	}
+}
+
+func compare(old, new *catalogue.Catalogue) diffResult {
+	accepted, reason := catalogue.Accept(old, new)
+	changes := catalogue.Diff(old, new)
+	if changes == nil {
+		changes = []catalogue.Change{}
+	}
+	return diffResult{Equal: len(changes) == 0, Accepted: accepted, Reason: reason, Changes: changes}
+}
+
+func (r diffResult) print(out output) {
+	for _, change := range r.Changes {
+		fmt.Fprintln(out.stdout, change)
+	}
+	if !r.Equal && !r.Accepted {
+		fmt.Fprintf(out.stdout, "not accepted by daemons that hold OLD: %s\n", r.Reason)
+	}
+}
