--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/standin/service"
@@ -30,11 +31,11 @@
 func (c *Client) call(ctx context.Context, event *Event) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	c.recorder.update(func(m *Measures) { m.Requests++ })
+	c.recorder.sent(time.Since(c.started))
 	sent := &sentCall{client: c, event: event}
 	refused := sent.run(ctx)
 	if refused != nil {
-		c.recorder.failed(refused.Code)
+		c.recorder.failed(refused.Code, refused.Message)
 	}
 	if !event.Repeatable {
 		c.noteOutcome(event, sent.outcome(refused))
@@ -106,17 +107,17 @@
 		headers: map[string]string{headerTicket: s.ticket},
 	})
 	if err != nil {
-		return &refusal{Code: unreachable, Ran: reason.Unknown, Message: err.Error()}
+		return brokenOff(ctx, unreachable, err)
 	}
 	if answer.StatusCode == http.StatusPreconditionRequired {
 		s.ticket = answer.Header.Get(headerTicket)
 	}
 	if answer.StatusCode != http.StatusOK {
-		return s.client.readRefusal(answer)
+		return s.client.readRefusal(ctx, answer)
 	}
 	body, err := readAnswer(answer)
 	if err != nil {
-		return &refusal{Code: unreachable, Ran: reason.Unknown, Message: err.Error()}
+		return brokenOff(ctx, unreachable, err)
 	}
 	s.check(body)
 	return nil
--- a/internal/replay/chat.go
+++ b/internal/replay/chat.go
@@ -20,7 +20,7 @@
 		if !c.waitUntil(ctx, current.event.At()) {
 			return
 		}
-		c.recorder.update(func(m *Measures) { m.Requests++ })
+		c.recorder.sent(time.Since(c.started))
 		sent := &sentTurn{client: c, turn: current, placement: placement, sent: time.Now()}
 		placement = sent.run(ctx)
 	}
@@ -64,7 +64,7 @@
 			return s.placement
 		}
 		if !permitsRepeat(refused) || !s.backoff.wait(ctx, refused) {
-			s.client.recorder.failed(refused.Code)
+			s.client.recorder.failed(refused.Code, refused.Message)
 			return s.placement
 		}
 		s.client.recorder.update(func(m *Measures) { m.Retries++ })
@@ -111,10 +111,10 @@
 	x.path, x.key = chatPath, s.client.key(s.turn.event.Customer)
 	answer, err := s.client.do(ctx, s.turn.event.Zone, x)
 	if err != nil {
-		return &refusal{Code: unreachable, Ran: reason.Unknown, Message: err.Error()}
+		return brokenOff(ctx, unreachable, err)
 	}
 	if answer.StatusCode != http.StatusOK {
-		return s.client.readRefusal(answer)
+		return s.client.readRefusal(ctx, answer)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if placement := answer.Header.Get(headerPlacement); placement != "" {
@@ -127,10 +127,10 @@
 		s.done = true
 		return nil
 	case errors.As(err, &refused):
-		s.client.recorder.refused(refused.Code)
+		s.client.recorder.refused(refused.Code, refused.Message)
 		return refused.refusal
 	}
-	return &refusal{Code: brokenStream, Ran: reason.Unknown, Message: err.Error()}
+	return brokenOff(ctx, brokenStream, err)
 }
 
 // event handles one event of the stream.
--- a/internal/replay/client.go
+++ b/internal/replay/client.go
@@ -29,11 +29,23 @@
 	maximumAnswer = 8 << 20
 )
 
-// unreachable is the client's own reason for a request without any answer.
-const unreachable reason.Reason = "unreachable"
+// The client's own reasons for a request without a whole answer.
+const (
+	// unreachable is a request without any answer.
+	unreachable reason.Reason = "unreachable"
+	// brokenStream is a stream that ended early and could not be resumed.
+	brokenStream reason.Reason = "broken_stream"
+	// callerTimeout is a request whose caller lost patience.
+	callerTimeout reason.Reason = "caller_timeout"
+)
 
-// brokenStream is the client's own reason for a stream that ended early and could not be resumed.
-const brokenStream reason.Reason = "broken_stream"
+// brokenOff returns the refusal that stands for a failed exchange. It is not known whether the request ran.
+func brokenOff(ctx context.Context, why reason.Reason, err error) *refusal {
+	if ctx.Err() != nil {
+		why = callerTimeout
+	}
+	return &refusal{Code: why, Ran: reason.Unknown, Message: err.Error()}
+}
 
 // Client sends a trace to a running fleet.
 type Client struct {
@@ -179,13 +191,13 @@
 }
 
 // readRefusal reads an error answer and counts it.
-func (c *Client) readRefusal(answer *http.Response) *refusal {
+func (c *Client) readRefusal(ctx context.Context, answer *http.Response) *refusal {
 	body, err := readAnswer(answer)
 	if err != nil {
-		return &refusal{Code: unreachable, Ran: reason.Unknown, Message: err.Error()}
+		return brokenOff(ctx, unreachable, err)
 	}
 	refused := parseRefusal(body)
-	c.recorder.refused(refused.Code)
+	c.recorder.refused(refused.Code, refused.Message)
 	return refused
 }
 
--- a/internal/replay/measures.go
+++ b/internal/replay/measures.go
@@ -21,6 +21,8 @@
 	Refusals map[string]int `json:"refusals"`
 	// Failures counts requests that got no whole answer, by the last reason.
 	Failures map[string]int `json:"failures"`
+	// Examples has the first message of each reason in Refusals and Failures.
+	Examples map[string]string `json:"examples"`
 	// Retries counts repeated requests, and Resumes streams that were continued.
 	Retries int `json:"retries"`
 	Resumes int `json:"resumes"`
@@ -112,11 +114,12 @@
 	measures Measures
 	first    *hdrhistogram.Histogram
 	between  *hdrhistogram.Histogram
+	lastSent time.Duration
 }
 
 func newRecorder() *recorder {
 	return &recorder{
-		measures: Measures{Refusals: map[string]int{}, Failures: map[string]int{}},
+		measures: Measures{Refusals: map[string]int{}, Failures: map[string]int{}, Examples: map[string]string{}},
 		first:    newHistogram(),
 		between:  newHistogram(),
 	}
@@ -129,12 +132,32 @@
 	change(&r.measures)
 }
 
-func (r *recorder) refused(why reason.Reason) {
-	r.update(func(m *Measures) { m.Refusals[string(why)]++ })
+func (r *recorder) refused(why reason.Reason, message string) {
+	r.update(func(m *Measures) {
+		m.Refusals[string(why)]++
+		m.example(why, message)
+	})
+}
+
+func (r *recorder) failed(why reason.Reason, message string) {
+	r.update(func(m *Measures) {
+		m.Failures[string(why)]++
+		m.example(why, message)
+	})
 }
 
-func (r *recorder) failed(why reason.Reason) {
-	r.update(func(m *Measures) { m.Failures[string(why)]++ })
+func (m *Measures) example(why reason.Reason, message string) {
+	if m.Examples[string(why)] == "" {
+		m.Examples[string(why)] = message
+	}
+}
+
+// sent counts a request that is sent at an offset from the start.
+func (r *recorder) sent(at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.measures.Requests++
+	r.lastSent = max(r.lastSent, at)
 }
 
 // answered records a turn's whole answer.
@@ -168,7 +191,7 @@
 	m.Reuse.OfPrompt = ratio(m.Reuse.CachedTokens, m.Reuse.PromptTokens)
 	m.FirstTokenMS = percentiles(r.first)
 	m.BetweenTokenMS = percentiles(r.between)
-	m.Skew = skewOf(t, loads, offset)
+	m.Skew = skewOf(t, loads, offset, r.lastSent)
 	m.loads = loads
 	m.firstToken = r.first
 	return m
@@ -190,8 +213,8 @@
 // a single request already gives a high ratio.
 const minimumMeanLoad = 1
 
-// skewOf computes the skew over the model pools.
-func skewOf(t *Trace, loads map[string][]backend.Second, offset time.Duration) Skew {
+// skewOf computes the skew over the model pools until the last request was sent; after it nothing can be placed.
+func skewOf(t *Trace, loads map[string][]backend.Second, offset, until time.Duration) Skew {
 	line := newTimeline(t, closingFaults)
 	var ratios []float64
 	var skew Skew
@@ -200,7 +223,7 @@
 		if pool.Engine == nil {
 			continue
 		}
-		for second := range int64(t.Duration()/time.Second) + 1 {
+		for second := range int64((until+offset)/time.Second) + 1 {
 			means := meansAt(pool, line, loads, second, offset)
 			total := sum(means)
 			if len(means) == 0 || total < minimumMeanLoad*float64(len(means)) {
--- a/internal/replay/simulate.go
+++ b/internal/replay/simulate.go
@@ -14,6 +14,9 @@
 // simulatedReport is the interval of load digests, which is the fleet's heartbeat interval.
 const simulatedReport = 500 * time.Millisecond
 
+// notPlaced is the message of a simulated refusal.
+const notPlaced = "the policy found no target"
+
 // Simulate runs the chats of a trace by a policy in simulated time.
 func Simulate(t *Trace, policy string, seed uint64) (*Measures, error) {
 	create, ok := policies[policy]
@@ -129,7 +132,7 @@
 func (s *simulation) arrive(turn *turn, when time.Duration) {
 	ask := Ask{Chat: turn.event.Chat, Zone: turn.event.Zone}
 	j := &job{turn: turn, ask: ask, sent: when}
-	s.recorder.update(func(m *Measures) { m.Requests++ })
+	s.recorder.sent(when)
 	s.at(when, func() { s.place(j) })
 }
 
@@ -149,9 +152,9 @@
 }
 
 func (s *simulation) refuse(j *job) {
-	s.recorder.refused(reason.OverLimit)
+	s.recorder.refused(reason.OverLimit, notPlaced)
 	if s.now-j.sent > patience {
-		s.recorder.failed(reason.OverLimit)
+		s.recorder.failed(reason.OverLimit, notPlaced)
 		s.end(j)
 		return
 	}
--- a/internal/replay/simulate_test.go
+++ b/internal/replay/simulate_test.go
@@ -96,11 +96,14 @@
 	}
 	// Second 1: the mean is 4 and the limit is ceil(1.25*9/2) = 6, which a load of 6 keeps.
 	want := Skew{Median: 1, P99: 1.5, Worst: 1.5, Seconds: 2}
-	if got := skewOf(parsed, loads, 0); !reflect.DeepEqual(got, want) {
+	if got := skewOf(parsed, loads, 0, 3*time.Second); !reflect.DeepEqual(got, want) {
 		t.Errorf("skew %+v, want %+v", got, want)
 	}
+	if got := skewOf(parsed, loads, 0, 0); got.Seconds != 1 {
+		t.Errorf("skew %+v until the first second, want one second", got)
+	}
 	loads["e1"][1].Mean = 6.6
-	if got := skewOf(parsed, loads, 0); got.OverLimit != 1 {
+	if got := skewOf(parsed, loads, 0, 3*time.Second); got.OverLimit != 1 {
 		t.Errorf("skew %+v, want one second over the limit", got)
 	}
 }
