Let a stopping entry close its listener only after a quiet period

The rolling restart test saw 7 of 849 requests cut with EOF. The listener was ruled out: no connection was refused. A stream that began before the drain leaves its connection open without the wish to close it, and Shutdown closed it while the caller sent the next request.

An engine's own error status is now a refusal with the reason target_refused, which the entry may retry, instead of an answer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,12 +29,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/ticket"
 )
 
-const (
-	headerTimeout = 10 * time.Second
-	// unreadyDelay is how long a stopping entry goes on accepting, so that the balancer's health check has
-	// taken it out before its listener closes.
-	unreadyDelay = 1500 * time.Millisecond
-)
+const headerTimeout = 10 * time.Second
 
 // Entry is one entry daemon.
 type Entry struct {
@@ -58,6 +53,7 @@
 	state    controlState
 	snapshot atomic.Pointer[Snapshot]
 	draining atomic.Bool
+	activity activity
 }
 
 // Snapshot is what traffic goroutines read of the control state. It is immutable.
@@ -132,19 +128,6 @@
 	return trace.Wrap(err)
 }
 
-func (e *Entry) drain(server *http.Server) error {
-	e.draining.Store(true)
-	e.log.Info("entry is draining")
-	time.Sleep(unreadyDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Timing.DrainLimit))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		return trace.LimitExceeded("requests were still running after the drain limit of %s", time.Duration(e.settings.Timing.DrainLimit))
-	}
-	e.log.Info("entry has finished its work")
-	return nil
-}
-
 func (e *Entry) ready() (bool, string) {
 	if e.draining.Load() {
 		return false, "draining"
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -68,6 +68,7 @@
 func (e *Entry) routes() http.Handler {
 	router := echo.New()
 	router.HTTPErrorHandler = e.handleError
+	router.Use(e.trackActivity)
 	router.POST("/v1/chat/completions", e.withCustomer(e.chatCompletions))
 	router.GET("/v1/chat/completions", e.withCustomer(e.resumeChat))
 	router.GET("/v1/models", e.withCustomer(e.listModels))
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
@@ -147,6 +148,9 @@
 		return c.targetError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if t.Pool().Kind == catalogue.Model && response.Status >= http.StatusInternalServerError {
+		return refuse(reason.TargetRefused, reason.Unknown, t.Name+" answered with "+http.StatusText(response.Status))
+	}
 	if err := c.sendAdmitted(t, response); err != nil {
 		return err
 	}
