--- /dev/null
+++ b/internal/membership/merge.go
@@ -0,0 +1,345 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
+	"github.com/amaranthlb/amaranthlb/internal/statechart"
+	"github.com/cespare/xxhash/v2"
+)
+
+// refresh brings the view up to date and says whether it changed.
+func (m *Machine) refresh(now time.Duration) bool {
+	m.forget(now)
+	if m.view.Version > 0 && m.current(now) {
+		return false
+	}
+	// Peers follow the view, and the view says which gates are peers: the first pass settles the states.
+	version := m.view.Version + 1
+	m.view = m.build(now, version)
+	m.peers = m.Peers()
+	m.view = m.build(now, version)
+	return true
+}
+
+// current says whether the view is up to date. It runs on every message and allocates nothing.
+func (m *Machine) current(now time.Duration) bool {
+	if len(m.view.Gates) != len(m.gates)+1 || m.targetsChanged {
+		return false
+	}
+	i := 0
+	for _, member := range m.view.Gates {
+		if member.Name == m.self.Name {
+			if member != m.selfMember(now) {
+				return false
+			}
+			continue
+		}
+		if m.sorted[i].Name != member.Name || m.member(m.sorted[i], now) != member {
+			return false
+		}
+		i++
+	}
+	return true
+}
+
+// build returns the view that follows from the records.
+func (m *Machine) build(now time.Duration, version uint64) *View {
+	m.targetsChanged = false
+	view := &View{Version: version, Gates: m.members(now), Targets: m.targetStates()}
+	view.Digest = digest(view.Gates)
+	return view
+}
+
+// forget removes gates that were gone for long.
+func (m *Machine) forget(now time.Duration) {
+	for _, g := range m.sorted {
+		if g.listed != "" || m.heard(g, now) {
+			continue
+		}
+		if now-max(g.heardAt, g.unlistedAt) > m.config.Forget {
+			m.remove(g.Name)
+		}
+	}
+}
+
+// members returns all gates with their states, sorted by name.
+func (m *Machine) members(now time.Duration) []Member {
+	members := make([]Member, 0, len(m.gates)+1)
+	members = append(members, m.selfMember(now))
+	for _, g := range m.sorted {
+		members = append(members, m.member(g, now))
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return members
+}
+
+// selfMember returns this gate as a member.
+func (m *Machine) selfMember(now time.Duration) Member {
+	return Member{Gate: m.self.Gate, State: m.selfState(now), Heard: true, Direct: true, Met: true, Stopping: m.self.draining}
+}
+
+// selfState is the state of this gate by the rules that its peers apply to it.
+func (m *Machine) selfState(now time.Duration) State {
+	switch {
+	case m.self.draining:
+		return Leaving
+	case !m.named:
+		return Joining
+	case m.expired(&m.self, now):
+		return Gone
+	}
+	return Live
+}
+
+// expired says whether the list dropped a gate for longer than the grace.
+func (m *Machine) expired(g *gate, now time.Duration) bool {
+	return g.listed == "" && g.unlistedAt != never && now-g.unlistedAt >= m.config.UnlistedGrace
+}
+
+// member returns a gate with its state.
+func (m *Machine) member(g *gate, now time.Duration) Member {
+	member := Member{Gate: g.Gate, State: m.state(g, now), Heard: m.heard(g, now), Stopping: g.draining}
+	member.Met = g.met
+	member.Direct = m.direct(g, now) && m.isPeer(g.Name)
+	switch {
+	case member.Heard:
+	case g.heardAt == never:
+		member.Since = g.listedAt
+	default:
+		member.Since = g.heardAt
+	}
+	return member
+}
+
+// isPeer says whether this gate sends heartbeats to another one.
+func (m *Machine) isPeer(name string) bool {
+	return slices.ContainsFunc(m.peers, func(peer Gate) bool { return peer.Name == name })
+}
+
+// state applies the merge rules. A gate that the list dropped stays suspected for the longest list disagreement
+// before it is gone, because it may still be alive behind a cut with an older list.
+func (m *Machine) state(g *gate, now time.Duration) State {
+	heard := m.heard(g, now)
+	if g.listed == "" {
+		return m.unlistedState(g, heard, now)
+	}
+	switch {
+	case g.draining || g.listed == Leaving:
+		return Leaving
+	case heard:
+		return Live
+	case g.heardAt == never:
+		return Joining
+	}
+	return Suspected
+}
+
+// unlistedState is the state of a gate that the list doesn't name.
+func (m *Machine) unlistedState(g *gate, heard bool, now time.Duration) State {
+	switch {
+	case heard && m.expired(g, now):
+		return Gone
+	case heard && g.draining:
+		return Leaving
+	case heard:
+		return Live
+	case g.heardAt == never:
+		return Gone
+	case now-max(g.unlistedAt, g.heardAt+m.suspectAfter(g)) >= m.config.ListDisagreement && m.listRevision > 0:
+		return Gone
+	}
+	return Suspected
+}
+
+// targetStates returns the state of every target.
+func (m *Machine) targetStates() map[string]State {
+	states := make(map[string]State, len(m.targets))
+	for name, t := range m.targets {
+		switch t.chart.State() {
+		case statechart.TargetLive:
+			states[name] = Live
+		case statechart.TargetLeaving:
+			states[name] = Leaving
+		}
+	}
+	return states
+}
+
+// digest identifies the live gates, which alone decide ownership.
+func digest(members []Member) uint64 {
+	hash := xxhash.New()
+	for _, member := range members {
+		if member.State != Live {
+			continue
+		}
+		_, _ = hash.WriteString(member.Name + "\x00" + member.Zone + "\x00")
+		_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, member.Incarnation))
+	}
+	return hash.Sum64()
+}
+
+// Message returns what this gate tells a peer in a heartbeat or in its answer. Until a list names this gate the
+// incarnation is 0, and peers ignore the message.
+func (m *Machine) Message(now time.Duration, to string) Message {
+	from := m.self.Gate
+	if !m.named {
+		from.Incarnation = 0
+	}
+	return Message{
+		From:           from,
+		Draining:       m.view.stateOf(m.self.Name) == Leaving,
+		ViewVersion:    m.view.Version,
+		ViewDigest:     m.view.Digest,
+		ListRevision:   m.listRevision,
+		News:           m.news(now, to),
+		LeavingTargets: m.leavingTargets(),
+	}
+}
+
+// stateOf returns the state of a gate, empty for one that is not in the view.
+func (v *View) stateOf(name string) State {
+	member, _ := v.Gate(name)
+	return member.State
+}
+
+// leavingTargets returns the targets known as leaving, sorted.
+func (m *Machine) leavingTargets() []string {
+	var names []string
+	for name, state := range m.view.Targets {
+		if state == Leaving {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// news returns what to relay of third gates: what is younger than what the receiver is known to know, the
+// greatest gain first. Suspected gates are included with their age, so that a gate that started during a cut
+// learns that others have heard them.
+func (m *Machine) news(now time.Duration, to string) []News {
+	type gain struct {
+		gate *gate
+		gain time.Duration
+	}
+	var told map[string]time.Duration
+	zone := ""
+	if receiver := m.gates[to]; receiver != nil {
+		told, zone = receiver.told, receiver.Zone
+	}
+	gains := make([]gain, 0, len(m.sorted))
+	for _, g := range m.sorted {
+		if g.Name == to || g.heardAt == never || now-g.heardAt >= m.config.Forget {
+			continue
+		}
+		known, ok := told[g.Name]
+		if !ok {
+			known = never
+		}
+		least := m.config.FarNewsGain
+		if g.Zone == zone {
+			least = m.config.NewsGain
+		}
+		if g.heardAt-known >= least {
+			gains = append(gains, gain{g, g.heardAt - known - least})
+		}
+	}
+	slices.SortStableFunc(gains, func(a, b gain) int { return cmp.Compare(b.gain, a.gain) })
+	gains = gains[:min(len(gains), m.config.MaxNews)]
+	news := make([]News, 0, len(gains))
+	for _, chosen := range gains {
+		g := chosen.gate
+		news = append(news, News{Gate: g.Gate, Age: now - g.heardAt, Draining: g.draining})
+		if told != nil {
+			told[g.Name] = g.heardAt
+		}
+	}
+	return news
+}
+
+// Peers returns the gates to send heartbeats to: successors on a ring of the own zone, watched gates, further
+// gates of the zone by rank, and gates of other zones. Suspected gates stay peers, since the end of a cut would
+// not be noticed otherwise. Every gate is heard because each one sends to its successors, and its predecessors
+// on the ring send to it; the ranked ones shorten the relays.
+func (m *Machine) Peers() []Gate {
+	var zone, other []*gate
+	for _, g := range m.sorted {
+		switch {
+		case m.view.Version > 0 && g.listed == "" && m.view.stateOf(g.Name) == Gone:
+		case g.Zone == m.self.Zone:
+			zone = append(zone, g)
+		default:
+			other = append(other, g)
+		}
+	}
+	others := m.rankOthers(other)
+	inZone := m.rankZone(zone, m.config.MaxPeers-len(others))
+	peers := make([]Gate, 0, len(inZone)+len(others))
+	for _, g := range append(inZone, others...) {
+		peers = append(peers, g.Gate)
+	}
+	return peers
+}
+
+// ringPeers is the number of ring successors that watched gates can't displace.
+const ringPeers = 2
+
+// rankZone returns up to limit gates of the own zone.
+func (m *Machine) rankZone(zone []*gate, limit int) []*gate {
+	if len(zone) <= limit {
+		return zone
+	}
+	own := m.self.hash
+	slices.SortFunc(zone, func(a, b *gate) int {
+		// The unsigned difference is the distance on the ring.
+		return cmp.Or(cmp.Compare(a.hash-own, b.hash-own), strings.Compare(a.Name, b.Name))
+	})
+	chosen := slices.Clone(zone[:min(ringPeers, limit)])
+	rest := zone[len(chosen):]
+	slices.SortFunc(rest, func(a, b *gate) int {
+		return cmp.Or(cmp.Compare(m.watchOrder(a), m.watchOrder(b)), m.byRank(a, b))
+	})
+	return append(chosen, rest[:limit-len(chosen)]...)
+}
+
+// byRank orders gates by their rank for this gate.
+func (m *Machine) byRank(a, b *gate) int {
+	return cmp.Or(
+		cmp.Compare(rendezvous.Score(a.hash, m.self.hash), rendezvous.Score(b.hash, m.self.hash)),
+		strings.Compare(a.Name, b.Name))
+}
+
+// watchOrder is 0 for watched gates.
+func (m *Machine) watchOrder(g *gate) int {
+	if slices.Contains(m.watched, g.Name) {
+		return 0
+	}
+	return 1
+}
+
+// rankOthers returns gates of other zones: the first by rank, then the first ones that are heard, so that a
+// dead gate at the top of the rank doesn't cost the link between the zones.
+func (m *Machine) rankOthers(others []*gate) []*gate {
+	limit := m.config.OtherZonePeers
+	if len(others) <= limit {
+		return others
+	}
+	slices.SortFunc(others, m.byRank)
+	slices.SortStableFunc(others[1:], func(a, b *gate) int {
+		return cmp.Compare(m.view.heardOrder(a.Name), m.view.heardOrder(b.Name))
+	})
+	return others[:limit]
+}
+
+// heardOrder is 0 for gates that are heard.
+func (v *View) heardOrder(name string) int {
+	if member, ok := v.Gate(name); ok && member.Heard {
+		return 0
+	}
+	return 1
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -4,6 +4,8 @@
 // an immutable value that ownership and routing read. The package does no I/O and reads no clock.
 package membership
 
+import "time"
+
 // Gate identifies one process of a gate.
 type Gate struct {
 	Name    string
@@ -25,6 +27,8 @@
 	Live State = "live"
 	// Leaving gates and targets finish their work and get nothing new.
 	Leaving State = "leaving"
+	// Suspected gates are listed live and were heard, but not within the suspicion time; they own nothing.
+	Suspected State = "suspected"
 	// Gone gates and targets are neither listed nor heard.
 	Gone State = "gone"
 )
@@ -33,6 +37,19 @@
 type Member struct {
 	Gate
 	State State
+	// Heard says that direct or relayed news of the gate is younger than the suspicion time.
+	Heard bool
+	// Direct says that the gate is a heartbeat peer and was itself heard within the suspicion time, without a
+	// relay. Exactly the direct gates take part in the heartbeat round that renews leases.
+	Direct bool
+	// Met says that this process of the gate answered a heartbeat of this gate, so that it has heard this gate.
+	Met bool
+	// Stopping says that the gate itself reported that it is leaving, so that this process of it takes no new
+	// work again. A gate that is only listed as leaving may not know it yet.
+	Stopping bool
+	// Since is the time of the last news of a gate that is not heard, or the time at which a joining gate was
+	// first listed. It is zero for gates that are heard.
+	Since time.Duration
 }
 
 // View is a daemon's current knowledge of gates and targets. It is immutable.
--- /dev/null
+++ b/internal/ownership/bound_test.go
@@ -0,0 +1,136 @@
+package ownership_test
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"time"
+)
+
+var (
+	schedules = flag.Int("schedules", 150, "random schedules per case of the bound test")
+	firstSeed = flag.Int64("seed", 1, "seed of the first random schedule")
+)
+
+// disturb returns the actions of one random schedule.
+func disturb(f *fleet, cuts func(), freezes bool) func() {
+	next := f.between(0, 12*time.Second)
+	return func() {
+		if f.now < next {
+			return
+		}
+		next = f.now + f.between(100*time.Millisecond, 6*time.Second)
+		if f.random.Intn(6) == 0 {
+			next += 20 * time.Second
+		}
+		name := f.names[f.random.Intn(len(f.names))]
+		d := f.daemons[name]
+		switch choice := f.random.Intn(10); {
+		case choice < 4:
+			cuts()
+		case d == nil || d.draining || f.now < d.frozen:
+		case choice < 7 && freezes:
+			f.freeze(d, f.between(200*time.Millisecond, 12*time.Second))
+		case choice < 8:
+			f.kill(name)
+		case choice < 9:
+			f.drain(d)
+		}
+	}
+}
+
+// oneCut opens and closes one cut that splits the gates into two sides.
+func oneCut(f *fleet) func() {
+	side := map[string]bool{f.names[f.random.Intn(len(f.names))]: true}
+	return func() {
+		open := len(f.cut) == 0
+		f.cut = map[link]bool{}
+		for _, a := range f.names {
+			for _, b := range f.names {
+				if open && side[a] && !side[b] {
+					f.cut[pair(a, b)] = true
+				}
+			}
+		}
+		f.log("cut %v", f.cut)
+	}
+}
+
+// anyCuts cuts and mends links independently of each other.
+func anyCuts(f *fleet) func() {
+	return func() {
+		for i, a := range f.names {
+			for _, b := range f.names[i+1:] {
+				if f.random.Intn(2) == 0 {
+					delete(f.cut, pair(a, b))
+				} else {
+					f.cut[pair(a, b)] = true
+				}
+			}
+		}
+		f.log("cut %v", f.cut)
+	}
+}
+
+// Guards against a target that runs more than the bound in the package comment, whatever the schedule of cuts,
+// freezes past the lease, kills, drains, lagging lists and late reports. Every freeze may add the requests that
+// were between check and write; those of one process count once, since its later work is admitted beside them.
+func TestBound(t *testing.T) {
+	tests := []struct {
+		name   string
+		gates  []string
+		zones  []string
+		cuts   func(*fleet) func()
+		freeze bool
+		sides  int
+	}{
+		{"two gates", []string{"a", "b"}, []string{"z1", "z1"}, oneCut, true, 2},
+		{"two gates, no freeze", []string{"a", "b"}, []string{"z1", "z1"}, oneCut, false, 2},
+		{"three gates, one cut", []string{"a", "b", "c"}, []string{"z1", "z1", "z1"}, oneCut, true, 2},
+		{"three gates, one cut, no freeze", []string{"a", "b", "c"}, []string{"z1", "z1", "z1"}, oneCut, false, 2},
+		{"three gates, any cuts", []string{"a", "b", "c"}, []string{"z1", "z1", "z1"}, anyCuts, true, 3},
+		{"one gate in the zone", []string{"a", "b", "c"}, []string{"z1", "z2", "z2"}, oneCut, true, 2},
+		{"two gates in the zone", []string{"a", "b", "c"}, []string{"z1", "z1", "z2"}, oneCut, true, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var served, total time.Duration
+			worst := -1 << 30
+			for seed := *firstSeed; seed < *firstSeed+int64(*schedules); seed++ {
+				limits := []int{1, 2, 5, 8, 20, 21}
+				f := newFleet(seed, test.gates, limits[seed%int64(len(limits))])
+				for i, name := range test.gates {
+					f.zones[name] = test.zones[i]
+					f.restart[name] = f.between(0, 4*time.Second)
+				}
+				f.run(2*time.Minute, disturb(f, test.cuts(f), test.freeze))
+				bound := f.limit + (test.sides-2)*(f.limit/2)
+				if test.freeze {
+					bound += unwritten * len(test.gates)
+				}
+				served, total = served+f.served, total+f.now
+				worst = max(worst, f.peak-bound)
+				if f.peak > bound {
+					t.Fatalf("seed %d, limit %d: %d requests at %v, bound %d\n%s",
+						seed, f.limit, f.peak, f.peakAt, bound, strings.Join(tail(f), "\n"))
+				}
+			}
+			t.Logf("seeds %d to %d: peak less bound %d, some gate could admit for %.1f%% of the time",
+				*firstSeed, *firstSeed+int64(*schedules)-1, worst, 100*served.Seconds()/total.Seconds())
+		})
+	}
+}
+
+// tail returns the trace up to the peak.
+func tail(f *fleet) []string {
+	lines := []string{}
+	for _, line := range f.trace {
+		var at time.Duration
+		at, _ = time.ParseDuration(strings.SplitN(line, " ", 2)[0])
+		if at <= f.peakAt {
+			lines = append(lines, line)
+		}
+	}
+	return lines[max(0, len(lines)-60):]
+}
--- /dev/null
+++ b/internal/ownership/fleet_test.go
@@ -0,0 +1,497 @@
+package ownership_test
+
+import (
+	"fmt"
+	"math/rand"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
+)
+
+// This file models what surrounds the two machines: gates' daemons, links, VM lists and one engine.
+
+const (
+	step         = 10 * time.Millisecond
+	engineName   = "engine"
+	longestWork  = 8 * time.Second
+	unwritten    = 3 // requests between the last check and the write when a process freezes
+	listLag      = 4500 * time.Millisecond
+	statusPeriod = 300 * time.Millisecond
+)
+
+// work is one request at the engine.
+type work struct {
+	gate        string
+	incarnation uint64
+	ends        time.Duration
+}
+
+// daemon is one process of a gate. Its clock starts at 0 with the process.
+type daemon struct {
+	id        membership.Gate
+	started   time.Duration
+	members   *membership.Machine
+	owner     *ownership.Machine
+	snapshot  *ownership.Snapshot
+	inbox     []func()
+	frozen    time.Duration
+	held      int // admitted, not written
+	draining  bool
+	busyUntil time.Duration
+	idleUntil time.Duration
+	claims    []string
+	claimed   time.Duration
+	successor map[string]bool
+	asked     time.Duration // when the request that is being answered was sent, on the successor's clock
+	listDelay time.Duration
+	listed    int
+	nextTick  time.Duration
+	nextPoll  time.Duration
+}
+
+// link is an undirected pair of gates.
+type link struct{ a, b string }
+
+func pair(a, b string) link {
+	if a > b {
+		a, b = b, a
+	}
+	return link{a, b}
+}
+
+// revision is one VM list of the platform.
+type revision struct {
+	at   time.Duration
+	list membership.ListUpdate
+}
+
+// fleet is the model.
+type fleet struct {
+	random    *rand.Rand
+	now       time.Duration
+	names     []string
+	zones     map[string]string
+	daemons   map[string]*daemon
+	restart   map[string]time.Duration
+	listed    map[string]bool
+	revisions []revision
+	cut       map[link]bool
+	running   []work
+	pending   []delivery
+	limit     int
+	peak      int
+	peakAt    time.Duration
+	offered   bool
+	served    time.Duration
+	loss      float64
+	trace     []string
+}
+
+// delivery is a message on its way; an empty from is the engine or the platform.
+type delivery struct {
+	at          time.Duration
+	from, to    string
+	incarnation uint64
+	run         func(*daemon)
+}
+
+func newFleet(seed int64, names []string, limit int) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewSource(seed)), names: names, limit: limit, offered: true, loss: 0.01,
+		zones: map[string]string{}, daemons: map[string]*daemon{}, restart: map[string]time.Duration{},
+		listed: map[string]bool{}, cut: map[link]bool{},
+	}
+	for _, name := range names {
+		f.zones[name] = "z1"
+		f.listed[name] = true
+	}
+	return f
+}
+
+func (f *fleet) log(format string, args ...any) {
+	f.trace = append(f.trace, fmt.Sprintf("%v ", f.now)+fmt.Sprintf(format, args...))
+}
+
+func (f *fleet) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(f.random.Int63n(int64(most-least)+1))
+}
+
+// start starts a process of a gate.
+func (f *fleet) start(name string) {
+	id := membership.Gate{Name: name, Address: "addr-" + name, Zone: f.zones[name], Region: "r", Incarnation: f.random.Uint64()}
+	d := &daemon{
+		id: id, started: f.now, successor: map[string]bool{}, snapshot: &ownership.Snapshot{},
+		members: membership.New(membership.DefaultConfig(), id, 0), owner: ownership.New(ownership.DefaultConfig(), id, 0),
+		listDelay: f.between(0, listLag),
+	}
+	f.daemons[name] = d
+	delete(f.restart, name)
+	f.log("start %s", name)
+	if !f.listed[name] {
+		f.listed[name] = true
+		f.publish()
+	}
+}
+
+// publish makes the platform's current list a new revision.
+func (f *fleet) publish() {
+	list := membership.ListUpdate{Revision: uint64(len(f.revisions) + 1)}
+	for _, name := range f.names {
+		if f.listed[name] {
+			gate := membership.Gate{Name: name, Address: "addr-" + name, Zone: f.zones[name], Region: "r"}
+			list.Gates = append(list.Gates, membership.ListedGate{Gate: gate, State: membership.Live})
+		}
+	}
+	f.revisions = append(f.revisions, revision{f.now, list})
+}
+
+func (d *daemon) clock(now time.Duration) time.Duration { return now - d.started }
+
+// send delivers a message between gates unless the link is cut or loses it.
+func (f *fleet) send(from, to string, run func(*daemon)) {
+	if f.random.Float64() < f.loss {
+		return
+	}
+	delay := f.between(time.Millisecond, 20*time.Millisecond)
+	if f.random.Intn(20) == 0 {
+		delay = f.between(0, 300*time.Millisecond)
+	}
+	f.pending = append(f.pending, delivery{at: f.now + delay, from: from, to: to, run: run})
+}
+
+// deliver hands over what is due. A message to a frozen process waits in its inbox.
+func (f *fleet) deliver() {
+	due := f.pending
+	f.pending = nil
+	for _, m := range due {
+		if m.at > f.now {
+			f.pending = append(f.pending, m)
+			continue
+		}
+		d := f.daemons[m.to]
+		if d == nil || (m.from != "" && f.cut[pair(m.from, m.to)]) {
+			continue
+		}
+		if m.incarnation != 0 && m.incarnation != d.id.Incarnation {
+			continue
+		}
+		d.inbox = append(d.inbox, func() { m.run(d) })
+	}
+}
+
+// memberStep and ownerStep run the machines and carry out their effects.
+func (f *fleet) memberStep(d *daemon, event membership.Event) {
+	for _, effect := range d.members.Step(d.clock(f.now), event) {
+		switch e := effect.(type) {
+		case membership.SendHeartbeat:
+			f.heartbeat(d, e)
+		case membership.ViewChanged:
+			targets := []ownership.Target{{Name: engineName, Zone: "z1"}}
+			f.ownerStep(d, ownership.ViewChanged{View: e.View, Targets: targets})
+		case membership.RoundConfirmed:
+			f.ownerStep(d, ownership.RoundConfirmed{Started: e.Started})
+		case membership.ClockGap:
+			f.ownerStep(d, ownership.ClockGap{})
+		}
+	}
+}
+
+func (f *fleet) heartbeat(d *daemon, e membership.SendHeartbeat) {
+	sent, claims := d.clock(f.now), d.currentClaims(f.now)
+	f.send(d.id.Name, e.To.Name, func(peer *daemon) {
+		f.memberStep(peer, membership.HeartbeatReceived{Message: e.Message})
+		f.claim(peer, e.Message.From, claims)
+		answer := peer.members.Message(peer.clock(f.now), d.id.Name)
+		answered := peer.currentClaims(f.now)
+		f.send(peer.id.Name, d.id.Name, func(back *daemon) {
+			if back != d {
+				return
+			}
+			f.memberStep(d, membership.HeartbeatAnswered{Sent: sent, Message: answer})
+			f.claim(d, answer.From, answered)
+		})
+	})
+}
+
+func (d *daemon) currentClaims(now time.Duration) []string {
+	if now-d.claimed > 2*time.Second {
+		return nil
+	}
+	return d.claims
+}
+
+func (f *fleet) claim(d *daemon, by membership.Gate, claims []string) {
+	if len(claims) > 0 {
+		f.ownerStep(d, ownership.PeerClaim{By: by, Targets: claims})
+	}
+}
+
+func (f *fleet) ownerStep(d *daemon, event ownership.Event) {
+	before := d.snapshot.Permission(engineName).Mode
+	for _, effect := range d.owner.Step(d.clock(f.now), event) {
+		switch e := effect.(type) {
+		case ownership.Publish:
+			d.snapshot = e.Snapshot
+		case ownership.AskHandover:
+			f.ask(d, e)
+		case ownership.AnswerHandover:
+			f.answer(d, e)
+		case ownership.SpreadClaims:
+			d.claims, d.claimed = e.Targets, f.now
+		case ownership.Watch:
+			f.memberStep(d, membership.Watch{Gates: e.Gates})
+		}
+	}
+	if p := d.snapshot.Permission(engineName); p.Mode != before {
+		f.log("%s: %v (external %d, leftover %d) on %T", d.id.Name, p.Mode, p.External, p.Leftover, event)
+	}
+}
+
+// ask carries a handover request. The answer carries the time of the request, as an RPC would.
+func (f *fleet) ask(d *daemon, e ownership.AskHandover) {
+	asked := d.clock(f.now)
+	f.send(d.id.Name, e.To.Name, func(old *daemon) {
+		f.memberStep(old, membership.Contact{From: d.id})
+		old.successor[d.id.Name] = true
+		old.asked = asked
+		f.ownerStep(old, ownership.HandoverAsked{By: d.id, Targets: e.Targets})
+	})
+}
+
+// answer adds the work in flight and returns the answer to the successor.
+func (f *fleet) answer(d *daemon, e ownership.AnswerHandover) {
+	handovers := append([]ownership.Handover(nil), e.Handovers...)
+	asked := d.asked
+	left := make([]int, len(handovers))
+	for i := range handovers {
+		left[i] = f.own(d)
+	}
+	f.send(d.id.Name, e.To.Name, func(successor *daemon) {
+		if successor.id != e.To {
+			return
+		}
+		clock := successor.clock(f.now)
+		for i := range handovers {
+			handovers[i].InFlight = []ownership.InFlight{{Customer: "c", Count: left[i], Ends: clock + longestWork}}
+		}
+		f.ownerStep(successor, ownership.HandoverReply{From: d.id, Asked: asked, Handovers: handovers})
+	})
+}
+
+// own counts a daemon's requests that are admitted or running.
+func (f *fleet) own(d *daemon) int {
+	count := d.held
+	for _, w := range f.running {
+		if w.gate == d.id.Name && w.incarnation == d.id.Incarnation {
+			count++
+		}
+	}
+	return count
+}
+
+// finish ends work that is over and streams the end to successors.
+func (f *fleet) finish() {
+	rest := f.running[:0]
+	for _, w := range f.running {
+		if w.ends > f.now {
+			rest = append(rest, w)
+			continue
+		}
+		if d := f.daemons[w.gate]; d != nil && d.id.Incarnation == w.incarnation && d.frozen <= f.now {
+			f.tellSuccessors(d)
+		}
+	}
+	f.running = rest
+}
+
+func (f *fleet) tellSuccessors(d *daemon) {
+	for _, name := range f.names {
+		if d.successor[name] {
+			f.send(d.id.Name, name, func(successor *daemon) {
+				done := ownership.WorkDone{Target: engineName, From: d.id, Customer: "c", Count: 1}
+				f.ownerStep(successor, done)
+			})
+		}
+	}
+}
+
+// status polls the engine; the report arrives up to the report lag later.
+func (f *fleet) status(d *daemon) {
+	if f.random.Float64() < f.loss {
+		return
+	}
+	asked := d.clock(f.now)
+	own := f.own(d) - d.held
+	report := ownership.EngineReport{Target: engineName, Load: len(f.running), Own: own, Measured: asked}
+	delay := f.between(time.Millisecond, 30*time.Millisecond)
+	if f.random.Intn(4) == 0 {
+		delay = f.between(0, 2*time.Second)
+	}
+	f.pending = append(f.pending, delivery{
+		at: f.now + delay, to: d.id.Name, incarnation: d.id.Incarnation,
+		run: func(d *daemon) { f.ownerStep(d, report) },
+	})
+}
+
+// admit offers one request to a daemon.
+func (f *fleet) admit(d *daemon, write bool) bool {
+	p := d.snapshot.Permission(engineName)
+	if !p.Valid(d.clock(f.now)) || f.own(d) >= p.Limit(f.limit) {
+		return false
+	}
+	d.held++
+	if write {
+		f.write(d)
+	}
+	return true
+}
+
+// write sends an admitted request to the engine.
+func (f *fleet) write(d *daemon) {
+	d.held--
+	ends := f.now + f.between(50*time.Millisecond, 2*time.Second)
+	if f.random.Intn(4) == 0 {
+		ends = f.now + f.between(0, longestWork)
+	}
+	f.running = append(f.running, work{d.id.Name, d.id.Incarnation, ends})
+}
+
+// traffic offers bursts: each daemon is idle or saturated in turn.
+func (f *fleet) traffic(d *daemon) {
+	if !f.offered {
+		return
+	}
+	if f.now >= d.busyUntil && f.now >= d.idleUntil {
+		d.idleUntil = f.now + f.between(0, 3*time.Second)
+		d.busyUntil = d.idleUntil + f.between(100*time.Millisecond, 4*time.Second)
+	}
+	if f.now < d.idleUntil {
+		return
+	}
+	for range 4 {
+		if !f.admit(d, true) {
+			return
+		}
+	}
+}
+
+// freeze stops a process with requests between check and write.
+func (f *fleet) freeze(d *daemon, length time.Duration) {
+	for range unwritten {
+		f.admit(d, false)
+	}
+	d.frozen = f.now + length
+	f.log("freeze %s for %v, unwritten %d", d.id.Name, length, d.held)
+}
+
+// kill ends a process; its work at the engine may run on.
+func (f *fleet) kill(name string) {
+	d := f.daemons[name]
+	keep := f.random.Intn(3) > 0
+	rest := f.running[:0]
+	for _, w := range f.running {
+		if keep || w.gate != name || w.incarnation != d.id.Incarnation {
+			rest = append(rest, w)
+		}
+	}
+	f.running = rest
+	delete(f.daemons, name)
+	f.restart[name] = f.now + f.between(200*time.Millisecond, 15*time.Second)
+	f.log("kill %s, its work runs on: %v, restart at %v", name, keep, f.restart[name])
+}
+
+// runDaemon lets one process run for a step.
+func (f *fleet) runDaemon(d *daemon) {
+	if f.now < d.frozen {
+		return
+	}
+	for d.held > 0 {
+		f.write(d)
+	}
+	if f.now >= d.nextTick {
+		d.nextTick = f.now + 100*time.Millisecond
+		f.memberStep(d, membership.Tick{})
+		f.ownerStep(d, ownership.Tick{})
+	}
+	inbox := d.inbox
+	d.inbox = nil
+	for _, run := range inbox {
+		run()
+	}
+	f.readList(d)
+	if f.now >= d.nextPoll {
+		d.nextPoll = f.now + statusPeriod
+		f.status(d)
+	}
+	f.traffic(d)
+	if d.draining && f.own(d) == 0 && f.now > d.claimed {
+		f.log("stopped %s", d.id.Name)
+		delete(f.daemons, d.id.Name)
+		f.restart[d.id.Name] = f.now + f.between(200*time.Millisecond, 5*time.Second)
+	}
+}
+
+// readList gives a process the newest list that its lag permits.
+func (f *fleet) readList(d *daemon) {
+	for n := len(f.revisions); n > d.listed; n-- {
+		if f.revisions[n-1].at+d.listDelay <= f.now {
+			d.listed = n
+			f.memberStep(d, f.revisions[n-1].list)
+			return
+		}
+	}
+}
+
+// drain begins a graceful stop that lasts at least 3 s.
+func (f *fleet) drain(d *daemon) {
+	d.draining = true
+	d.claims, d.claimed = nil, f.now+3*time.Second
+	f.log("drain %s", d.id.Name)
+	f.memberStep(d, membership.Drain{})
+	f.ownerStep(d, ownership.Drain{})
+}
+
+// run advances the model, calling act before each step.
+func (f *fleet) run(length time.Duration, act func()) {
+	if len(f.revisions) == 0 {
+		f.publish()
+	}
+	for end := f.now + length; f.now < end; f.now += step {
+		act()
+		f.dropDead()
+		f.finish()
+		f.deliver()
+		able := false
+		for _, name := range f.names {
+			if d := f.daemons[name]; d != nil {
+				f.runDaemon(d)
+				p := d.snapshot.Permission(engineName)
+				able = able || (p.Valid(d.clock(f.now)) && p.Limit(f.limit) > 0 && f.now >= d.frozen)
+			}
+		}
+		if able {
+			f.served += step
+		}
+		if len(f.running) > f.peak {
+			f.peak, f.peakAt = len(f.running), f.now
+		}
+	}
+}
+
+// dropDead restarts processes and takes VMs that are down for long off the list.
+func (f *fleet) dropDead() {
+	for _, name := range f.names {
+		at, down := f.restart[name]
+		switch {
+		case !down:
+		case at <= f.now:
+			f.start(name)
+		// The platform does not give the name to another VM while lists may still differ.
+		case f.listed[name] && at-f.now > 5*time.Second && f.random.Intn(200) == 0:
+			f.listed[name] = false
+			f.log("list drops %s", name)
+			f.publish()
+		}
+	}
+}
--- /dev/null
+++ b/internal/ownership/machine_test.go
@@ -0,0 +1,218 @@
+package ownership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
+)
+
+// Guards against arithmetic that breaks the bound: contested plus probation must not exceed the limit, for the
+// work x of the old side at the report, odd limits and leftover work included.
+func TestLimit(t *testing.T) {
+	tests := []struct {
+		p     ownership.Permission
+		limit int
+		want  int
+	}{
+		{ownership.Permission{Mode: ownership.None}, 8, 0},
+		{ownership.Permission{Mode: ownership.Full}, 8, 8},
+		{ownership.Permission{Mode: ownership.Full, External: 3}, 8, 5},
+		{ownership.Permission{Mode: ownership.Full, External: 9}, 8, 0},
+		{ownership.Permission{Mode: ownership.Contested}, 8, 4},
+		{ownership.Permission{Mode: ownership.Contested}, 1, 1},
+		{ownership.Permission{Mode: ownership.Contested, Leftover: 3}, 9, 2},
+		{ownership.Permission{Mode: ownership.Probation}, 8, 4},
+		{ownership.Permission{Mode: ownership.Probation}, 1, 0},
+		{ownership.Permission{Mode: ownership.Probation, External: 4}, 8, 2},
+		{ownership.Permission{Mode: ownership.Probation, External: 4, Leftover: 4}, 8, 0},
+		{ownership.Permission{Mode: ownership.Probation, External: 20}, 8, 0},
+	}
+	for _, test := range tests {
+		if got := test.p.Limit(test.limit); got != test.want {
+			t.Errorf("%+v with limit %d: %d, want %d", test.p, test.limit, got, test.want)
+		}
+	}
+	for limit := range 30 {
+		for x := range limit + 1 {
+			for left := range x + 1 {
+				old := max(x, ownership.Permission{Mode: ownership.Contested}.Limit(limit))
+				p := ownership.Permission{Mode: ownership.Probation, External: x + left, Leftover: left}
+				if sum := old + left + p.Limit(limit); p.Limit(limit) > 0 && sum > limit {
+					t.Fatalf("limit %d, old side %d, leftover %d: sum %d", limit, x, left, sum)
+				}
+			}
+		}
+	}
+}
+
+// Guards against the traffic path allocating, or admitting after the lease.
+func TestPermissionOnTrafficPath(t *testing.T) {
+	f := healthy(1)
+	d := f.daemons[owner(f)]
+	p := d.snapshot.Permission(engineName)
+	if !p.Valid(d.clock(f.now)) || p.Valid(p.LeaseEnd) || p.LeaseEnd-d.clock(f.now) > 1500*time.Millisecond {
+		t.Fatalf("lease ends at %v, now %v", p.LeaseEnd, d.clock(f.now))
+	}
+	sum := 0
+	if n := testing.AllocsPerRun(100, func() { sum += d.snapshot.Permission(engineName).Limit(10) }); n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+	if other := d.snapshot.Permission("unheard of"); other.Limit(10) != 0 || other.Reason != "not_owner" {
+		t.Fatalf("unknown target: %+v", other)
+	}
+}
+
+// healthy returns three gates that started within 200 ms of each other and ran for 10 s.
+func healthy(seed int64) *fleet {
+	f := newFleet(seed, []string{"a", "b", "c"}, 8)
+	f.loss = 0
+	f.publish()
+	f.now = 10 * time.Second
+	for i, name := range f.names {
+		f.restart[name] = f.now + time.Duration(i)*100*time.Millisecond
+	}
+	f.run(10*time.Second, func() {})
+	return f
+}
+
+// owner returns the gate whose permission is valid, or nothing. Its limit may be used up by handed-over work.
+func owner(f *fleet) string {
+	for _, name := range f.names {
+		d := f.daemons[name]
+		if d == nil || f.now < d.frozen {
+			continue
+		}
+		if p := d.snapshot.Permission(engineName); p.Valid(d.clock(f.now)) {
+			return name
+		}
+	}
+	return ""
+}
+
+// until runs the fleet until some gate but the one named has a mode.
+func until(f *fleet, mode ownership.Mode, but string) time.Duration {
+	begin := f.now
+	for f.now < begin+time.Minute {
+		f.run(step, func() {})
+		if name := owner(f); name != "" && name != but && f.daemons[name].snapshot.Permission(engineName).Mode == mode {
+			return f.now - begin
+		}
+	}
+	return time.Minute
+}
+
+// Guards against interruptions that are longer than the design says: a start of the whole fleet that waits for
+// D + L, a graceful stop that waits for suspicion, and probation that starts late or never ends.
+func TestInterruptions(t *testing.T) {
+	kill := func(f *fleet, name string, work bool) {
+		rest := f.running[:0]
+		for _, w := range f.running {
+			if work || w.gate != name {
+				rest = append(rest, w)
+			}
+		}
+		f.running = rest
+		delete(f.daemons, name)
+		f.restart[name] = f.now + time.Hour
+	}
+	tests := []struct {
+		name string
+		act  func(f *fleet, old string)
+		mode ownership.Mode
+		most time.Duration
+	}{
+		{"drained", func(f *fleet, old string) { f.drain(f.daemons[old]) }, ownership.Full, 500 * time.Millisecond},
+		{"killed, reduced work", func(f *fleet, old string) { kill(f, old, true) }, ownership.Probation, 5 * time.Second},
+		{"killed and dropped from the list, no work left", func(f *fleet, old string) {
+			kill(f, old, false)
+			f.listed[old] = false
+			f.publish()
+		}, ownership.Full, 15 * time.Second},
+		{"frozen", func(f *fleet, old string) { f.freeze(f.daemons[old], 20*time.Second) }, ownership.Probation, 5 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range int64(20) {
+				f := healthy(seed)
+				old := owner(f)
+				if old == "" {
+					t.Fatalf("seed %d: nobody owns the target of a healthy fleet", seed)
+				}
+				f.offered = false
+				test.act(f, old)
+				if took := until(f, test.mode, old); took > test.most {
+					t.Fatalf("seed %d: %v after %v, bound %v\n%v", seed, test.mode, took, test.most, f.trace)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a start of the whole fleet that waits for D + L.
+func TestStartOfTheFleet(t *testing.T) {
+	var longest time.Duration
+	for seed := range int64(50) {
+		f := newFleet(seed, []string{"a", "b", "c"}, 8)
+		f.publish()
+		f.now = 10 * time.Second
+		for _, name := range f.names {
+			f.restart[name] = f.now + f.between(0, 200*time.Millisecond)
+		}
+		longest = max(longest, until(f, ownership.Full, ""))
+	}
+	t.Logf("longest time to full service of 50 starts: %v", longest)
+	if longest > 3*time.Second {
+		t.Fatalf("the fleet served in full only after %v", longest)
+	}
+}
+
+// Guards against a frozen owner that serves between waking and a confirmed round.
+func TestWakingOwnerWaitsForARound(t *testing.T) {
+	for seed := range int64(20) {
+		f := healthy(seed)
+		old := f.daemons[owner(f)]
+		f.freeze(old, 10*time.Second)
+		f.run(10*time.Second, func() {})
+		woke := f.now
+		for old.snapshot.Permission(engineName).Mode == ownership.None || !old.snapshot.Permission(engineName).Valid(old.clock(f.now)) {
+			f.run(step, func() {})
+			if f.now > woke+10*time.Second {
+				t.Fatalf("seed %d: the woken owner never serves again", seed)
+			}
+		}
+		if p := old.snapshot.Permission(engineName); p.LeaseEnd < old.clock(woke)+1500*time.Millisecond {
+			t.Fatalf("seed %d: serves with a lease from before the freeze", seed)
+		}
+	}
+}
+
+// Guards against two gates that refuse each other, or both give way, while their views differ.
+func TestHandoverAnswers(t *testing.T) {
+	gate := func(name string) membership.Gate {
+		return membership.Gate{Name: name, Zone: "z1", Incarnation: uint64(len(name) + int(name[0]))}
+	}
+	views := map[string]*membership.View{}
+	for _, self := range []string{"a", "b"} {
+		members := []membership.Member{{Gate: gate(self), State: membership.Live, Heard: true, Direct: true, Met: true}}
+		views[self] = &membership.View{Version: 1, Gates: members}
+	}
+	target := ownership.Target{Name: engineName, Zone: "z1"}
+	stopped := map[string]bool{}
+	for self, other := range map[string]string{"a": "b", "b": "a"} {
+		m := ownership.New(ownership.DefaultConfig(), gate(self), 0)
+		m.Step(0, ownership.ViewChanged{View: views[self], Targets: []ownership.Target{target}})
+		for _, effect := range m.Step(0, ownership.HandoverAsked{By: gate(other), Targets: []string{engineName, "unknown"}}) {
+			if answer, ok := effect.(ownership.AnswerHandover); ok {
+				stopped[self] = answer.Handovers[0].Stopped
+				if !answer.Handovers[1].Stopped {
+					t.Fatal("a gate refuses a target that it doesn't know")
+				}
+			}
+		}
+	}
+	if stopped["a"] == stopped["b"] {
+		t.Fatalf("stopped: %v; exactly the gate that ranks second has to stop", stopped)
+	}
+}
--- a/internal/ownership/owner.go
+++ b/internal/ownership/owner.go
@@ -1,7 +1,57 @@
-// Package ownership decides which gate admits new work to each target, and when it may.
+// Package ownership decides which gate admits new work to each target, and how much.
 //
 // The owner of a target is a function of the view alone, so that gates and entries with equal views agree
-// without exchanging messages. The package does no I/O and reads no clock.
+// without exchanging messages. The Machine turns views, handovers, heartbeat rounds and engine reports into
+// permissions. The package does no I/O and reads no clock.
+//
+// # Bound
+//
+// With one limit at all gates, the work that a target runs is at most limit + W while the gates form at most
+// two sides that can't hear each other, and at most limit/2 more for each further side. W is the number of
+// requests that had passed the last check when their process froze. "Work" includes requests that a dead gate
+// left behind. The bound follows from these invariants; the names are used in the code.
+//
+//   - I1 (lease). A gate's permission ends 1.5 s after the start of a round that every reachable peer answered.
+//     A peer that answered has heard the gate since then and suspects it 2 s later at the earliest. So a full
+//     owner has stopped, or hears its next gate no more, before a gate that stopped hearing it takes over.
+//   - I2 (poll). A gate becomes full only after every gate that it hears and that could hold the target has
+//     stopped for it, or did not answer for D + L, in which time its view caught up.
+//   - I3 (contest). A full owner becomes contested when it does not hear a gate that may take over: at once
+//     for a gate that ranked next when it was last heard, after D for other gates of the zone, and after JoinGrace
+//     for a gate that is listed but was never heard. The owner counts as hearing its next gate only while that
+//     gate takes part in its rounds, otherwise I1 says nothing about it.
+//   - I4 (probation). A gate takes over from gates that it doesn't hear only after a report measured when those
+//     gates are contested or stopped: at once for the gate that ranked directly before it and owned the target,
+//     D + L after the suspicion in other cases, JoinGrace + D + L for gates that were never heard.
+//   - I5 (return). A contested owner, or one whose lease lapsed, becomes full again only by I2.
+//   - I6 (leftover). Work left by dead gates and handed-over work counts against the share of the side that it
+//     is on. It is bounded by handover replies, and by the least external load in reports since the takeover.
+//   - I7 (zone). A gate of another zone admits nothing while a gate of the target's zone is suspected.
+//
+// Let x be the work of the old side, with its leftover, when the report of I4 is measured. By I1 and I3 no gate
+// of the old side is full then, so that side stays at or below max(x, ceil(limit/2)). The new side with its
+// leftover stays at or below floor((limit-x)/2), by Permission.Limit. If x >= ceil(limit/2) the sum is at most
+// x + (limit-x)/2 <= limit; otherwise it is at most ceil(limit/2) + floor(limit/2) = limit. Later reports with a
+// smaller x keep the inequality, since x bounds the old side from its measurement on. Two gates that are
+// both on probation add up to at most limit as well, as each has at most floor(limit/2) with its leftover.
+//
+// # Start of the whole fleet
+//
+// A gate that just started has no predecessor in its view and does not know the past. It polls the live gates
+// (I2), which stopped or never started, and needs one report measured after its start. If the report shows no external
+// work it is full at once, without the wait of D + L: every gate that is listed or heard by anyone has agreed,
+// and nothing runs at the engine that an unknown owner admitted. A list that is too old to name a gate behind a
+// cut does no harm, since a gate takes part only after a list named itself: of two such gates, the one that was
+// listed later sees the other. With external work a predecessor existed, and
+// the gate stays on probation for D + L. While a listed gate was never heard by any gate of this side, the new
+// gate admits nothing until JoinGrace + D + L: the unheard gate may be a full owner behind a cut.
+//
+// # Assumptions
+//
+// Clocks of two gates drift apart by less than 1% while a lease runs. A message that is delivered was sent at most
+// 1 s before. Two gates that can't exchange messages lose news of each other within 1.5 s of each other. VM lists of two
+// gates agree within D unless they are cut off from the platform, and a VM that the platform drops from the list
+// runs no more after D if its gates don't hear it.
 package ownership
 
 import (
@@ -16,6 +66,11 @@
 	if len(gates) == 0 {
 		gates = liveGates(view, "")
 	}
+	return rank(target, gates)
+}
+
+// rank sorts gates by their rank for a target.
+func rank(target string, gates []membership.Gate) []membership.Gate {
 	names := make([]string, len(gates))
 	byName := make(map[string]membership.Gate, len(gates))
 	for i, gate := range gates {
--- /dev/null
+++ b/internal/ownership/takeover.go
@@ -0,0 +1,350 @@
+package ownership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/statechart"
+)
+
+// evaluate takes the transitions that the view, the lease and the handovers call for.
+func (m *Machine) evaluate(now time.Duration, t *target) {
+	m.expireLeftovers(now, t)
+	if m.draining && t.chart.Lists(statechart.OwnershipOnDrain) {
+		m.leave(now, t)
+		m.fire(t, statechart.OwnershipOnDrain)
+	}
+	switch t.chart.State() {
+	case statechart.OwnershipDrained:
+		return
+	case statechart.OwnershipIdle:
+	default:
+		if !t.chosen {
+			m.leave(now, t)
+			m.fire(t, statechart.OwnershipOnLost)
+		}
+	}
+	if t.chosen {
+		m.noteNext(now, t)
+		m.enter(now, t)
+		m.advance(now, t)
+	}
+}
+
+// expireLeftovers drops handed-over work whose deadline passed; the lag covers its end at the engine.
+func (m *Machine) expireLeftovers(now time.Duration, t *target) {
+	t.leftovers = slices.DeleteFunc(t.leftovers, func(l leftover) bool {
+		return l.count == 0 || l.ends+m.config.ReportLag <= now
+	})
+}
+
+// enter starts a takeover where one is due.
+func (m *Machine) enter(now time.Duration, t *target) {
+	switch t.chart.State() {
+	case statechart.OwnershipIdle:
+		m.fire(t, statechart.OwnershipOnChosen)
+		m.begin(now, t)
+	case statechart.OwnershipHanded:
+		if now-t.handedAt >= m.config.Retake {
+			m.fire(t, statechart.OwnershipOnChosen)
+			m.begin(now, t)
+		}
+	case statechart.OwnershipSuspended:
+		if m.lease >= t.interruptedAt && now < m.lease+m.config.Lease && !m.zoneCutOff(t) {
+			m.fire(t, statechart.OwnershipOnConfirmed)
+			m.begin(now, t)
+		}
+	}
+}
+
+// begin resets what belongs to one takeover. A gate that held the target and was interrupted keeps its bounds.
+func (m *Machine) begin(now time.Duration, t *target) {
+	t.since = now
+	t.asked, t.stopped, t.refused = map[string]ask{}, map[string]uint64{}, map[string]bool{}
+	t.reportFrom = now
+	t.measured = never
+	t.leftClean = false
+	t.clean = t.held && !t.tainted
+	t.interrupted = t.held
+	if !t.held {
+		t.least = unknown
+		t.orphans = unknown
+		t.external = unknown
+		t.nexts = map[string]time.Duration{}
+	}
+}
+
+// advance moves between the states of an owner.
+func (m *Machine) advance(now time.Duration, t *target) {
+	if !t.chart.Lists(statechart.OwnershipOnInterrupted) {
+		return
+	}
+	if m.zoneCutOff(t) && t.chart.State() != statechart.OwnershipTaking {
+		m.interrupt(t, now)
+		return
+	}
+	if t.chart.State() != statechart.OwnershipFull {
+		m.poll(now, t)
+	}
+	if event, ok := m.decide(now, t); ok && t.chart.Lists(event) {
+		if event == statechart.OwnershipOnSettled {
+			m.settle(t)
+		}
+		m.fire(t, event)
+	}
+}
+
+// settle makes the bounds those of a full owner.
+func (m *Machine) settle(t *target) {
+	t.held, t.tainted, t.interrupted = true, false, false
+	if t.measured >= t.reportFrom {
+		t.orphans = t.external
+	}
+}
+
+// decide returns the event that the state of other gates calls for.
+func (m *Machine) decide(now time.Duration, t *target) (statechart.OwnershipEvent, bool) {
+	blocked := m.blockers(now, t)
+	switch {
+	case m.zoneCutOff(t):
+		return statechart.OwnershipOnBlocked, true
+	case t.held && m.contested(now, t):
+		return statechart.OwnershipOnContest, true
+	case t.chart.State() == statechart.OwnershipFull:
+		return "", false
+	case !m.polled(now, t):
+		return statechart.OwnershipOnBlocked, true
+	case (t.held || len(blocked) == 0) && m.settled(now, t):
+		return statechart.OwnershipOnSettled, true
+	case t.held:
+		return "", false
+	case m.reducible(t, blocked):
+		return statechart.OwnershipOnReduced, true
+	}
+	return statechart.OwnershipOnBlocked, true
+}
+
+// settled says whether a takeover without cut-off gates is complete (I2).
+func (m *Machine) settled(now time.Duration, t *target) bool {
+	if t.clean {
+		return true
+	}
+	if t.measured < t.reportFrom {
+		return false
+	}
+	return t.external == 0 || now >= t.reportFrom+m.config.settle()
+}
+
+// reducible says whether reduced work is permitted (I4).
+func (m *Machine) reducible(t *target, blocked []membership.Member) bool {
+	t.quick = len(blocked) == 0 || m.follows(t, blocked)
+	earliest := max(t.since, t.stoppedAt)
+	for _, member := range blocked {
+		if !t.quick {
+			earliest = max(earliest, m.stoppedBy(member))
+		}
+	}
+	return t.measured != never && t.measured >= earliest
+}
+
+// stoppedBy returns the time from which a gate that isn't heard is contested or stopped (I3, with a margin of L
+// for the difference between what both gates heard last).
+func (m *Machine) stoppedBy(member membership.Member) time.Duration {
+	cautious := m.started + m.config.JoinGrace + m.config.settle()
+	switch {
+	case member.State == membership.Joining:
+		return max(cautious, member.Since+m.config.JoinGrace+m.config.settle())
+	case !member.Met:
+		// It may never have heard this process, and then counts it as joining.
+		return max(cautious, member.Since+m.config.SuspectAfter+m.config.settle())
+	}
+	return member.Since + m.config.SuspectAfter + m.config.settle()
+}
+
+// follows says whether the only cut-off gate is the former owner and ranks directly before this gate, so that
+// it is contested as soon as it doesn't hear this gate.
+func (m *Machine) follows(t *target, blocked []membership.Member) bool {
+	if len(blocked) != 1 {
+		return false
+	}
+	former := blocked[0]
+	if former.Name != t.previous.Name || former.Incarnation != t.previous.Incarnation {
+		return false
+	}
+	if !former.Met {
+		return false
+	}
+	if (former.Zone == t.Zone) != (m.self.Zone == t.Zone) || former.State == membership.Joining {
+		return false
+	}
+	gates := []membership.Gate{former.Gate}
+	for _, member := range m.candidates(t) {
+		if member.Heard && member.State == membership.Live {
+			gates = append(gates, member.Gate)
+		}
+	}
+	ranked := rank(t.Name, gates)
+	return len(ranked) > 1 && ranked[0].Name == former.Name && ranked[1].Name == m.self.Name
+}
+
+// candidates returns the gates, with this one, that may own the target on this or another side (I7). Gates of
+// other zones count for a gate that is alone in its zone: until it is known to them, they may own its targets.
+func (m *Machine) candidates(t *target) []membership.Member {
+	selfIn := m.self.Zone == t.Zone
+	alone := selfIn && m.alone(t)
+	var members []membership.Member
+	for _, member := range m.view.Gates {
+		if finished(member) {
+			continue
+		}
+		if !selfIn || alone || member.Zone == t.Zone {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+// alone says whether no other gate of the zone is live.
+func (m *Machine) alone(t *target) bool {
+	for _, member := range m.view.Gates {
+		if member.Zone == t.Zone && member.Name != m.self.Name && member.State == membership.Live {
+			return false
+		}
+	}
+	return true
+}
+
+// young says whether gates that were up before may not have learned of this process yet.
+func (m *Machine) young(now time.Duration) bool {
+	return now < m.started+m.config.JoinGrace+m.config.settle()
+}
+
+// blockers returns the gates that this gate doesn't hear and that may admit to the target.
+func (m *Machine) blockers(now time.Duration, t *target) []membership.Member {
+	selfIn := m.self.Zone == t.Zone
+	return slices.DeleteFunc(m.candidates(t), func(member membership.Member) bool {
+		switch {
+		case member.Heard || member.Name == m.self.Name:
+			return true
+		case member.State == membership.Joining:
+			return !m.young(now) && now < member.Since+m.config.JoinGrace
+		}
+		return selfIn && member.Zone != t.Zone && !m.young(now)
+	})
+}
+
+// zoneCutOff says whether this gate is of another zone and a gate of the target's zone may be alive (I7).
+func (m *Machine) zoneCutOff(t *target) bool {
+	if m.self.Zone == t.Zone {
+		return false
+	}
+	return slices.ContainsFunc(m.candidates(t), func(member membership.Member) bool {
+		return member.Zone == t.Zone && !member.Heard && member.State != membership.Joining
+	})
+}
+
+// contested says whether a gate that isn't heard may have taken over from a gate that held the target (I3).
+func (m *Machine) contested(now time.Duration, t *target) bool {
+	if next, ok := m.next(t); ok && !next.Direct {
+		return true
+	}
+	for _, member := range m.blockers(now, t) {
+		after := member.Since + m.config.SuspectAfter + m.config.ListDisagreement
+		if member.State == membership.Joining {
+			after = member.Since + m.config.JoinGrace
+		}
+		if t.interrupted || now >= after || m.wasNext(t, member) {
+			return true
+		}
+	}
+	return false
+}
+
+// wasNext says whether a gate that isn't heard ranked next shortly before it fell silent. Its view may lack a
+// gate that ranks next now.
+func (m *Machine) wasNext(t *target, member membership.Member) bool {
+	last, ok := t.nexts[member.Name]
+	return ok && last >= member.Since-m.config.ListDisagreement
+}
+
+// noteNext remembers the gate that ranks next.
+func (m *Machine) noteNext(now time.Duration, t *target) {
+	if next, ok := m.next(t); ok {
+		t.nexts[next.Name] = now
+	}
+}
+
+// next returns the live gate that ranks directly after this one.
+func (m *Machine) next(t *target) (membership.Member, bool) {
+	ranked := Ranked(m.view, t.Name, t.Zone)
+	if len(ranked) < 2 || ranked[0].Name != m.self.Name {
+		return membership.Member{}, false
+	}
+	return m.view.Gate(ranked[1].Name)
+}
+
+// nextGates returns the gates that rank next for owned targets, and the owners that this gate follows, sorted.
+func (m *Machine) nextGates() []string {
+	var names []string
+	for _, t := range m.targets {
+		ranked := Ranked(m.view, t.Name, t.Zone)
+		switch {
+		case len(ranked) < 2:
+		case ranked[0].Name == m.self.Name:
+			names = append(names, ranked[1].Name)
+		case ranked[1].Name == m.self.Name:
+			names = append(names, ranked[0].Name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// poll asks the gates that have not stopped yet. Gates that fell silent have to be asked again.
+func (m *Machine) poll(now time.Duration, t *target) {
+	for _, member := range m.candidates(t) {
+		if member.Name == m.self.Name {
+			continue
+		}
+		if !member.Heard || (t.stopped[member.Name] != 0 && t.stopped[member.Name] != member.Incarnation) {
+			delete(t.stopped, member.Name)
+			delete(t.asked, member.Name)
+			delete(t.refused, member.Name)
+		}
+		if !member.Heard || t.stopped[member.Name] != 0 {
+			continue
+		}
+		asked, ok := t.asked[member.Name]
+		if !ok {
+			asked = ask{first: now, last: never}
+		}
+		if asked.last == never || now-asked.last >= m.config.AskInterval {
+			asked.last = now
+			t.asked[member.Name] = asked
+			m.asks[member.Gate] = append(m.asks[member.Gate], t.Name)
+		}
+	}
+}
+
+// polled says whether every gate that is heard has stopped, or was given the time in which its view catches up.
+func (m *Machine) polled(now time.Duration, t *target) bool {
+	for _, member := range m.candidates(t) {
+		if !member.Heard || member.Name == m.self.Name || t.stopped[member.Name] == member.Incarnation {
+			continue
+		}
+		asked, ok := t.asked[member.Name]
+		waited := asked.first + m.config.settle()
+		if t.refused[member.Name] || !ok || now < waited {
+			return false
+		}
+		t.clean = false
+		t.reportFrom = max(t.reportFrom, waited)
+	}
+	return true
+}
+
+func compareNames(a, b membership.Gate) int {
+	return strings.Compare(a.Name, b.Name)
+}
