--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -72,6 +72,7 @@
 	heardAt     time.Duration // last news, direct or relayed
 	directAt    time.Duration // last message of the gate itself
 	answeredAt  time.Duration // when the last answered heartbeat was sent
+	met         bool          // whether any heartbeat was answered
 	differsFrom time.Duration // since when its answers carry another view digest; never while they agree
 	old         []uint64      // incarnations that were replaced and are dead
 	hash        uint64        // rendezvous hash of the name
@@ -98,7 +99,10 @@
 	targetsChanged bool
 	// reported holds the newest list revision with which a peer reported a target as leaving.
 	reported map[string]uint64
-	watched  []string
+	// named says that a list has named this gate. Until then it takes no part in the mesh: of two gates that
+	// start behind a cut, at least the one that was listed later then sees the other one in its list.
+	named   bool
+	watched []string
 	// peers holds the heartbeat peers of the current view.
 	peers     []Gate
 	view      *View
@@ -129,9 +133,9 @@
 	return m.view
 }
 
-// Ready says whether a list came and a heartbeat round was confirmed.
+// Ready says whether a list named this gate and a heartbeat round was confirmed.
 func (m *Machine) Ready() bool {
-	return m.listRevision > 0 && m.confirmed != never
+	return m.named && m.confirmed != never
 }
 
 // Step applies one event. View changes come before confirmed rounds, so that a lease is never renewed with a
@@ -222,6 +226,7 @@
 	}
 	g.listed = listed.State
 	g.unlistedAt = never
+	m.named = m.named || g == &m.self
 	if listed.State == Leaving {
 		m.self.draining = m.self.draining || g == &m.self
 	}
@@ -310,6 +315,7 @@
 	if g == nil || g.Incarnation != answer.Message.From.Incarnation {
 		return
 	}
+	g.met = true
 	if answer.Message.ViewDigest == m.view.Digest {
 		g.differsFrom = never
 	} else if g.differsFrom == never {
@@ -400,7 +406,7 @@
 		g.old = g.old[max(0, len(g.old)-maxOldIncarnations):]
 	}
 	g.Gate = id
-	g.draining = false
+	g.draining, g.met = false, false
 	clear(g.told)
 	g.heardAt, g.directAt, g.answeredAt, g.differsFrom = never, never, never, never
 	return g
@@ -421,6 +427,9 @@
 		return nil
 	}
 	m.lastSent = now
+	if !m.named {
+		return nil
+	}
 	var effects []Effect
 	for _, peer := range m.peers {
 		effects = append(effects, SendHeartbeat{To: peer, Message: m.Message(now, peer.Name)})
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -80,7 +80,7 @@
 
 // selfMember returns this gate as a member.
 func (m *Machine) selfMember(now time.Duration) Member {
-	return Member{Gate: m.self.Gate, State: m.selfState(now), Heard: true, Direct: true, Stopping: m.self.draining}
+	return Member{Gate: m.self.Gate, State: m.selfState(now), Heard: true, Direct: true, Met: true, Stopping: m.self.draining}
 }
 
 // selfState is the state of this gate by the rules that its peers apply to it.
@@ -88,6 +88,8 @@
 	switch {
 	case m.self.draining:
 		return Leaving
+	case !m.named:
+		return Joining
 	case m.expired(&m.self, now):
 		return Gone
 	}
@@ -102,6 +104,7 @@
 // member returns a gate with its state.
 func (m *Machine) member(g *gate, now time.Duration) Member {
 	member := Member{Gate: g.Gate, State: m.state(g, now), Heard: m.heard(g, now), Stopping: g.draining}
+	member.Met = g.met
 	member.Direct = m.direct(g, now) && m.isPeer(g.Name)
 	switch {
 	case member.Heard:
@@ -180,10 +183,15 @@
 	return hash.Sum64()
 }
 
-// Message returns what this gate tells a peer in a heartbeat or in its answer.
+// Message returns what this gate tells a peer in a heartbeat or in its answer. Until a list names this gate the
+// incarnation is 0, and peers ignore the message.
 func (m *Machine) Message(now time.Duration, to string) Message {
+	from := m.self.Gate
+	if !m.named {
+		from.Incarnation = 0
+	}
 	return Message{
-		From:           m.self.Gate,
+		From:           from,
 		Draining:       m.view.stateOf(m.self.Name) == Leaving,
 		ViewVersion:    m.view.Version,
 		ViewDigest:     m.view.Digest,
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -42,6 +42,8 @@
 	// Direct says that the gate is a heartbeat peer and was itself heard within the suspicion time, without a
 	// relay. Exactly the direct gates take part in the heartbeat round that renews leases.
 	Direct bool
+	// Met says that this process of the gate answered a heartbeat of this gate, so that it has heard this gate.
+	Met bool
 	// Stopping says that the gate itself reported that it is leaving, so that this process of it takes no new
 	// work again. A gate that is only listed as leaving may not know it yet.
 	Stopping bool
