--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(GO) build -o bin/ ./cmd/... ./standin/cmd/...
 
 demo: build
-	bin/amaranth-replay demo
+	bin/demo
 
 test: format lint unit
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -98,9 +98,9 @@
 		{"not owner", None(""), 0, reason.NotOwner},
 		{"lease lost", None(reason.LeaseLost), 0, reason.LeaseLost},
 		{"reduced number", Cap{Max: 2}, 2, reason.QueueFull},
-		{"contested takes half, rounded down", Cap{Max: Unlimited, Halved: true}, 3, reason.QueueFull},
-		{"probation leaves room for the predecessor", Cap{Max: Unlimited, Halved: true, External: 4}, 1, reason.QueueFull},
-		{"external load over the limit", Cap{Max: Unlimited, Halved: true, External: 9}, 0, reason.QueueFull},
+		{"contested takes half, rounded down", Cap{Max: Unlimited, Reduce: halfOfRest(0)}, 3, reason.QueueFull},
+		{"probation leaves room for the predecessor", Cap{Max: Unlimited, Reduce: halfOfRest(4)}, 1, reason.QueueFull},
+		{"external load over the limit", Cap{Max: Unlimited, Reduce: halfOfRest(9)}, 0, reason.QueueFull},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -519,3 +519,8 @@
 		c.Tick(time.Duration(i), nil)
 	}
 }
+
+// halfOfRest returns half of what a limit leaves beside external work.
+func halfOfRest(external int) func(limit int) int {
+	return func(limit int) int { return max(limit-external, 0) / 2 }
+}
--- a/internal/admission/schedule_test.go
+++ b/internal/admission/schedule_test.go
@@ -151,7 +151,7 @@
 
 func (s *schedule) setCap() {
 	name := s.pick()
-	limit := []Cap{Full(), Full(), None(reason.LeaseLost), {Max: s.rng.Intn(4)}, {Max: Unlimited, Halved: true}}[s.rng.Intn(5)]
+	limit := []Cap{Full(), Full(), None(reason.LeaseLost), {Max: s.rng.Intn(4)}, {Max: Unlimited, Reduce: halfOfRest(0)}}[s.rng.Intn(5)]
 	s.caps[name] = limit
 	s.outcomes(s.c.SetCap(s.now, name, limit, nil))
 }
@@ -187,7 +187,7 @@
 		if s.caps[target].Max >= 0 {
 			bound = min(bound, s.caps[target].Max)
 		}
-		if s.caps[target].Halved {
+		if s.caps[target].Reduce != nil {
 			bound = min(bound, s.limit()/2)
 		}
 		if load > bound {
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -64,8 +64,8 @@
 	if t.cap.Max >= 0 {
 		reduced = min(reduced, t.cap.Max)
 	}
-	if t.cap.Halved {
-		reduced = min(reduced, max(limit-t.cap.External, 0)/2)
+	if t.cap.Reduce != nil {
+		reduced = min(reduced, t.cap.Reduce(limit))
 	}
 	if reduced < limit {
 		return reduced, t.cap.reason()
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -72,10 +72,9 @@
 type Cap struct {
 	// Max bounds the requests in flight at the target; 0 stops admission and Unlimited leaves it to the load limit.
 	Max int
-	// Halved bounds the requests in flight also by (limit - External) / 2, rounded down, as for a contested owner
-	// or one on probation. The limit is the present one, so the bound follows it.
-	Halved   bool
-	External int
+	// Reduce, if set, turns the present load limit into the bound of this gate's requests in flight, as for a
+	// contested owner or one on probation. The bound so follows the limit.
+	Reduce func(limit int) int
 	// Reason is given when the cap refuses; the default is reason.NotOwner when Max is 0, else reason.Probation.
 	Reason reason.Reason
 }
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -100,3 +100,10 @@
 	defer a.mu.Unlock()
 	return a.controller.Snapshot(a.clock.Now())
 }
+
+// inFlight returns the requests in flight at a target by customer.
+func (a *admitter) inFlight(target string) []admission.CustomerCount {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.InFlight(target)
+}
--- /dev/null
+++ b/internal/gate/beats.go
@@ -0,0 +1,98 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+)
+
+// beats keeps one heartbeat stream open to each peer. A call for each heartbeat would carry the name of the method and
+// the frames of the call, about as many bytes as the heartbeat itself.
+type beats struct {
+	mu    sync.Mutex
+	peers map[string]*beatStream
+}
+
+// beatStream is the stream to one address. Its mutex is held from a message to its answer.
+type beatStream struct {
+	mu     sync.Mutex
+	stream pb.DRPCControl_HeartbeatClient
+	cancel context.CancelFunc
+}
+
+func newBeats() *beats { return &beats{peers: make(map[string]*beatStream)} }
+
+func (b *beats) peer(address string) *beatStream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	peer, ok := b.peers[address]
+	if !ok {
+		peer = new(beatStream)
+		b.peers[address] = peer
+	}
+	return peer
+}
+
+// exchangeBeat sends a heartbeat to an address and returns the answer. After a failure the next one opens a new stream.
+func (g *Gate) exchangeBeat(address string, message *pb.HeartbeatMessage) (*pb.HeartbeatMessage, error) {
+	peer := g.beats.peer(address)
+	peer.mu.Lock()
+	defer peer.mu.Unlock()
+	if peer.stream == nil {
+		if err := g.openBeats(peer, address); err != nil {
+			return nil, err
+		}
+	}
+	late := time.AfterFunc(heartbeatTimeout, peer.cancel)
+	defer late.Stop()
+	reply, err := peer.exchange(message)
+	if err != nil {
+		peer.close()
+	}
+	return reply, err
+}
+
+func (g *Gate) openBeats(peer *beatStream, address string) error {
+	ctx, cancel := context.WithCancel(g.lifetime)
+	late := time.AfterFunc(heartbeatTimeout, cancel)
+	defer late.Stop()
+	stream, err := pb.NewDRPCControlClient(g.control.Conn(ctx, address)).Heartbeat(ctx)
+	if err != nil {
+		cancel()
+		return err
+	}
+	peer.stream, peer.cancel = stream, cancel
+	return nil
+}
+
+func (p *beatStream) exchange(message *pb.HeartbeatMessage) (*pb.HeartbeatMessage, error) {
+	if err := p.stream.Send(message); err != nil {
+		return nil, err
+	}
+	return p.stream.Recv()
+}
+
+func (p *beatStream) close() {
+	_ = p.stream.Close()
+	p.cancel()
+	p.stream = nil
+}
+
+// Heartbeat answers the heartbeats of a peer until its stream ends.
+func (s *controlServer) Heartbeat(stream pb.DRPCControl_HeartbeatStream) error {
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			return nil
+		}
+		reply, err := s.gate.answerBeat(stream.Context(), message)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(reply); err != nil {
+			return err
+		}
+	}
+}
--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/gossip"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/platform"
 )
@@ -30,8 +31,13 @@
 type controlState struct {
 	members *membership.Machine
 	config  *configsync.Machine
+	owners  *ownership.Machine
+	// claims are the targets that the next heartbeats name as taken.
+	claims  []string
 	loads   *gossip.Table[*pb.LoadRecord]
 	notices *gossip.Table[*pb.Notice]
+	// introductions shorten the names of gates in heartbeats.
+	introductions introductions
 	// loadVersion counts this gate's load records.
 	loadVersion uint64
 	lastLoad    *pb.LoadRecord
@@ -61,6 +67,9 @@
 		transit:     make(map[string]time.Duration),
 		reads:       make(map[uint64]context.CancelFunc),
 		subscribers: make(map[*subscriber]struct{}),
+		owners:      g.newOwners(),
+
+		introductions: newIntroductions(),
 	}
 }
 
@@ -74,11 +83,13 @@
 		GapLimit: gapLimit,
 	})
 	go g.watchVMs(ctx)
+	go g.tmpPoll(ctx)
 }
 
 // tick lets time pass in every state machine.
 func (g *Gate) tick(now time.Duration) {
 	g.stepMembers(now, membership.Tick{})
+	g.stepOwners(now, ownership.Tick{})
 	g.stepConfig(now, configsync.Tick{})
 	g.state.loads.Expire(now)
 	g.state.notices.Expire(now)
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
 	"github.com/amaranthlb/amaranthlb/internal/ticket"
 )
@@ -45,6 +46,7 @@
 	_ = g.loop.Call(ctx, func(now time.Duration) {
 		heir, found = chooseHeir(g.state.members.View(), g.self)
 		g.stepMembers(now, membership.Drain{})
+		g.stepOwners(now, ownership.Drain{})
 		g.heartbeatNow(now, nil)
 	})
 	return heir, found
--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -10,7 +10,7 @@
 )
 
 // followInterval is the shortest time between two updates to an entry.
-const followInterval = 250 * time.Millisecond
+const followInterval = 400 * time.Millisecond
 
 // followRefresh is the longest time between two updates, by which an entry knows that its gate is alive.
 const followRefresh = time.Second
@@ -132,7 +132,7 @@
 	loads := make(map[string]*pb.TargetLoad)
 	for i := range snapshot.Catalogue.Pools {
 		for _, t := range snapshot.Catalogue.Pools[i].Targets {
-			loads[t.Name] = &pb.TargetLoad{Target: t.Name, State: string(snapshot.View.Target(t.Name))}
+			loads[t.Name] = &pb.TargetLoad{Target: t.Name, State: wire.TargetState(snapshot.View.Target(t.Name))}
 		}
 	}
 	for _, record := range g.state.loads.All(g.clock.Now()) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -19,6 +19,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/platform"
 	"github.com/amaranthlb/amaranthlb/internal/rpc"
@@ -48,13 +49,16 @@
 	// state belongs to the control goroutine.
 	state    controlState
 	snapshot atomic.Pointer[Snapshot]
-	draining atomic.Bool
+	// permissions is what this gate may admit, by the ownership machine.
+	permissions atomic.Pointer[ownership.Snapshot]
+	draining    atomic.Bool
 
 	admission *admitter
 	codec     *ticket.Codec
 	desk      *desk
 	runs      *runs
 	inFlight  inFlight
+	beats     *beats
 }
 
 // Snapshot is what traffic goroutines read of the control state. It is immutable.
@@ -101,6 +105,7 @@
 	}
 	g.desk = g.newDesk()
 	g.runs = newRuns()
+	g.beats = newBeats()
 	g.control = rpc.NewDialer(rpc.Control, g.tls, meters)
 	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters)
 	return g, nil
--- a/internal/gate/heartbeat.go
+++ b/internal/gate/heartbeat.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/configsync"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
@@ -16,6 +18,9 @@
 	heartbeatTimeout = time.Second
 	// unknownTransit is assumed for a peer whose round trip is not known yet.
 	unknownTransit = 200 * time.Millisecond
+	// relayAfter is the age from which the loads of other gates are relayed: peers that the origin reaches have
+	// them from it within one heartbeat interval.
+	relayAfter = 600 * time.Millisecond
 )
 
 // controlServer serves control calls of daemons.
@@ -35,7 +40,9 @@
 			g.stepConfig(now, configsync.ViewChanged{View: e.View})
 			g.publish(now)
 		case membership.RoundConfirmed:
-			g.roundConfirmed(now, e.Started)
+			g.stepOwners(now, ownership.RoundConfirmed{Started: e.Started})
+		case membership.ClockGap:
+			g.stepOwners(now, ownership.ClockGap{})
 		}
 	}
 }
@@ -44,27 +51,39 @@
 func (g *Gate) sendHeartbeat(now time.Duration, send membership.SendHeartbeat) {
 	message := g.heartbeatMessage(now, send.To.Name, send.Message)
 	go func() {
-		ctx, cancel := context.WithTimeout(g.lifetime, heartbeatTimeout)
-		defer cancel()
-		client := pb.NewDRPCControlClient(g.control.Conn(ctx, send.To.Address))
-		reply, err := client.Heartbeat(ctx, message)
+		reply, err := g.exchangeBeat(send.To.Address, message)
 		g.loop.Post(func(answered time.Duration) {
 			if err != nil {
 				g.heartbeatFailed(answered, send.To.Name)
 				return
 			}
-			g.state.transit[send.To.Name] = answered - now
-			g.receive(answered, reply)
-			g.stepMembers(answered, membership.HeartbeatAnswered{Sent: now, Message: wire.HeartbeatFrom(reply)})
+			g.heartbeatAnswered(now, answered, send.To.Name, reply)
 		})
 	}()
 }
 
+func (g *Gate) heartbeatAnswered(sent, now time.Duration, peer string, reply *pb.HeartbeatMessage) {
+	members, ok := wire.HeartbeatFrom(reply, g.state.introductions.resolverFor(peer))
+	if !ok {
+		g.heartbeatFailed(now, peer)
+		return
+	}
+	g.state.transit[peer] = now - sent
+	g.receive(now, members.From, reply)
+	g.stepMembers(now, membership.HeartbeatAnswered{Sent: sent, Message: members})
+}
+
 func (g *Gate) heartbeatFailed(now time.Duration, peer string) {
 	g.meters.ControlCall("heartbeat", "failed")
+	g.forgetPeer(peer)
+	g.stepMembers(now, membership.HeartbeatFailed{Peer: peer})
+}
+
+// forgetPeer drops what a peer is assumed to have got, because a message to it may have been lost.
+func (g *Gate) forgetPeer(peer string) {
 	g.state.loads.Forget(peer)
 	g.state.notices.Forget(peer)
-	g.stepMembers(now, membership.HeartbeatFailed{Peer: peer})
+	g.state.introductions.forget(peer)
 }
 
 // heartbeatMessage adds the gossip for a peer to the membership part.
@@ -74,32 +93,50 @@
 		transit = unknownTransit
 	}
 	g.refreshLoads(now)
-	message := wire.Heartbeat(members)
-	version := g.state.config.Current().Version()
+	message := wire.Heartbeat(members, g.state.introductions.refsFor(peer))
+	message.Introduce = g.state.introductions.takeWanted(peer)
+	version := g.state.introductions.newVersion(peer, g.state.config.Current().Version())
 	message.ConfigRevision, message.ConfigDigest = version.Revision, version.Digest
-	message.Loads = wire.Loads(g.state.loads.News(now, peer, transit))
-	message.Notices = wire.Notices(g.state.notices.News(now, peer, transit))
+	message.Claims = g.state.claims
+	message.Loads = wire.Loads(g.state.loads.News(now, peer, transit, relayAfter))
+	message.Notices = wire.Notices(g.state.notices.News(now, peer, transit, 0))
 	return message
 }
 
-// Heartbeat answers a peer.
-func (s *controlServer) Heartbeat(ctx context.Context, message *pb.HeartbeatMessage) (*pb.HeartbeatMessage, error) {
-	g := s.gate
+// answerBeat answers one heartbeat of a peer.
+func (g *Gate) answerBeat(ctx context.Context, message *pb.HeartbeatMessage) (*pb.HeartbeatMessage, error) {
 	var reply *pb.HeartbeatMessage
 	err := g.loop.Call(ctx, func(now time.Duration) {
-		g.receive(now, message)
-		g.stepMembers(now, membership.HeartbeatReceived{Message: wire.HeartbeatFrom(message)})
 		peer := message.Self.GetName()
+		members, ok := wire.HeartbeatFrom(message, g.state.introductions.resolverFor(peer))
+		if !ok {
+			return
+		}
+		g.receive(now, members.From, message)
+		g.stepMembers(now, membership.HeartbeatReceived{Message: members})
 		reply = g.heartbeatMessage(now, peer, g.state.members.Message(now, peer))
 	})
+	if err == nil && reply == nil {
+		err = errUnknownSender
+	}
 	return reply, err
 }
 
+// errUnknownSender makes the sender name itself in full with its next heartbeat.
+var errUnknownSender = errors.New("the heartbeat's sender is not known")
+
 // receive takes over what a heartbeat or its answer carries besides membership.
-func (g *Gate) receive(now time.Duration, message *pb.HeartbeatMessage) {
-	peer := message.Self.GetName()
+func (g *Gate) receive(now time.Duration, from membership.Gate, message *pb.HeartbeatMessage) {
+	peer := from.Name
+	if message.Introduce {
+		g.state.introductions.forget(peer)
+	}
 	g.acceptLoads(now, g.state.loads.Merge(now, peer, wire.LoadsFrom(message.Loads)))
 	g.acceptNotices(now, g.state.notices.Merge(now, peer, wire.NoticesFrom(message.Notices)))
-	version := catalogue.Version{Revision: message.ConfigRevision, Digest: message.ConfigDigest}
+	if len(message.Claims) > 0 {
+		g.stepOwners(now, ownership.PeerClaim{By: from, Targets: message.Claims})
+	}
+	sent := catalogue.Version{Revision: message.ConfigRevision, Digest: message.ConfigDigest}
+	version := g.state.introductions.versionOf(from, sent)
 	g.stepConfig(now, configsync.Announced{Peer: peer, Version: version})
 }
--- /dev/null
+++ b/internal/gate/introductions.go
@@ -0,0 +1,105 @@
+package gate
+
+import (
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+// introductions lets heartbeats name a gate process by name and incarnation once its address and place have been sent
+// to the peer. It is owned by the control goroutine.
+type introductions struct {
+	// sent holds the incarnation of each gate that a peer has got in full.
+	sent map[string]map[string]uint64
+	// known holds the gates that this gate has got in full.
+	known map[string]membership.Gate
+	// wanted are the peers that named a gate that this gate does not know.
+	wanted map[string]bool
+	// sentVersions and versions are the last catalogue versions to and from each peer; a message without one means
+	// that it has not changed.
+	sentVersions map[string]catalogue.Version
+	versions     map[string]peerVersion
+}
+
+// peerVersion is the catalogue version of one process of a peer.
+type peerVersion struct {
+	incarnation uint64
+	version     catalogue.Version
+}
+
+func newIntroductions() introductions {
+	return introductions{
+		sent:   make(map[string]map[string]uint64),
+		known:  make(map[string]membership.Gate),
+		wanted: make(map[string]bool),
+
+		sentVersions: make(map[string]catalogue.Version),
+		versions:     make(map[string]peerVersion),
+	}
+}
+
+// refsFor returns how to name gates to a peer.
+func (i *introductions) refsFor(peer string) func(membership.Gate) *pb.GateRef {
+	sent, ok := i.sent[peer]
+	if !ok {
+		sent = make(map[string]uint64)
+		i.sent[peer] = sent
+	}
+	return func(g membership.Gate) *pb.GateRef {
+		if sent[g.Name] == g.Incarnation && g.Incarnation != 0 {
+			return wire.BriefGate(g)
+		}
+		sent[g.Name] = g.Incarnation
+		return wire.Gate(g)
+	}
+}
+
+// resolverFor returns how to read the gates that a peer names.
+func (i *introductions) resolverFor(peer string) wire.Resolver {
+	return func(ref *pb.GateRef) (membership.Gate, bool) {
+		if ref.GetAddress() != "" {
+			gate := wire.GateFrom(ref)
+			i.known[gate.Name] = gate
+			return gate, true
+		}
+		gate, ok := i.known[ref.GetName()]
+		if !ok || gate.Incarnation != ref.GetIncarnation() {
+			i.wanted[peer] = true
+			return membership.Gate{}, false
+		}
+		return gate, true
+	}
+}
+
+// forget makes the next message to a peer name every gate in full, because an earlier one may have been lost.
+func (i *introductions) forget(peer string) {
+	delete(i.sent, peer)
+	delete(i.sentVersions, peer)
+}
+
+// newVersion returns the catalogue version for a message to a peer: the zero version when the peer has it.
+func (i *introductions) newVersion(peer string, version catalogue.Version) catalogue.Version {
+	if i.sentVersions[peer] == version {
+		return catalogue.Version{}
+	}
+	i.sentVersions[peer] = version
+	return version
+}
+
+// versionOf returns the catalogue version of a peer by its message.
+func (i *introductions) versionOf(peer membership.Gate, sent catalogue.Version) catalogue.Version {
+	known := i.versions[peer.Name]
+	if sent == (catalogue.Version{}) && known.incarnation == peer.Incarnation {
+		return known.version
+	}
+	i.versions[peer.Name] = peerVersion{incarnation: peer.Incarnation, version: sent}
+	return sent
+}
+
+// takeWanted reports whether the peer has to be asked to name gates in full.
+func (i *introductions) takeWanted(peer string) bool {
+	wanted := i.wanted[peer]
+	delete(i.wanted, peer)
+	return wanted
+}
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -16,8 +16,15 @@
 // loadRefresh is how often a load record without changes is made anew, so that it does not count as stale.
 const loadRefresh = time.Second
 
+// loadInterval is the shortest time between two load records. Without it each of the four messages that two gates
+// exchange in one heartbeat interval would carry a new record.
+const loadInterval = 400 * time.Millisecond
+
 // refreshLoads makes a new record of this gate's loads when they have changed or the last one grows old.
 func (g *Gate) refreshLoads(now time.Duration) {
+	if g.state.lastLoad != nil && now-g.state.lastLoadAt < loadInterval {
+		return
+	}
 	record := g.loadRecord()
 	unchanged := g.state.lastLoad != nil && proto.Equal(record, g.state.lastLoad)
 	if unchanged && now-g.state.lastLoadAt < loadRefresh {
--- /dev/null
+++ b/internal/gate/ownership.go
@@ -0,0 +1,186 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/admission"
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+// handoverTimeout bounds one handover call; it is shorter than the suspicion time.
+const handoverTimeout = time.Second
+
+func (g *Gate) newOwners() *ownership.Machine {
+	timing := g.settings.Timing
+	config := ownership.DefaultConfig()
+	config.Lease = time.Duration(timing.Lease)
+	config.SuspectAfter = time.Duration(timing.Suspicion)
+	config.ListDisagreement = time.Duration(timing.ListDisagreement)
+	config.ReportLag = time.Duration(timing.ReportLag)
+	return ownership.New(config, g.self, g.clock.Now())
+}
+
+// stepOwners applies an event to the ownership machine and carries out the effects. It returns the answer to a
+// handover request, if the event was one.
+func (g *Gate) stepOwners(now time.Duration, event ownership.Event) *pb.HandoverReply {
+	var answer *pb.HandoverReply
+	for _, effect := range g.state.owners.Step(now, event) {
+		switch e := effect.(type) {
+		case ownership.Publish:
+			g.publishPermissions(e.Snapshot)
+		case ownership.AskHandover:
+			g.askHandover(now, e)
+		case ownership.AnswerHandover:
+			answer = g.handoverReply(now, e.Handovers)
+		case ownership.SpreadClaims:
+			g.meters.Event("ownership_claimed")
+			g.state.claims = append(g.state.claims, e.Targets...)
+			g.heartbeatNow(now, nil)
+			g.state.claims = nil
+		case ownership.Watch:
+			g.stepMembers(now, membership.Watch{Gates: e.Gates})
+		}
+	}
+	return answer
+}
+
+// ownershipTargets lists the targets of a catalogue with the zones that decide their owners.
+func ownershipTargets(current *catalogue.Catalogue) []ownership.Target {
+	var targets []ownership.Target
+	for i := range current.Pools {
+		for j := range current.Pools[i].Targets {
+			t := &current.Pools[i].Targets[j]
+			targets = append(targets, ownership.Target{Name: t.Name, Zone: t.Zone})
+		}
+	}
+	return targets
+}
+
+// publishPermissions gives admission and the last check before a write what this gate may admit.
+func (g *Gate) publishPermissions(permissions *ownership.Snapshot) {
+	g.permissions.Store(permissions)
+	snapshot := g.snapshot.Load()
+	if snapshot == nil {
+		return
+	}
+	g.admission.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
+		for name := range snapshot.Owned {
+			if t, ok := snapshot.Catalogue.Target(name); ok {
+				out = g.configureTarget(c, now, snapshot, t, out)
+			}
+		}
+		return out
+	})
+}
+
+// permission returns what this gate may admit to a target now.
+func (g *Gate) permission(target string) ownership.Permission {
+	permissions := g.permissions.Load()
+	if permissions == nil {
+		return ownership.Permission{}
+	}
+	return permissions.Permission(target)
+}
+
+// targetCap turns a permission into a cap of admission.
+func targetCap(p ownership.Permission) admission.Cap {
+	if p.Mode == ownership.None {
+		return admission.None(p.Reason)
+	}
+	return admission.Cap{Max: admission.Unlimited, Reduce: p.Limit, Reason: p.Reason}
+}
+
+// askHandover asks a former owner to stop admitting.
+func (g *Gate) askHandover(asked time.Duration, ask ownership.AskHandover) {
+	request := &pb.HandoverRequest{
+		Successor:   wire.Gate(g.self),
+		ViewVersion: g.state.members.View().Version,
+		Targets:     ask.Targets,
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(g.lifetime, handoverTimeout)
+		defer cancel()
+		reply, err := pb.NewDRPCControlClient(g.control.Conn(ctx, ask.To.Address)).Handover(ctx, request)
+		g.loop.Post(func(now time.Duration) {
+			if err != nil {
+				g.meters.ControlCall("handover", "failed")
+				g.stepOwners(now, ownership.HandoverFailed{To: ask.To, Targets: ask.Targets})
+				return
+			}
+			g.stepOwners(now, g.handoverFrom(now, asked, reply))
+		})
+	}()
+}
+
+// Handover answers a gate that takes targets over.
+func (s *controlServer) Handover(ctx context.Context, request *pb.HandoverRequest) (*pb.HandoverReply, error) {
+	g := s.gate
+	var reply *pb.HandoverReply
+	err := g.loop.Call(ctx, func(now time.Duration) {
+		successor := wire.GateFrom(request.Successor)
+		g.stepMembers(now, membership.Contact{From: successor})
+		reply = g.stepOwners(now, ownership.HandoverAsked{By: successor, Targets: request.Targets})
+	})
+	if reply == nil {
+		reply = &pb.HandoverReply{From: wire.Gate(g.self)}
+	}
+	return reply, err
+}
+
+// handoverReply adds the work in flight to the machine's answer. It is read after admission has stopped.
+func (g *Gate) handoverReply(now time.Duration, handovers []ownership.Handover) *pb.HandoverReply {
+	reply := &pb.HandoverReply{From: wire.Gate(g.self)}
+	for _, handover := range handovers {
+		target := &pb.TargetHandover{
+			Target:   handover.Target,
+			Stopped:  handover.Stopped,
+			Clean:    handover.Clean,
+			External: int32(handover.External),
+		}
+		for _, count := range g.admission.inFlight(handover.Target) {
+			target.InFlight = append(target.InFlight, &pb.CustomerInFlight{
+				Customer: count.Customer,
+				Count:    int32(count.Count),
+				EndsMs:   timeLeft(count.Deadline, now).Milliseconds(),
+			})
+		}
+		reply.Targets = append(reply.Targets, target)
+	}
+	return reply
+}
+
+// endless stands for requests without a deadline.
+const endless = 24 * time.Hour
+
+func timeLeft(deadline, now time.Duration) time.Duration {
+	if deadline == 0 {
+		return endless
+	}
+	return deadline - now
+}
+
+func (g *Gate) handoverFrom(now, asked time.Duration, reply *pb.HandoverReply) ownership.HandoverReply {
+	event := ownership.HandoverReply{From: wire.GateFrom(reply.From), Asked: asked}
+	for _, target := range reply.Targets {
+		handover := ownership.Handover{
+			Target:   target.Target,
+			Stopped:  target.Stopped,
+			Clean:    target.Clean,
+			External: int(target.External),
+		}
+		for _, count := range target.InFlight {
+			handover.InFlight = append(handover.InFlight, ownership.InFlight{
+				Customer: count.Customer,
+				Count:    int(count.Count),
+				Ends:     now + time.Duration(count.EndsMs)*time.Millisecond,
+			})
+		}
+		event.Handovers = append(event.Handovers, handover)
+	}
+	return event
+}
--- a/internal/gate/publish.go
+++ b/internal/gate/publish.go
@@ -18,8 +18,9 @@
 	}
 	view := g.state.members.View()
 	snapshot := &Snapshot{Catalogue: current, View: view, Owned: g.ownedTargets(current, view)}
-	g.configureAdmission(snapshot)
 	g.snapshot.Store(snapshot)
+	g.configureAdmission(snapshot)
+	g.stepOwners(now, ownership.ViewChanged{View: view, Targets: ownershipTargets(current)})
 	g.publishUpdates(now)
 }
 
@@ -60,7 +61,7 @@
 		return c.SetCap(now, t.Name, admission.None(reason.TargetLeaving), out)
 	}
 	c.SetTarget(t.Name, t.Zone, t.Pool().Name)
-	return c.SetCap(now, t.Name, admission.Full(), out)
+	return c.SetCap(now, t.Name, targetCap(g.permission(t.Name)), out)
 }
 
 // otherGates names every gate that may still be running.
@@ -109,6 +110,3 @@
 	}
 	return list
 }
-
-// roundConfirmed notes that every reachable peer answered a heartbeat that was sent at the time.
-func (g *Gate) roundConfirmed(_, _ time.Duration) {}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -175,8 +175,7 @@
 
 // mayWrite is the last check before the first byte to a target.
 func (g *Gate) mayWrite(t *catalogue.Target) bool {
-	snapshot := g.snapshot.Load()
-	return snapshot.Owned[t.Name]
+	return g.permission(t.Name).Valid(g.clock.Now())
 }
 
 // targetError turns an error of the target layer into a refusal.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -36,6 +36,8 @@
 	version uint64
 	made    time.Duration
 	payload P
+	// own says that this daemon is the origin.
+	own bool
 }
 
 // New returns an empty table whose records end after the lifetime.
@@ -45,7 +47,7 @@
 
 // Put stores a version that this daemon made now.
 func (t *Table[P]) Put(now time.Duration, key string, version uint64, payload P) {
-	t.records[key] = entry[P]{version: version, made: now, payload: payload}
+	t.records[key] = entry[P]{version: version, made: now, payload: payload, own: true}
 }
 
 // Merge stores the records that a peer sent and reports those that are new here.
@@ -65,12 +67,13 @@
 }
 
 // News returns the records that the peer is not known to have, and counts them as sent. Ages grow by the transit,
-// an upper bound of the time that the message takes to the peer.
-func (t *Table[P]) News(now time.Duration, peer string, transit time.Duration) []Record[P] {
+// an upper bound of the time that the message takes to the peer. Records of other origins wait until they are as old
+// as relayAfter: most peers have them from their origin by then, or a newer version.
+func (t *Table[P]) News(now time.Duration, peer string, transit, relayAfter time.Duration) []Record[P] {
 	known := t.known(peer)
 	var news []Record[P]
 	for key, e := range t.records {
-		if known[key] >= e.version {
+		if known[key] >= e.version || (!e.own && now-e.made < relayAfter) {
 			continue
 		}
 		known[key] = e.version
--- a/internal/replay/document.go
+++ b/internal/replay/document.go
@@ -53,7 +53,9 @@
 func (p *Pool) entry(addresses map[string]string) catalogue.Pool {
 	entry := catalogue.Pool{
 		Name: p.Name, Owner: owner, Kind: p.Kind, Class: catalogue.Standard,
-		LoadMultiple: p.LoadMultiple, ReuseWeight: p.ReuseWeight, SkewWeight: p.SkewWeight,
+		LoadMultiple: orDefault(p.LoadMultiple, catalogue.DefaultLoadMultiple), ReuseWeight: p.ReuseWeight,
+		SkewWeight: p.SkewWeight, ZoneWeight: catalogue.DefaultZoneWeight,
+		QueueWait:   catalogue.Duration(catalogue.DefaultQueueWait),
 		MaxInFlight: documentMaxInFlight, QueueLength: documentQueueLength,
 		Deadline:      catalogue.Duration(documentDeadline),
 		NonRepeatable: p.NonRepeatable, FateQuery: true,
@@ -70,6 +72,14 @@
 	return entry
 }
 
+// orDefault returns the default for a value that the trace leaves out.
+func orDefault(value, standard float64) float64 {
+	if value == 0 {
+		return standard
+	}
+	return value
+}
+
 func targetRole(kind catalogue.Kind) string {
 	if kind == catalogue.Model {
 		return "serve"
--- a/internal/replay/generate.go
+++ b/internal/replay/generate.go
@@ -36,7 +36,7 @@
 }
 
 // Deployments lists the names that Generate knows.
-func Deployments() []string { return []string{"hanamichi", "cordillera"} }
+func Deployments() []string { return []string{"hanamichi", "cordillera", "demo"} }
 
 // Generate returns the trace of a deployment; equal seeds give equal traces.
 func Generate(deployment string, seed uint64) (*Trace, error) {
@@ -46,6 +46,8 @@
 		p = hanamichi()
 	case "cordillera":
 		p = cordillera()
+	case "demo":
+		p = demo()
 	default:
 		return nil, trace.BadParameter("deployment %q is not one of %s", deployment, strings.Join(Deployments(), ", "))
 	}
--- a/internal/replay/profiles.go
+++ b/internal/replay/profiles.go
@@ -140,3 +140,35 @@
 		},
 	}
 }
+
+// demo is a small fleet of two zones that loses a gate on the way.
+func demo() profile {
+	zones := []string{"z1", "z2"}
+	lostGate := vmFault(8*time.Second, "gate-z11")
+	lostGate.ForMS = (4 * time.Second).Milliseconds()
+	return profile{
+		deployment: Deployment{
+			Name: "demo", TimeScale: 10, Zones: zones, ZoneDelayMS: 0, Customers: tenCustomers("nursery")[:3],
+			Pools: []Pool{
+				{
+					Name: "assistant", Kind: catalogue.Model, LoadMultiple: 1.5, ReuseWeight: 1, SkewWeight: 1,
+					Engine:  &Engine{Slots: 16, TokenMS: 10, BatchTokenMS: 0.2, PrefillMS: 0.5, CacheBlocks: 800, ReportIntervalMS: 200},
+					Targets: spreadTargets("model", 4, zones),
+				},
+				{
+					Name: "orders", Kind: catalogue.Service, RunTimeMS: 30,
+					NonRepeatable: []catalogue.Call{{Method: "POST", Path: "/orders"}},
+					Targets:       spreadTargets("orders", 2, zones),
+				},
+			},
+		},
+		duration: 20 * time.Second, chats: 60, rate: func(float64) float64 { return 1 },
+		meanTurns: 4, maxTurns: 8, promptWords: 12, outputWords: 40,
+		returns:    0.2,
+		shortPause: [2]time.Duration{time.Second, 2 * time.Second},
+		longPause:  [2]time.Duration{4 * time.Second, 8 * time.Second},
+		roaming:    0.3,
+		calls:      60, servicePool: "orders", callPath: "orders", queryPath: "stock", nonRepeated: 0.5,
+		faults: []Event{lostGate},
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -110,7 +110,7 @@
 
 // Defaults of the settings.
 const (
-	DefaultHeartbeat         = 500 * time.Millisecond
+	DefaultHeartbeat         = 600 * time.Millisecond
 	DefaultSuspicion         = 2 * time.Second
 	DefaultLease             = 1500 * time.Millisecond
 	DefaultListDisagreement  = 5 * time.Second
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -28,10 +28,18 @@
 	}
 }
 
-// Heartbeat puts the membership part of a heartbeat into a message.
-func Heartbeat(m membership.Message) *pb.HeartbeatMessage {
+// BriefGate names a gate process that the receiver has got in full before.
+func BriefGate(g membership.Gate) *pb.GateRef {
+	return &pb.GateRef{Name: g.Name, Incarnation: g.Incarnation}
+}
+
+// Resolver reads a gate that may be named briefly, and reports false when it is not known.
+type Resolver func(ref *pb.GateRef) (membership.Gate, bool)
+
+// Heartbeat puts the membership part of a heartbeat into a message; ref says how gates are named to the receiver.
+func Heartbeat(m membership.Message, ref func(membership.Gate) *pb.GateRef) *pb.HeartbeatMessage {
 	message := &pb.HeartbeatMessage{
-		Self:           Gate(m.From),
+		Self:           ref(m.From),
 		Draining:       m.Draining,
 		ViewVersion:    m.ViewVersion,
 		ViewDigest:     m.ViewDigest,
@@ -40,7 +48,7 @@
 	}
 	for _, news := range m.News {
 		message.News = append(message.News, &pb.PeerNews{
-			Gate:     Gate(news.Gate),
+			Gate:     ref(news.Gate),
 			AgeMs:    milliseconds(news.Age),
 			Draining: news.Draining,
 		})
@@ -48,10 +56,15 @@
 	return message
 }
 
-// HeartbeatFrom reads the membership part of a heartbeat.
-func HeartbeatFrom(m *pb.HeartbeatMessage) membership.Message {
+// HeartbeatFrom reads the membership part of a heartbeat. It reports false when the sender is named briefly and
+// not known; news of unknown gates is left out.
+func HeartbeatFrom(m *pb.HeartbeatMessage, resolve Resolver) (membership.Message, bool) {
+	from, ok := resolve(m.Self)
+	if !ok {
+		return membership.Message{}, false
+	}
 	message := membership.Message{
-		From:           GateFrom(m.Self),
+		From:           from,
 		Draining:       m.Draining,
 		ViewVersion:    m.ViewVersion,
 		ViewDigest:     m.ViewDigest,
@@ -59,13 +72,17 @@
 		LeavingTargets: m.LeavingTargets,
 	}
 	for _, news := range m.News {
+		gate, ok := resolve(news.Gate)
+		if !ok {
+			continue
+		}
 		message.News = append(message.News, membership.News{
-			Gate:     GateFrom(news.Gate),
+			Gate:     gate,
 			Age:      duration(news.AgeMs),
 			Draining: news.Draining,
 		})
 	}
-	return message
+	return message, true
 }
 
 // Loads converts load records; the keys are rebuilt by LoadsFrom.
@@ -177,6 +194,22 @@
 	return difference
 }
 
+// TargetState converts the state of a target. Live is empty, since nearly every target is.
+func TargetState(state membership.State) string {
+	if state == membership.Live {
+		return ""
+	}
+	return string(state)
+}
+
+// TargetStateFrom converts the state of a target.
+func TargetStateFrom(state string) membership.State {
+	if state == "" {
+		return membership.Live
+	}
+	return membership.State(state)
+}
+
 // milliseconds rounds up, since an age must not become younger on the way.
 func milliseconds(d time.Duration) int64 {
 	return int64((d + time.Millisecond - 1) / time.Millisecond)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -69,7 +69,9 @@
 	if err := f.write("fleet.key", []byte(key)); err != nil {
 		return err
 	}
-	f.catalogue = f.firstCatalogue()
+	if err := f.firstCatalogue(); err != nil {
+		return err
+	}
 	if err := f.startPlatform(); err != nil {
 		return err
 	}
@@ -137,7 +139,10 @@
 
 func (f *Fleet) path(name string) string { return filepath.Join(f.directory, name) }
 
-func (f *Fleet) firstCatalogue() catalogue.Catalogue {
+func (f *Fleet) firstCatalogue() error {
+	if f.spec.Document != nil {
+		return f.documentCatalogue()
+	}
 	model, service := f.spec.Model, f.spec.Service
 	for _, n := range f.order {
 		t := catalogue.Target{Name: n.name, Address: n.address, Zone: f.spec.Zones[n.zone], Region: f.spec.region(n.zone)}
@@ -148,7 +153,25 @@
 			service.Targets = append(service.Targets, t)
 		}
 	}
-	return catalogue.Catalogue{Revision: 1, Customers: f.spec.Customers, Pools: []catalogue.Pool{model, service}}
+	f.catalogue = catalogue.Catalogue{Revision: 1, Customers: f.spec.Customers, Pools: []catalogue.Pool{model, service}}
+	return nil
+}
+
+func (f *Fleet) documentCatalogue() error {
+	addresses := make(map[string]string)
+	for _, n := range f.order {
+		addresses[n.name] = n.address
+	}
+	document, err := f.spec.Document(addresses)
+	if err != nil {
+		return err
+	}
+	parsed, err := catalogue.Parse(document)
+	if err != nil {
+		return err
+	}
+	f.catalogue = *parsed
+	return nil
 }
 
 func (f *Fleet) startPlatform() error {
@@ -229,9 +252,9 @@
 	n := f.nodes[name]
 	switch n.role {
 	case roleEngine:
-		return f.run(name, "standin-engine", append([]string{"--listen", n.address, "--name", name}, f.spec.EngineFlags...)...)
+		return f.run(name, "standin-engine", f.targetFlags(n, f.spec.EngineFlags)...)
 	case roleService:
-		return f.run(name, "standin-service", append([]string{"--listen", n.address, "--name", name}, f.spec.ServiceFlags...)...)
+		return f.run(name, "standin-service", f.targetFlags(n, f.spec.ServiceFlags)...)
 	}
 	if err := f.write(name+".yaml", []byte(f.settings(n))); err != nil {
 		return err
@@ -239,6 +262,11 @@
 	return f.run(name, "amaranth-"+n.role, "--settings", f.path(name+".yaml"))
 }
 
+func (f *Fleet) targetFlags(n *node, flags []string) []string {
+	all := append([]string{"--listen", n.address, "--name", n.name}, flags...)
+	return append(all, n.flags...)
+}
+
 func (f *Fleet) settings(n *node) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "name: %s\nzone: %s\nregion: %s\n", n.name, f.spec.Zones[n.zone], f.spec.region(n.zone))
@@ -382,6 +410,21 @@
 	return names
 }
 
+// Has reports whether the fleet has a node with the name.
+func (f *Fleet) Has(name string) bool {
+	_, ok := f.nodes[name]
+	return ok
+}
+
+// Address returns the address of a node's own service.
+func (f *Fleet) Address(name string) string { return f.nodes[name].address }
+
+// AdminAddress returns the address of a daemon's admin endpoint.
+func (f *Fleet) AdminAddress(name string) string { return f.nodes[name].admin }
+
+// Platform returns the address of the platform's stand-in.
+func (f *Fleet) Platform() string { return f.platform }
+
 // URL returns the base URL of a node's own service.
 func (f *Fleet) URL(name string) string { return "http://" + f.nodes[name].address }
 
--- a/standin/fleet/spec.go
+++ b/standin/fleet/spec.go
@@ -8,11 +8,21 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 )
 
+// TargetSpec is one target of a fleet.
+type TargetSpec struct {
+	Name string
+	// Service says that the target is a plain service and not an engine.
+	Service bool
+	Zone    string
+	Flags   []string
+}
+
 // Names of the pools in the fleet's catalogue.
 const (
 	ModelPool   = "assistant"
@@ -39,6 +49,10 @@
 	// Model and Service are the templates of the pools.
 	Model   catalogue.Pool
 	Service catalogue.Pool
+	// Targets replaces Engines and Services by targets with names and flags of their own. Document then returns the
+	// catalogue of the targets' addresses.
+	Targets  []TargetSpec
+	Document func(addresses map[string]string) ([]byte, error)
 	// Timing lines are added to the settings, such as "suspicion: 2s".
 	Timing []string
 	// ThroughLinks puts a stand-in link before each gate, so that tests can cut and delay it.
@@ -126,6 +140,8 @@
 	address string
 	// admin is the address of metrics and health checks of a daemon.
 	admin string
+	// flags are passed to a target's stand-in after those of the fleet.
+	flags []string
 	// linked is the address that others use when the node is behind a link.
 	linked string
 }
@@ -157,6 +173,9 @@
 			nodes = append(nodes, &node{name: fmt.Sprintf("entry-%s%d", name, i+1), role: roleEntry, zone: zone})
 		}
 	}
+	if s.Targets != nil {
+		return append(nodes, s.targetNodes()...)
+	}
 	for i := range s.Engines {
 		nodes = append(nodes, &node{name: fmt.Sprintf("engine-%02d", i+1), role: roleEngine, zone: i % len(s.Zones)})
 	}
@@ -165,3 +184,15 @@
 	}
 	return nodes
 }
+
+func (s Spec) targetNodes() []*node {
+	var nodes []*node
+	for _, t := range s.Targets {
+		role := roleEngine
+		if t.Service {
+			role = roleService
+		}
+		nodes = append(nodes, &node{name: t.Name, role: role, zone: slices.Index(s.Zones, t.Zone), flags: t.Flags})
+	}
+	return nodes
+}
