Poll the load reports of owned targets

The owner polls /status every 500 ms with a jitter of 100 ms, and within one tick after it takes a target over. A report's time is the time at which it was asked for less its age, the earliest possible one. Own work in a report counts only requests that ran for the whole time in which the report can have been measured, so the load of others is exact or too high, never too low. Counting the requests in flight at one instant was ruled out: a request that has not reached the target yet would hide one of another gate.

Reports are in /status and in the gauges amaranth_target_load, amaranth_target_external_load and amaranth_target_report_age_ms.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,6 +10,7 @@
 	"crypto/tls"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
@@ -55,6 +56,10 @@
 	desk      *desk
 	runs      *runs
 	inFlight  inFlight
+	reports   *reports
+
+	// poller belongs to the control goroutine.
+	poller poller
 }
 
 // Snapshot is what traffic goroutines read of the control state. It is immutable.
@@ -101,6 +106,11 @@
 	}
 	g.desk = g.newDesk()
 	g.runs = newRuns()
+	g.reports = newReports()
+	g.poller = poller{due: make(map[string]time.Duration)}
+	if err := g.registerReportGauges(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	g.control = rpc.NewDialer(rpc.Control, g.tls, meters)
 	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters)
 	return g, nil
@@ -170,6 +180,7 @@
 	Admission   admission.Snapshot `json:"admission"`
 	InFlight    int                `json:"in_flight"`
 	OpenTickets int                `json:"open_tickets"`
+	Reports     []ReportStatus     `json:"reports"`
 }
 
 func (g *Gate) status() any {
@@ -181,6 +192,7 @@
 		Admission:   g.admission.snapshot(),
 		InFlight:    g.inFlight.count(),
 		OpenTickets: g.desk.openTickets(),
+		Reports:     g.reportStatuses(),
 	}
 	if snapshot := g.snapshot.Load(); snapshot != nil {
 		status.Revision = snapshot.Catalogue.Revision
--- /dev/null
+++ b/internal/gate/history.go
@@ -0,0 +1,53 @@
+package gate
+
+import "time"
+
+// historyLength is how far back a report can be matched with own work: the report lag of 2 s, one poll and a reserve.
+const historyLength = 5 * time.Second
+
+// history remembers when own requests began and ended at one target.
+type history struct {
+	running int
+	changes []change
+	// oldest is the count before the first change kept.
+	oldest int
+}
+
+type change struct {
+	at    time.Duration
+	delta int
+}
+
+func (h *history) add(now time.Duration, delta int) {
+	h.trim(now)
+	h.running += delta
+	h.changes = append(h.changes, change{now, delta})
+}
+
+// throughout returns how many requests ran during the whole period: those at its start less those that ended in it.
+// The figure is exact or too low, so that the load of others, which is the reported load without it, is never
+// taken for less than it is.
+func (h *history) throughout(from, to time.Duration) int {
+	count := h.oldest
+	for _, c := range h.changes {
+		if c.at <= from || (c.at <= to && c.delta < 0) {
+			count += c.delta
+		}
+	}
+	return max(count, 0)
+}
+
+// covers reports whether the history reaches back to a time.
+func (h *history) covers(now, at time.Duration) bool { return now-at <= historyLength }
+
+func (h *history) trim(now time.Duration) {
+	dropped := 0
+	for _, c := range h.changes {
+		if now-c.at <= historyLength {
+			break
+		}
+		h.oldest += c.delta
+		dropped++
+	}
+	h.changes = h.changes[dropped:]
+}
--- /dev/null
+++ b/internal/gate/poll.go
@@ -0,0 +1,79 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/target"
+)
+
+const (
+	pollInterval = 500 * time.Millisecond
+	// pollJitter spreads the polls of many gates and targets.
+	pollJitter = 100 * time.Millisecond
+	// pollTimeout is below the report lag, so that an answer that is used is not older than the lag allows.
+	pollTimeout = time.Second
+)
+
+// poller remembers when to ask each owned target for its report. It is owned by the control goroutine.
+type poller struct {
+	due map[string]time.Duration
+}
+
+// pollTargets asks the owned targets that are due. A target that is new here is due at once.
+func (g *Gate) pollTargets(now time.Duration) {
+	snapshot := g.snapshot.Load()
+	if snapshot == nil {
+		return
+	}
+	for name := range g.poller.due {
+		if !snapshot.Owned[name] {
+			delete(g.poller.due, name)
+			g.reports.forget(name)
+		}
+	}
+	for name, owned := range snapshot.Owned {
+		t, ok := snapshot.Catalogue.Target(name)
+		if !owned || !ok || now < g.poller.due[name] {
+			continue
+		}
+		g.poller.due[name] = now + pollTimeout
+		go g.poll(t)
+	}
+}
+
+// poll asks one target and sets the time of the next poll.
+func (g *Gate) poll(t *catalogue.Target) {
+	ctx, cancel := context.WithTimeout(g.lifetime, pollTimeout)
+	defer cancel()
+	if _, err := g.askStatus(ctx, t); err != nil {
+		g.meters.ControlCall("status", "failed")
+	}
+	jitter := time.Duration(rand.Int64N(int64(2*pollJitter))) - pollJitter
+	g.loop.Post(func(now time.Duration) {
+		if _, ok := g.poller.due[t.Name]; ok {
+			g.poller.due[t.Name] = now + pollInterval + jitter
+		}
+	})
+}
+
+// askStatus reads a target's report and passes it on.
+func (g *Gate) askStatus(ctx context.Context, t *catalogue.Target) (target.Status, error) {
+	sent := g.clock.Now()
+	status, err := g.targets.Status(ctx, t.Address)
+	switch {
+	case err == nil:
+		g.reports.answered(t.Name, status, sent, g.clock.Now())
+	case connectionRefused(err):
+		g.reports.refused(t.Name)
+	}
+	return status, err
+}
+
+// connectionRefused reports whether no process listens at the target's address. Other failures to connect may be
+// those of the link.
+func connectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -114,7 +114,9 @@
 	if err != nil {
 		return err
 	}
+	c.gate.reports.began(c.gate.clock.Now(), t.Name)
 	err = c.forward(ctx, t)
+	c.gate.reports.ended(c.gate.clock.Now(), t.Name)
 	c.gate.admission.release(id, err == nil)
 	return err
 }
--- /dev/null
+++ b/internal/telemetry/gauge.go
@@ -0,0 +1,21 @@
+package telemetry
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// GaugeBy registers a gauge with one value for each label value, read when the metrics are scraped.
+func (m *Meters) GaugeBy(name, help, label string, read func() map[string]int64) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(help),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			for value, figure := range read() {
+				observer.Observe(figure, metric.WithAttributes(attribute.String(label, value)))
+			}
+			return nil
+		}))
+	return trace.Wrap(err)
+}
