Charge requests with the crashes of their targets and stop them after two

A request that crashes its target was retried at the next one, and its caller could send it again without limit.

Evidence of a crash is the request's own broken connection with a refused reconnect, or a new incarnation in the target's report. A refused connection alone was ruled out, since a target that stops gracefully refuses them too. A target that gives no answer is not evidence either, else each cut link would make suspects; its requests are charged if it reports a new incarnation later.

The charge goes back with the refusal, and the entry sends it along with the retry. Gates send and relay charges at once instead of with the next regular heartbeat. The entry holds the failure of a charged request back for 1 s, so that the caller's next try is recognized everywhere.

Suspects wait at the gate for a target without another suspect. A target that refuses connections is told to entries as down, and an entry avoids a target for 1 s after it found it unreachable, because the retry budget was spent on dead targets.

Two refusals said "not run" of requests that had been sent to a target: when a resume found the target gone, and when a retry was refused after a try that may have run. Both now say unknown.

--- a/internal/crashguard/gossip.go
+++ b/internal/crashguard/gossip.go
@@ -51,3 +51,15 @@
 		g.merge(now, n.Digest, charge{crash: n.Crash, expires: expires, cleared: n.Cleared})
 	}
 }
+
+// Charges returns the charges of one digest, for messages about its request.
+func (g *Guard) Charges(now time.Duration, digest Digest) []Charge {
+	var charges []Charge
+	for _, c := range g.charges[digest] {
+		if now < c.expires {
+			charges = append(charges, Charge{digest, c.crash, c.expires - now, c.cleared})
+		}
+	}
+	slices.SortFunc(charges, compareNews)
+	return charges
+}
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -22,6 +22,9 @@
 	// tombstoneLifetime is how long an expired charge is remembered after that, so that a delayed relay of it
 	// does not bring it back.
 	tombstoneLifetime = time.Minute
+	// SpreadTime is how long news of a crash may take to reach all gates that are connected: a few hops of heartbeats
+	// sent at once, with a lost packet or one regular heartbeat interval in between.
+	SpreadTime = time.Second
 	// MaxDigests bounds the digests that are charged with a crash.
 	MaxDigests = 4096
 	// maxCharges bounds the charges of one digest; two refuse it already.
@@ -197,3 +200,16 @@
 		delete(g.charges, r.digest)
 	}
 }
+
+// Count returns how many digests are suspects and how many are refused.
+func (g *Guard) Count(now time.Duration) (suspects, refused int) {
+	for digest := range g.charges {
+		switch g.Verdict(now, digest) {
+		case Suspect:
+			suspects++
+		case Refused:
+			refused++
+		}
+	}
+	return suspects, refused
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -78,6 +78,7 @@
 		a.events, a.checksum = body.End.Count, body.End.Checksum
 		return true, nil
 	case *pb.ServeEvent_Refusal:
+		a.entry.learnCharges(a.request, body.Refusal.Charges)
 		return false, refusalOf(body.Refusal)
 	}
 	return false, &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: "the gate sent an unknown event"}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -45,6 +45,8 @@
 	load  int32
 	state membership.State
 	at    time.Duration
+	// avoidUntil is set when a try found the target unreachable.
+	avoidUntil time.Duration
 }
 
 func newControlState(name, zone string) controlState {
@@ -60,7 +62,10 @@
 func (e *Entry) startControl(ctx context.Context) {
 	e.lifetime = ctx
 	go e.loop.Run(ctx, control.Handlers{
-		Tick:     func(now time.Duration) { e.stepConfig(now, configsync.Tick{}) },
+		Tick: func(now time.Duration) {
+			e.stepConfig(now, configsync.Tick{})
+			e.suspects.tick(now)
+		},
 		Gap:      func(_, gap time.Duration) { e.log.WithField("gap", gap).Warn("the process was paused") },
 		Interval: tickInterval,
 		GapLimit: gapLimit,
@@ -168,7 +173,7 @@
 			Target:   t,
 			Hash:     t.Hash(),
 			Distance: e.distance(t),
-			Open:     known.state == membership.Live,
+			Open:     known.state == membership.Live && known.avoidUntil <= now,
 			InFlight: e.inFlightOf(t.Name),
 		}
 		if now-known.at < loadDecay {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 	traffic  *rpc.Dialer
 	sealer   *placement.Codec
 	retries  *retries
+	suspects *suspects
 	codec    *ticket.Codec
 	heirs    *heirs
 
@@ -92,6 +93,7 @@
 		traffic:  rpc.NewDialer(rpc.Traffic, tlsConfig, meters),
 		sealer:   placement.NewCodec(s.FleetKeys),
 		retries:  newRetries(clock),
+		suspects: newSuspects(clock),
 		codec:    codec,
 		heirs:    newHeirs(),
 		state:    newControlState(s.Name, s.Zone),
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -142,7 +142,12 @@
 		e.stepConfig(now, configsync.ViewChanged{View: e.state.view})
 	}
 	for _, load := range update.Targets {
-		e.state.loads[load.Target] = reportedLoad{load: load.Load, state: membership.State(load.State), at: now}
+		e.state.loads[load.Target] = reportedLoad{
+			load:       load.Load,
+			state:      membership.State(load.State),
+			at:         now,
+			avoidUntil: e.state.loads[load.Target].avoidUntil,
+		}
 	}
 	e.acceptNotices(now, update.Notices)
 	version := catalogue.Version{Revision: update.ConfigRevision, Digest: update.ConfigDigest}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -40,6 +40,8 @@
 	// elsewhere says that another gate may know more of a ticket: heir if it is set, else the witness.
 	elsewhere bool
 	heir      ticket.Gate
+	// crashed says that the target of the try crashed.
+	crashed bool
 }
 
 func (r *Refusal) Error() string { return string(r.Reason) + ": " + r.Message }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
@@ -38,6 +39,14 @@
 	repeatable  bool
 	// resumeFrom is the first event that the caller lacks.
 	resumeFrom int64
+	// digest identifies the request to the crash guard; charges are the crashes that it is known to be charged with.
+	digest  crashguard.Digest
+	charges []crashguard.Charge
+	// charged says that a try was charged with a crash, last at chargedAt.
+	charged   bool
+	chargedAt time.Duration
+	// mayHaveRun says that some try may have run.
+	mayHaveRun bool
 	// redirected says that a gate has pointed the request to the targets in next.
 	redirected bool
 	next       []string
@@ -55,6 +64,7 @@
 	ctx, cancel := context.WithDeadline(c.Request().Context(), request.deadline)
 	defer cancel()
 	e.retries.request()
+	request.digest = crashguard.DigestOf(request.customer.Name, request.path, request.body)
 	answer := newAnswer(e, c, request)
 	var tried routing.Tried
 	for attempt := 1; ; attempt++ {
@@ -65,16 +75,17 @@
 		if err == nil {
 			return answer.finish()
 		}
-		var refusal *Refusal
-		if !errors.As(err, &refusal) {
+		refusal, ok := refusalIn(err)
+		if !ok {
 			return err
 		}
+		refusal = request.noteRan(refusal)
 		if request.redirect(refusal) {
 			e.meters.Event("redirected_over_limit")
 			continue
 		}
 		if !e.mayRetry(ctx, request, answer, refusal, attempt) {
-			return answer.fail(refusal)
+			return e.fail(c.Request().Context(), request, answer, refusal)
 		}
 	}
 }
@@ -125,7 +136,10 @@
 	if !ok {
 		return refuse(reason.UnknownPool, "the catalogue no longer has pool %s", request.pool.Name)
 	}
-	position, room, ok := choose(request, routes, tried)
+	if err := e.checkSuspect(request); err != nil {
+		return err
+	}
+	position, room, ok := e.pick(routes, request, tried)
 	if !ok {
 		return &Refusal{Reason: reason.NoTarget, Ran: reason.No, Message: "no target of " + request.pool.Name + " is open", RetryAfter: time.Second}
 	}
@@ -137,13 +151,24 @@
 	}
 	candidate.InFlight.Add(1)
 	defer candidate.InFlight.Add(-1)
+	e.suspects.started(request.digest, candidate.Target.Name)
+	defer e.suspects.ended(request.digest, candidate.Target.Name)
 	call := e.serveRequest(ctx, request, candidate.Target.Name)
 	if room && !request.redirected {
 		call.Candidates = candidates(routes, tried)
 	}
+	err := e.callOwner(ctx, owner, call, answer)
+	if refusal, ok := refusalIn(err); ok {
+		e.avoidAfter(candidate.Target.Name, refusal)
+	}
+	return err
+}
+
+// callOwner calls the owner of a target, and the gate that this one names as the owner instead.
+func (e *Entry) callOwner(ctx context.Context, owner membership.Gate, call *pb.ServeRequest, answer *answer) error {
 	err := e.callGate(ctx, owner, call, answer)
-	var refusal *Refusal
-	if errors.As(err, &refusal) && refusal.owner.Name != "" && refusal.owner.Name != owner.Name {
+	refusal, ok := refusalIn(err)
+	if ok && refusal.owner.Name != "" && refusal.owner.Name != owner.Name {
 		e.meters.Event("redirected")
 		return e.callGate(ctx, refusal.owner, call, answer)
 	}
@@ -195,6 +220,9 @@
 		Stream:      request.stream,
 		Chat:        request.chat,
 		Entry:       e.settings.Name,
+		Digest:      uint64(request.digest),
+		Suspect:     len(request.charges) > 0,
+		Charges:     wire.Charges(request.charges),
 	}
 }
 
@@ -249,6 +277,7 @@
 		next:       r.Next,
 		owner:      wire.GateFrom(r.Owner),
 		elsewhere:  r.Elsewhere,
+		crashed:    reason.Reason(r.Reason) == reason.TargetFailed && len(r.Charges) > 0,
 		heir:       wire.TicketGateFrom(r.Heir),
 	}
 }
--- /dev/null
+++ b/internal/entry/suspects.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/routing"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+// suspects guards what the entry knows of requests that crashed targets, and where its own requests run.
+type suspects struct {
+	clock control.Clock
+	mu    sync.Mutex
+	guard *crashguard.Guard
+}
+
+func newSuspects(clock control.Clock) *suspects {
+	return &suspects{clock: clock, guard: crashguard.New()}
+}
+
+func (s *suspects) merge(charges []crashguard.Charge) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.guard.Merge(s.clock.Now(), charges)
+}
+
+func (s *suspects) verdict(digest crashguard.Digest) (crashguard.Verdict, []crashguard.Charge) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	verdict := s.guard.Verdict(now, digest)
+	if verdict == crashguard.Clean {
+		return verdict, nil
+	}
+	return verdict, s.guard.Charges(now, digest)
+}
+
+func (s *suspects) started(digest crashguard.Digest, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.guard.Started(digest, target)
+}
+
+func (s *suspects) ended(digest crashguard.Digest, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.guard.Ended(digest, target)
+}
+
+func (s *suspects) mayRun(digest crashguard.Digest, target string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.guard.MayRun(s.clock.Now(), digest, target)
+}
+
+func (s *suspects) tick(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.guard.Tick(now)
+}
+
+// learnCharges takes over the charges in a gate's refusal.
+func (e *Entry) learnCharges(request *request, charges []*pb.Charge) {
+	if len(charges) == 0 {
+		return
+	}
+	e.meters.Event("crash_charge_learned")
+	e.suspects.merge(wire.ChargesFrom(charges))
+	request.chargedAt = e.clock.Now()
+	request.charged = true
+}
+
+// checkSuspect refuses a request that has crashed two targets, and notes whether it is suspected of one crash.
+func (e *Entry) checkSuspect(request *request) error {
+	verdict, charges := e.suspects.verdict(request.digest)
+	request.charges = charges
+	if verdict != crashguard.Refused {
+		return nil
+	}
+	e.meters.Event("crash_suspect_refused")
+	return refuse(reason.CrashSuspect, "the request has crashed two targets")
+}
+
+// pick chooses the target of a try. It reports whether the target has room, and whether there is one at all.
+func (e *Entry) pick(routes *routing.Pool, request *request, tried *routing.Tried) (position int, room, ok bool) {
+	if len(request.charges) > 0 {
+		return e.pickForSuspect(routes, request, tried)
+	}
+	return choose(request, routes, tried)
+}
+
+// pickForSuspect prefers targets without another suspect of this entry. A suspect that has tried every target starts
+// over, since the other suspects come to an end.
+func (e *Entry) pickForSuspect(routes *routing.Pool, request *request, tried *routing.Tried) (position int, room, ok bool) {
+	avoid := *tried
+	for i := range routes.Candidates {
+		if !e.suspects.mayRun(request.digest, routes.Candidates[i].Target.Name) {
+			avoid.Add(i)
+		}
+	}
+	if position, room, ok = choose(request, routes, &avoid); ok {
+		return position, room, ok
+	}
+	if position, room, ok = choose(request, routes, tried); ok {
+		return position, room, ok
+	}
+	*tried = routing.Tried{}
+	return choose(request, routes, tried)
+}
+
+// holdFailure delays the last word on a request that has just been charged with a crash until the gates know the
+// charge. Its caller may send it again at once through any entry, and another gate would not know it as a suspect.
+func (e *Entry) holdFailure(ctx context.Context, request *request) {
+	if !request.charged {
+		return
+	}
+	e.meters.Event("crash_failure_held")
+	sleep(ctx, request.chargedAt+crashguard.SpreadTime-e.clock.Now())
+}
+
+// noteRan corrects the refusal of a request of which an earlier try may have run.
+func (r *request) noteRan(refusal *Refusal) *Refusal {
+	if refusal.Ran == reason.Unknown {
+		r.mayHaveRun = true
+	}
+	if r.mayHaveRun && refusal.Ran == reason.No {
+		corrected := *refusal
+		corrected.Ran = reason.Unknown
+		return &corrected
+	}
+	return refusal
+}
+
+// fail ends a request whose last try was refused.
+func (e *Entry) fail(ctx context.Context, request *request, answer *answer, refusal *Refusal) error {
+	e.holdFailure(ctx, request)
+	return answer.fail(request.noteRan(refusal))
+}
+
+// refusalIn returns the refusal that an error carries.
+func refusalIn(err error) (*Refusal, bool) {
+	var refusal *Refusal
+	ok := errors.As(err, &refusal)
+	return refusal, ok
+}
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
@@ -55,6 +56,7 @@
 
 // acceptNotices takes over facts that gates spread.
 func (e *Entry) acceptNotices(now time.Duration, notices []*pb.Notice) {
+	e.suspects.merge(wire.ChargesOf(notices))
 	for _, record := range wire.NoticesFrom(notices) {
 		if note := record.Payload.Note; note != nil {
 			e.heirs.add(now, atmostonce.Note{
@@ -82,6 +84,10 @@
 	if err != nil {
 		return err
 	}
+	request.digest = crashguard.DigestOf(request.customer.Name, request.path, request.body)
+	if err := e.checkSuspect(request); err != nil {
+		return err
+	}
 	answer := newAnswer(e, c, request)
 	if err := e.runTicket(ctx, request, t, encoded, answer); err != nil {
 		return err
--- /dev/null
+++ b/internal/gate/charges.go
@@ -0,0 +1,110 @@
+package gate
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
+	"github.com/amaranthlb/amaranthlb/internal/gossip"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+const (
+	// spreadInterval is the shortest time between two rounds of heartbeats that carry charges, so that the many
+	// requests of one crash go out together.
+	spreadInterval = 20 * time.Millisecond
+	// Versions of a charge's notice.
+	chargeVersion  = 1
+	clearedVersion = 2
+)
+
+// spreading says when charges were last sent to the peers. It is owned by the control goroutine.
+type spreading struct {
+	last time.Duration
+	due  bool
+}
+
+// acceptCharges takes over charges that other gates spread, and relays them at once: a caller may send a request that
+// crashed a target again within milliseconds.
+func (g *Gate) acceptCharges(now time.Duration, records []gossip.Record[*pb.Notice]) {
+	notices := make([]*pb.Notice, len(records))
+	for i, record := range records {
+		notices[i] = record.Payload
+	}
+	charges := wire.ChargesOf(notices)
+	if len(charges) == 0 {
+		return
+	}
+	g.meters.Event("crash_charges_received")
+	g.crashes.merge(charges)
+	g.spread(now)
+}
+
+// targetSeen takes over the incarnation of a target's report.
+func (g *Gate) targetSeen(name string, incarnation uint64, sent time.Duration) {
+	restarted, charges := g.crashes.seen(name, incarnation, sent)
+	if restarted {
+		g.meters.Event("target_restarted")
+		g.log.WithField("target", name).WithField("incarnation", incarnation).Warn("target has restarted")
+	}
+	g.charged(charges)
+}
+
+// charged counts new charges and spreads them.
+func (g *Gate) charged(charges []crashguard.Charge) {
+	for _, charge := range charges {
+		g.meters.Event("crash_charged")
+		g.log.WithField("target", charge.Crash.Target).WithField("digest", fmt.Sprintf("%016x", uint64(charge.Digest))).
+			Warn("request was running when the target crashed")
+	}
+	g.spreadCharges(charges)
+}
+
+// completed ends the record of a run that came to its end, which clears its request of suspicion.
+func (g *Gate) completed(r *trackedRun) {
+	cleared := g.crashes.complete(r)
+	for range cleared {
+		g.meters.Event("crash_cleared")
+	}
+	g.spreadCharges(cleared)
+}
+
+// spreadCharges puts charges into the gossip.
+func (g *Gate) spreadCharges(charges []crashguard.Charge) {
+	if len(charges) == 0 {
+		return
+	}
+	g.loop.Post(func(now time.Duration) {
+		for i, charge := range wire.Charges(charges) {
+			version := uint64(chargeVersion)
+			if charge.Cleared {
+				version = clearedVersion
+			}
+			g.state.notices.Put(now, chargeKey(charges[i]), version, &pb.Notice{Charge: charge})
+		}
+		g.spread(now)
+	})
+}
+
+func chargeKey(charge crashguard.Charge) string {
+	return fmt.Sprintf("crash/%016x/%s/%016x", uint64(charge.Digest), charge.Crash.Target, charge.Crash.Incarnation)
+}
+
+// spread sends heartbeats to all peers now, or soon when it has just done so.
+func (g *Gate) spread(now time.Duration) {
+	if now-g.spreading.last < spreadInterval {
+		g.spreading.due = true
+		return
+	}
+	g.spreading = spreading{last: now}
+	g.heartbeatNow(now, nil)
+}
+
+// tickCrashes lets time pass in the crash guard and sends the charges that wait.
+func (g *Gate) tickCrashes(now time.Duration) {
+	g.crashes.tick()
+	if g.spreading.due {
+		g.spread(now)
+	}
+}
--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -87,6 +87,7 @@
 		g.state.deskTicked = now
 		g.desk.tick()
 	}
+	g.tickCrashes(now)
 	g.pollTargets(now)
 	g.publishUpdates(now)
 }
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
@@ -97,6 +98,8 @@
 	id      ticket.ID
 	attempt int
 	request *pb.ServeRequest
+	// tracked is the run as the crash guard knows it.
+	tracked *trackedRun
 }
 
 func (r *onceRun) run(ctx context.Context) {
@@ -105,6 +108,10 @@
 		r.notStarted(why, false)
 		return
 	}
+	if verdict, _ := r.gate.crashes.verdict(crashguard.Digest(r.request.Digest)); verdict == crashguard.Refused {
+		r.notStarted(reason.CrashSuspect, false)
+		return
+	}
 	id, err := r.gate.admission.acquire(ctx, &admission.Request{
 		Target:   t.Name,
 		Customer: r.request.Customer,
@@ -115,7 +122,7 @@
 		r.notStarted(reasonOf(err), false)
 		return
 	}
-	completed := r.send(ctx, t)
+	completed := r.sendGuarded(ctx, t)
 	r.gate.admission.release(id, completed)
 }
 
@@ -168,6 +175,7 @@
 	}
 	result, whole := r.read(response, err)
 	if !whole {
+		r.examine(t)
 		result = r.gate.fateOf(ctx, t, r.id, result)
 	}
 	r.gate.desk.feed(atmostonce.Finish{ID: r.id, Result: result})
--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/wire"
@@ -15,6 +16,9 @@
 // followRefresh is the longest time between two updates, by which an entry knows that its gate is alive.
 const followRefresh = time.Second
 
+// stateDown is the state of a live target that refuses connections. Entries send it no work.
+const stateDown = "down"
+
 // subscriber is one entry that follows this gate. It is owned by the control goroutine, except for the channel.
 type subscriber struct {
 	updates chan *pb.FollowUpdate
@@ -139,12 +143,18 @@
 		for _, load := range record.Payload.Targets {
 			if known, ok := loads[load.Target]; ok {
 				known.Load = max(known.Load, load.Load)
+				if load.State == stateDown && record.Age < admission.StaleAfter {
+					known.State = stateDown
+				}
 			}
 		}
 	}
 	for _, t := range g.admission.snapshot().Targets {
 		if known, ok := loads[t.Target]; ok && !t.Lost {
 			known.Load = int32(t.InFlight + t.Waiting)
+			if g.reports.down(t.Target) {
+				known.State = stateDown
+			}
 		}
 	}
 	return loads
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -57,9 +57,11 @@
 	runs      *runs
 	inFlight  inFlight
 	reports   *reports
+	crashes   *crashes
 
-	// poller belongs to the control goroutine.
-	poller poller
+	// poller and spreading belong to the control goroutine.
+	poller    poller
+	spreading spreading
 }
 
 // Snapshot is what traffic goroutines read of the control state. It is immutable.
@@ -107,6 +109,7 @@
 	g.desk = g.newDesk()
 	g.runs = newRuns()
 	g.reports = newReports()
+	g.crashes = newCrashes(g.clock.Now)
 	g.poller = poller{due: make(map[string]time.Duration)}
 	if err := g.registerReportGauges(); err != nil {
 		return nil, trace.Wrap(err)
@@ -181,6 +184,9 @@
 	InFlight    int                `json:"in_flight"`
 	OpenTickets int                `json:"open_tickets"`
 	Reports     []ReportStatus     `json:"reports"`
+	// CrashSuspects and CrashRefused count the requests that are charged with one crash and with two.
+	CrashSuspects int `json:"crash_suspects"`
+	CrashRefused  int `json:"crash_refused"`
 }
 
 func (g *Gate) status() any {
@@ -194,6 +200,7 @@
 		OpenTickets: g.desk.openTickets(),
 		Reports:     g.reportStatuses(),
 	}
+	status.CrashSuspects, status.CrashRefused = g.crashes.suspects()
 	if snapshot := g.snapshot.Load(); snapshot != nil {
 		status.Revision = snapshot.Catalogue.Revision
 		status.View = snapshot.View
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -33,7 +33,11 @@
 	g.admission.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
 		for _, t := range c.Snapshot(now).Targets {
 			if !t.Lost || t.InFlight > t.TakenOver {
-				record.Targets = append(record.Targets, &pb.TargetLoad{Target: t.Target, Load: int32(t.InFlight)})
+				load := &pb.TargetLoad{Target: t.Target, Load: int32(t.InFlight)}
+				if g.reports.down(t.Target) {
+					load.State = stateDown
+				}
+				record.Targets = append(record.Targets, load)
 			}
 		}
 		for _, use := range c.Uses() {
--- a/internal/gate/notices.go
+++ b/internal/gate/notices.go
@@ -24,6 +24,7 @@
 			g.desk.addNote(noteFrom(record))
 		}
 	}
+	g.acceptCharges(now, records)
 }
 
 func noteFrom(record gossip.Record[*pb.Notice]) atmostonce.Note {
--- /dev/null
+++ b/internal/gate/once_guard.go
@@ -0,0 +1,37 @@
+package gate
+
+import (
+	"context"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+)
+
+// sendGuarded runs a ticketed request under the crash guard.
+func (r *onceRun) sendGuarded(ctx context.Context, t *catalogue.Target) bool {
+	g := r.gate
+	tracked, ok := g.crashes.start(crashguard.Digest(r.request.Digest), t.Name)
+	if !ok {
+		r.notStarted(reason.OverLimit, false)
+		return false
+	}
+	r.tracked = tracked
+	g.reports.began(g.clock.Now(), t.Name)
+	completed := r.send(ctx, t)
+	g.reports.ended(g.clock.Now(), t.Name)
+	if completed {
+		g.completed(tracked)
+		return true
+	}
+	g.crashes.endUnlessKept(tracked)
+	return false
+}
+
+// examine finds out whether the target crashed before the outcome goes to the caller, and then lets the charge spread:
+// the caller may send the request again, with another ticket, through any entry.
+func (r *onceRun) examine(t *catalogue.Target) {
+	if charges := r.gate.examine(t, r.tracked); len(charges) > 0 {
+		sleep(r.gate.lifetime, crashguard.SpreadTime)
+	}
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
@@ -44,6 +45,7 @@
 	// elsewhere says that another gate may know more of a ticket: heir if it is set, else the witness.
 	elsewhere bool
 	heir      ticket.Gate
+	charges   []crashguard.Charge
 }
 
 func (r *refusal) Error() string { return string(r.reason) + ": " + r.detail }
@@ -96,7 +98,7 @@
 		return refuse(reason.NoTarget, reason.No, "the catalogue has no target "+c.request.Target)
 	}
 	if c.request.Resume {
-		return c.resume(ctx, t, c.request.ResumeFrom)
+		return c.resumeGuarded(ctx, t, func() error { return c.resume(ctx, t, c.request.ResumeFrom) })
 	}
 	if c.gate.draining.Load() {
 		return c.redirect(snapshot, t, reason.Draining, "the gate is stopping")
@@ -104,6 +106,9 @@
 	if !snapshot.Owned[t.Name] {
 		return c.redirect(snapshot, t, reason.NotOwner, "the gate does not own "+t.Name)
 	}
+	if err := c.checkSuspect(ctx, snapshot, t); err != nil {
+		return err
+	}
 	id, err := c.gate.admission.acquire(ctx, &admission.Request{
 		Target:     t.Name,
 		Customer:   c.request.Customer,
@@ -114,9 +119,7 @@
 	if err != nil {
 		return err
 	}
-	c.gate.reports.began(c.gate.clock.Now(), t.Name)
-	err = c.forward(ctx, t)
-	c.gate.reports.ended(c.gate.clock.Now(), t.Name)
+	err = c.runGuarded(ctx, t, func() error { return c.forward(ctx, t) })
 	c.gate.admission.release(id, err == nil)
 	return err
 }
@@ -235,7 +238,7 @@
 		}
 		again, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, writer.Next())
 		if err != nil {
-			return c.targetError(ctx, err)
+			return ranAlready(c.targetError(ctx, err))
 		}
 		if !strings.HasPrefix(again.ContentType, eventStream) {
 			_ = again.Body.Close()
@@ -320,6 +323,7 @@
 		Owner:        owner(r.owner),
 		Elsewhere:    r.elsewhere,
 		Heir:         wire.TicketGate(r.heir),
+		Charges:      wire.Charges(r.charges),
 	}}})
 }
 
--- /dev/null
+++ b/internal/wire/charge.go
@@ -0,0 +1,50 @@
+package wire
+
+import (
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+)
+
+// Charges converts charges of crashes.
+func Charges(charges []crashguard.Charge) []*pb.Charge {
+	converted := make([]*pb.Charge, len(charges))
+	for i, c := range charges {
+		converted[i] = &pb.Charge{
+			Digest:      uint64(c.Digest),
+			Target:      c.Crash.Target,
+			Incarnation: c.Crash.Incarnation,
+			RemainingMs: c.Remaining.Milliseconds(),
+			Cleared:     c.Cleared,
+		}
+	}
+	return converted
+}
+
+// ChargesFrom converts charges of crashes.
+func ChargesFrom(charges []*pb.Charge) []crashguard.Charge {
+	converted := make([]crashguard.Charge, 0, len(charges))
+	for _, c := range charges {
+		converted = append(converted, crashguard.Charge{
+			Digest:    crashguard.Digest(c.GetDigest()),
+			Crash:     crashguard.Crash{Target: c.GetTarget(), Incarnation: c.GetIncarnation()},
+			Remaining: duration(c.GetRemainingMs()),
+			Cleared:   c.GetCleared(),
+		})
+	}
+	return converted
+}
+
+// ChargesOf returns the charges among notices. A charge's remaining time is that of the notice's origin, so the
+// notice's age is taken off.
+func ChargesOf(notices []*pb.Notice) []crashguard.Charge {
+	var charges []crashguard.Charge
+	for _, notice := range notices {
+		if notice.Charge == nil {
+			continue
+		}
+		charge := ChargesFrom([]*pb.Charge{notice.Charge})[0]
+		charge.Remaining -= duration(notice.AgeMs)
+		charges = append(charges, charge)
+	}
+	return charges
+}
--- a/standin/backend/faults.go
+++ b/standin/backend/faults.go
@@ -21,6 +21,8 @@
 	SwapEvents bool `json:"swap_events"`
 	// CrashOn crashes the stand-in that runs a request whose body has this substring.
 	CrashOn string `json:"crash_on"`
+	// CrashAfterMS lets an engine work on the request for that long before it crashes.
+	CrashAfterMS int `json:"crash_after_ms"`
 	// Freeze stops all progress but keeps connections open.
 	Freeze bool `json:"freeze"`
 	// RefuseStatus answers each request with this status without running it.
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -56,8 +56,8 @@
 	s := newStream(run.RequestID, completion, backend.Priority(request), run)
 	e.records.Begin(s.id)
 	e.runs.Begin(run)
-	if e.faults.Faults().Crashes(body) {
-		e.crash()
+	if faults := e.faults.Faults(); faults.Crashes(body) {
+		e.crashBy(faults)
 	}
 	e.submit(s)
 	return s
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -170,6 +170,15 @@
 	}
 	e.reset()
 	go func() { _ = e.Restart() }()
+}
+
+// crashBy crashes the engine at the start of a request or, as the faults say, while it works on it.
+func (e *Server) crashBy(faults backend.Faults) {
+	if faults.CrashAfterMS > 0 {
+		time.AfterFunc(time.Duration(faults.CrashAfterMS)*time.Millisecond, e.crash)
+		return
+	}
+	e.crash()
 	panic(http.ErrAbortHandler)
 }
 
--- a/test/e2e/main_test.go
+++ b/test/e2e/main_test.go
@@ -139,3 +139,19 @@
 	}
 	return text.String(), done
 }
+
+// isStream reports whether a request asked for a stream.
+func isStream(r checked) bool { return bytes.Contains(r.body, []byte(`"stream":true`)) }
+
+// failure returns the reason of an error reply or of a stream's error event.
+func failure(r reply) string {
+	if code, _ := r.errorCode(); code != "" {
+		return code
+	}
+	_, event, found := strings.Cut(r.body, "event: error\ndata: ")
+	if !found {
+		return ""
+	}
+	code, _ := reply{body: strings.TrimSpace(event)}.errorCode()
+	return code
+}
