Copy a chat's KV cache when it moves away from its holder

A chat whose holder was leaving was computed from its start at the next target. The gate now exports the cache at the holder and imports it at the new target before it sends the request, when the pool has kv_transfer.

A transfer may take 25 us per byte of the request, an estimate of the time that recomputing takes, and at most 500 ms. A gate runs at most 4 at once. A transfer that is late, fails or finds no place is skipped and counted.

Second turn of a chat of 801 prompt tokens after its holder began to leave: 0 tokens cached before, 800 with the transfer. With a holder that answers after 2 s, the request took 223 ms and nothing was cached.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -36,6 +36,7 @@
 	chat        string
 	chatHash    uint64
 	holder      int
+	holderName  string
 	repeatable  bool
 	// resumeFrom is the first event that the caller lacks.
 	resumeFrom int64
@@ -56,6 +57,7 @@
 func (r *request) useHolder(routes *routing.Pool, token placement.Token) {
 	if position, ok := routes.Index(token.Target); ok {
 		r.holder = position
+		r.holderName = token.Target
 	}
 }
 
@@ -154,6 +156,9 @@
 	e.suspects.started(request.digest, candidate.Target.Name)
 	defer e.suspects.ended(request.digest, candidate.Target.Name)
 	call := e.serveRequest(ctx, request, candidate.Target.Name)
+	if request.holder != position {
+		call.PreviousTarget = request.holderName
+	}
 	if room && !request.redirected {
 		call.Candidates = candidates(routes, tried)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -58,6 +58,7 @@
 	inFlight  inFlight
 	reports   *reports
 	crashes   *crashes
+	transfers transfers
 
 	// poller and spreading belong to the control goroutine.
 	poller    poller
@@ -110,6 +111,7 @@
 	g.runs = newRuns()
 	g.reports = newReports()
 	g.crashes = newCrashes(g.clock.Now)
+	g.transfers = newTransfers()
 	g.poller = poller{due: make(map[string]time.Duration)}
 	if err := g.registerReportGauges(); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -119,6 +119,7 @@
 	if err != nil {
 		return err
 	}
+	c.transferCache(ctx, snapshot, t)
 	err = c.runGuarded(ctx, t, func() error { return c.forward(ctx, t) })
 	c.gate.admission.release(id, err == nil)
 	return err
