Let gates order engines to the state of the catalogue

Cause: nothing drove internal/orders, so that engines kept what they had loaded at their start.

Ruled out: sending a whole desired state as one order. Engines know single changes only, and one with a model and adapters would read the weight store several times for one permit. An order is now one change; a change that has been carried out ends the retry delay. Ruled out: closing every engine of another version at once. A publication would leave the pool without an engine until the first one has loaded.

Change: the control goroutine feeds the orders machine; status reads, orders and permits run in calls of their own. NotAfter and the ownership are checked just before an order's first byte. An engine that reports another model gets no requests; one that reports another version gets none unless most of its gate's engines of the pool still do. Such engines are refused with model_not_loaded, are told to entries as unloaded, and are left out of the mean from which the load limit follows. Engines report busy while they load. The counter amaranth_orders counts orders by kind and result; /status lists the engines' states.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -155,14 +155,14 @@
 	t.attach(p)
 	t.zone = zone
 	if t.lost {
-		t.lost = false
+		t.lost, t.unloaded = false, false
 		t.cap = None(reason.NotOwner)
 		p.owned++
 	}
 	return true
 }
 
-// SetCap sets the permission for a target. It refuses the waiting requests of a target that gets no new work, and
+// SetCap sets the permission for a target. With reason.ModelNotLoaded the target also leaves the pool's mean. It refuses the waiting requests of a target that gets no new work, and
 // starts those that a raised cap permits.
 func (c *Controller) SetCap(now time.Duration, name string, limit Cap, out []Outcome) []Outcome {
 	t, ok := c.targets[name]
@@ -170,6 +170,7 @@
 		return out
 	}
 	t.cap = limit
+	t.setUnloaded(limit.Reason == reason.ModelNotLoaded)
 	if limit.Max == 0 {
 		return c.refuseAll(now, t, limit.reason(), out)
 	}
@@ -184,9 +185,11 @@
 		return out
 	}
 	out = c.refuseAll(now, t, r, out)
+	if t.counts() {
+		t.pool.owned--
+	}
 	t.lost = true
 	t.takenOver = takenOver{}
-	t.pool.owned--
 	if r == reason.TargetLeaving {
 		t.detach()
 	}
--- a/internal/admission/snapshot.go
+++ b/internal/admission/snapshot.go
@@ -78,7 +78,7 @@
 		s.Digests = append(s.Digests, PoolDigest{Pool: name, Zone: t.zone, Gate: gate})
 	}
 	s.Digests[i].Load += t.running
-	if !t.lost {
+	if t.counts() {
 		s.Digests[i].Targets++
 	}
 }
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -16,6 +16,8 @@
 	// lost says that the gate no longer owns the target, detached that the target has left its pool.
 	lost     bool
 	detached bool
+	// unloaded says that the target can't serve its pool now, so that it is left out of the pool's mean.
+	unloaded bool
 
 	running   int
 	takenOver takenOver
@@ -48,7 +50,7 @@
 		return
 	}
 	t.detach()
-	if !t.lost {
+	if t.counts() {
 		t.pool.owned--
 		p.owned++
 	}
@@ -57,6 +59,22 @@
 	p.running += t.running
 }
 
+// counts reports whether the target is one of those over which the pool's mean is taken.
+func (t *target) counts() bool { return !t.lost && !t.unloaded }
+
+// setUnloaded takes the target out of the pool's mean or puts it back.
+func (t *target) setUnloaded(unloaded bool) {
+	switch {
+	case t.lost || t.unloaded == unloaded:
+		return
+	case unloaded:
+		t.pool.owned--
+	default:
+		t.pool.owned++
+	}
+	t.unloaded = unloaded
+}
+
 // bound returns the number of requests that may be in flight now, and the reason when they reach it.
 func (t *target) bound(now time.Duration) (int, reason.Reason) {
 	limit := t.pool.limit(now)
--- /dev/null
+++ b/internal/admission/unloaded_test.go
@@ -0,0 +1,46 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+)
+
+// Guards against a limit that sinks because engines without the model count in the mean, and against a count of targets
+// that drifts when such an engine is loaded, lost or moved.
+func TestUnloadedTargetsAreNotInTheMean(t *testing.T) {
+	c := New("gate")
+	c.SetPools([]Pool{{Name: "rose", LoadMultiple: 1, MaxInFlight: 100}, {Name: "lily", LoadMultiple: 1, MaxInFlight: 100}})
+	p := c.pools["rose"]
+	for i := range 4 {
+		c.SetTarget(fmt.Sprint("e", i), "a", "rose")
+	}
+	steps := []struct {
+		name string
+		do   func()
+		want int
+	}{
+		{"all loaded", func() {}, 4},
+		{"one closed", func() { c.SetCap(0, "e0", None(reason.ModelNotLoaded), nil) }, 3},
+		{"closed again", func() { c.SetCap(0, "e0", None(reason.ModelNotLoaded), nil) }, 3},
+		{"opened", func() { c.SetCap(0, "e0", Full(), nil) }, 4},
+		{"closed and lost", func() {
+			c.SetCap(0, "e1", None(reason.ModelNotLoaded), nil)
+			c.DropTarget(0, "e1", reason.NotOwner, nil)
+		}, 3},
+		{"owned again", func() { c.SetTarget("e1", "a", "rose") }, 4},
+		{"closed and moved", func() {
+			c.SetCap(0, "e2", None(reason.ModelNotLoaded), nil)
+			c.SetTarget("e2", "a", "lily")
+		}, 3},
+	}
+	for _, step := range steps {
+		if step.do(); p.owned != step.want {
+			t.Errorf("%s: %d targets in the mean, want %d", step.name, p.owned, step.want)
+		}
+	}
+	if c.SetCap(0, "e2", Full(), nil); c.pools["lily"].owned != 1 {
+		t.Errorf("the moved target counts %d times in its new pool", c.pools["lily"].owned)
+	}
+}
--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -43,6 +43,7 @@
 	// subscribers get the updates that entries follow.
 	subscribers map[*subscriber]struct{}
 	deskTicked  time.Duration
+	orders      orderState
 }
 
 func newControlState(g *Gate) controlState {
@@ -61,6 +62,7 @@
 		transit:     make(map[string]time.Duration),
 		reads:       make(map[uint64]context.CancelFunc),
 		subscribers: make(map[*subscriber]struct{}),
+		orders:      newOrderState(g),
 	}
 }
 
@@ -83,6 +85,7 @@
 	g.state.loads.Expire(now)
 	g.state.notices.Expire(now)
 	g.tickAdmission()
+	g.tickOrders(now)
 	if now-g.state.deskTicked >= deskTick {
 		g.state.deskTicked = now
 		g.desk.tick()
--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -127,12 +127,21 @@
 	return states
 }
 
+// targetState returns the state of a target as an entry has to know it.
+func targetState(snapshot *Snapshot, name string) string {
+	state := snapshot.View.Target(name)
+	if state == membership.Live && snapshot.Unloaded[name] {
+		return stateUnloaded
+	}
+	return string(state)
+}
+
 // knownLoads returns the state and the best known load of every target of the catalogue.
 func (g *Gate) knownLoads(snapshot *Snapshot) map[string]*pb.TargetLoad {
 	loads := make(map[string]*pb.TargetLoad)
 	for i := range snapshot.Catalogue.Pools {
 		for _, t := range snapshot.Catalogue.Pools[i].Targets {
-			loads[t.Name] = &pb.TargetLoad{Target: t.Name, State: string(snapshot.View.Target(t.Name))}
+			loads[t.Name] = &pb.TargetLoad{Target: t.Name, State: targetState(snapshot, t.Name)}
 		}
 	}
 	for _, record := range g.state.loads.All(g.clock.Now()) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -8,7 +8,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
+	"slices"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
@@ -19,6 +21,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/orders"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/platform"
 	"github.com/amaranthlb/amaranthlb/internal/rpc"
@@ -63,6 +66,10 @@
 	View      *membership.View
 	// Owned lists the targets that this gate owns.
 	Owned map[string]bool
+	// Unloaded lists the engines that can't serve their pool now.
+	Unloaded map[string]bool
+	// Outdated holds the reported version of owned engines that serve with another one than the catalogue's.
+	Outdated map[string]string
 }
 
 // New returns a gate that has not started yet.
@@ -170,6 +177,9 @@
 	Admission   admission.Snapshot `json:"admission"`
 	InFlight    int                `json:"in_flight"`
 	OpenTickets int                `json:"open_tickets"`
+	// Orders describes the owned engines, Unloaded names the engines that get no requests until they are loaded.
+	Orders   []orders.EngineStatus `json:"orders"`
+	Unloaded []string              `json:"unloaded"`
 }
 
 func (g *Gate) status() any {
@@ -181,10 +191,12 @@
 		Admission:   g.admission.snapshot(),
 		InFlight:    g.inFlight.count(),
 		OpenTickets: g.desk.openTickets(),
+		Orders:      g.orderStatus(),
 	}
 	if snapshot := g.snapshot.Load(); snapshot != nil {
 		status.Revision = snapshot.Catalogue.Revision
 		status.View = snapshot.View
+		status.Unloaded = slices.Sorted(maps.Keys(snapshot.Unloaded))
 	}
 	return status
 }
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -33,7 +33,11 @@
 	g.admission.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
 		for _, t := range c.Snapshot(now).Targets {
 			if !t.Lost || t.InFlight > t.TakenOver {
-				record.Targets = append(record.Targets, &pb.TargetLoad{Target: t.Target, Load: int32(t.InFlight)})
+				load := &pb.TargetLoad{Target: t.Target, Load: int32(t.InFlight)}
+				if !t.Lost && g.unloaded(t.Target) {
+					load.State = stateUnloaded
+				}
+				record.Targets = append(record.Targets, load)
 			}
 		}
 		for _, use := range c.Uses() {
@@ -91,7 +95,9 @@
 			sums[k] = &admission.PoolDigest{Pool: k.pool, Zone: k.zone, Gate: gate, Age: record.Age}
 		}
 		sums[k].Load += int(load.Load)
-		sums[k].Targets++
+		if load.State != stateUnloaded {
+			sums[k].Targets++
+		}
 	}
 	for _, digest := range sums {
 		c.SetPoolDigest(now, *digest)
--- /dev/null
+++ b/internal/gate/orders.go
@@ -0,0 +1,152 @@
+package gate
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/orders"
+)
+
+// orderInterval is the time between two ticks of the orders machine.
+const orderInterval = 100 * time.Millisecond
+
+// statusTimeout bounds the wait for the control goroutine when the status is read.
+const statusTimeout = time.Second
+
+// orderState is the part of the control state that concerns orders to engines.
+type orderState struct {
+	machine   *orders.Machine
+	ticked    time.Duration
+	view      *membership.View
+	catalogue *catalogue.Catalogue
+	// owned are the model targets that the machine knows as owned.
+	owned map[string]bool
+	// released are the targets whose predecessor has confirmed that it stopped and has no order in flight.
+	released map[string]bool
+	// reports are the last reports of the owned engines.
+	reports map[string]orders.Status
+}
+
+func newOrderState(g *Gate) orderState {
+	settings := orders.Settings{
+		Self:         g.self.Name,
+		Incarnation:  g.self.Incarnation,
+		Disagreement: time.Duration(g.settings.Timing.ListDisagreement),
+		ReportLag:    time.Duration(g.settings.Timing.ReportLag),
+	}
+	return orderState{
+		machine:  orders.New(settings, rand.New(rand.NewSource(rand.Int63()))),
+		owned:    make(map[string]bool),
+		released: make(map[string]bool),
+		reports:  make(map[string]orders.Status),
+	}
+}
+
+// tickOrders lets time pass in the orders machine.
+func (g *Gate) tickOrders(now time.Duration) {
+	if now-g.state.orders.ticked < orderInterval {
+		return
+	}
+	g.state.orders.ticked = now
+	g.stepOrders(now, orders.Tick{})
+	g.refreshUnloaded(now)
+}
+
+// renewOrderLease extends the lease under which orders are sent and permits issued.
+func (g *Gate) renewOrderLease(now, started time.Duration) {
+	g.stepOrders(now, orders.LeaseRenewed{Until: started + time.Duration(g.settings.Timing.Lease)})
+}
+
+// releaseOrders notes that a target's predecessor has handed it over without an order in flight. The handover calls
+// it before the target becomes owned; the note is used up by that.
+func (g *Gate) releaseOrders(target string) { g.state.orders.released[target] = true }
+
+// ordersInFlight returns those of the targets at which an order of this gate may still arrive. The answer to a
+// handover names them, and the successor then must not count them as released.
+func (g *Gate) ordersInFlight(now time.Duration, targets []string) []string {
+	var busy []string
+	for _, target := range targets {
+		if g.state.orders.machine.OrderInFlight(now, target) {
+			busy = append(busy, target)
+		}
+	}
+	return busy
+}
+
+// updateOrders tells the orders machine what a new snapshot changes.
+func (g *Gate) updateOrders(now time.Duration, snapshot *Snapshot) {
+	state := &g.state.orders
+	if state.view != snapshot.View {
+		state.view = snapshot.View
+		g.stepOrders(now, orders.ViewChanged{View: snapshot.View})
+	}
+	if state.catalogue != snapshot.Catalogue {
+		state.catalogue = snapshot.Catalogue
+		g.stepOrders(now, orders.CatalogueChanged{Catalogue: snapshot.Catalogue})
+	}
+	for target := range state.owned {
+		if !ownsEngine(snapshot, target) {
+			delete(state.owned, target)
+			delete(state.reports, target)
+			g.stepOrders(now, orders.Lost{Target: target})
+		}
+	}
+	for target := range snapshot.Owned {
+		if !state.owned[target] && ownsEngine(snapshot, target) {
+			state.owned[target] = true
+			g.stepOrders(now, orders.Acquired{Target: target, Released: state.released[target]})
+		}
+		delete(state.released, target)
+	}
+}
+
+func ownsEngine(snapshot *Snapshot, target string) bool {
+	t, ok := snapshot.Catalogue.Target(target)
+	return ok && snapshot.Owned[target] && t.Pool().Kind == catalogue.Model
+}
+
+// stepOrders applies an event to the orders machine and carries out the effects.
+func (g *Gate) stepOrders(now time.Duration, event orders.Event) {
+	for _, effect := range g.state.orders.machine.Step(now, event) {
+		g.performOrder(now, effect)
+	}
+}
+
+func (g *Gate) performOrder(now time.Duration, effect orders.Effect) {
+	switch e := effect.(type) {
+	case orders.ReadStatus:
+		g.readEngine(e)
+	case orders.SendOrder:
+		g.sendOrder(e)
+	case orders.RequestPermit:
+		g.requestPermit(e)
+	case orders.Noted:
+		g.noteOrder(e)
+	}
+}
+
+// orderStatus describes the owned engines for operators.
+func (g *Gate) orderStatus() []orders.EngineStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	var list []orders.EngineStatus
+	if err := g.loop.Call(ctx, func(time.Duration) { list = g.state.orders.machine.Engines() }); err != nil {
+		return nil
+	}
+	return list
+}
+
+// noteOrder counts a change, and logs those that are a change of state or need an operator.
+func (g *Gate) noteOrder(noted orders.Noted) {
+	g.meters.Event(string(noted.Note))
+	log := g.log.WithField("target", noted.Target)
+	switch noted.Note {
+	case orders.Reconciled:
+		log.Info("engine has the state of the catalogue")
+	case orders.OrderRejected:
+		log.Warn("engine rejected an order")
+	}
+}
--- /dev/null
+++ b/internal/gate/orders_test.go
@@ -0,0 +1,94 @@
+package gate
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/orders"
+	"github.com/amaranthlb/amaranthlb/internal/settings"
+)
+
+// newTestGate returns a gate that is not started and a snapshot in which it owns all engines of a pool.
+func newTestGate(t *testing.T, engines int) (*Gate, *Snapshot) {
+	t.Helper()
+	s := &settings.Gate{}
+	s.Name, s.Zone, s.FleetKeys = "gate-a", "a", [][]byte{make([]byte, 32)}
+	s.Platform.Address = "http://127.0.0.1:1"
+	g, err := New(s, logrus.NewEntry(logrus.New()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	document := "revision: 1\npools:\n- {name: rose, owner: o, kind: model, version: v2, checks_fencing: true, targets: ["
+	view := &membership.View{Targets: make(map[string]membership.State)}
+	owned := make(map[string]bool)
+	for i := range engines {
+		name := fmt.Sprint("e", i)
+		document += fmt.Sprintf("{name: %s, address: '127.0.0.1:%d', zone: a},", name, i+1)
+		view.Targets[name], owned[name] = membership.Live, true
+	}
+	c, err := catalogue.Parse([]byte(document + "]}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g, &Snapshot{Catalogue: c, View: view, Owned: owned}
+}
+
+// Guards against requests to an engine with another model or version, and against a new version that closes most
+// engines of a pool at once.
+func TestEnginesWithoutTheModelAreClosed(t *testing.T) {
+	at := func(version string) orders.Status { return orders.Status{Model: "rose", Version: version} }
+	cases := []struct {
+		name    string
+		reports map[string]orders.Status
+		closed  []string
+	}{
+		{"no reports", nil, nil},
+		{"other model", map[string]orders.Status{"e0": {Model: "lily", Version: "v2"}}, []string{"e0"}},
+		{"no model", map[string]orders.Status{"e0": {}}, []string{"e0"}},
+		{"one outdated", map[string]orders.Status{"e0": at("v1"), "e1": at("v2")}, []string{"e0"}},
+		{"half outdated", map[string]orders.Status{"e0": at("v1"), "e1": at("v1")}, []string{"e0", "e1"}},
+		{"most outdated", map[string]orders.Status{"e0": at("v1"), "e1": at("v1"), "e2": at("v1")}, nil},
+		{"not owned", map[string]orders.Status{"e9": {}}, nil},
+	}
+	for _, test := range cases {
+		g, snapshot := newTestGate(t, 4)
+		maps.Copy(g.state.orders.reports, test.reports)
+		g.markUnloaded(0, snapshot)
+		if closed := slices.Sorted(maps.Keys(snapshot.Unloaded)); !slices.Equal(closed, test.closed) {
+			t.Errorf("%s: closed %v, want %v", test.name, closed, test.closed)
+		}
+	}
+}
+
+// Guards against a handover that calls a target released while an order of the old owner may still arrive there.
+func TestOrdersInFlightAreReported(t *testing.T) {
+	g, snapshot := newTestGate(t, 2)
+	machine := g.state.orders.machine
+	g.releaseOrders("e0")
+	g.renewOrderLease(time.Second, time.Hour)
+	machine.Step(time.Second, orders.ViewChanged{View: snapshot.View})
+	machine.Step(time.Second, orders.CatalogueChanged{Catalogue: snapshot.Catalogue})
+	for _, effect := range machine.Step(time.Second, orders.Acquired{Target: "e0", Released: true}) {
+		if read, ok := effect.(orders.ReadStatus); ok {
+			// The adapter can be removed without a permit, so that the order follows at once.
+			machine.Step(time.Second, orders.StatusRead{Read: read.Read, Status: orders.Status{Model: "rose", Version: "v2", Adapters: []string{"x"}}})
+		}
+	}
+	if busy := g.ordersInFlight(time.Second, []string{"e0", "e1"}); !slices.Equal(busy, []string{"e0"}) {
+		t.Errorf("orders in flight at %v, want e0", busy)
+	}
+	machine.Step(2*time.Second, orders.Lost{Target: "e0"})
+	if busy := g.ordersInFlight(2*time.Second, []string{"e0"}); len(busy) != 1 {
+		t.Error("the order is forgotten when the target is lost")
+	}
+	if busy := g.ordersInFlight(time.Minute, []string{"e0"}); len(busy) != 0 {
+		t.Error("the order counts as in flight although it can't arrive any more")
+	}
+}
--- a/internal/gate/publish.go
+++ b/internal/gate/publish.go
@@ -18,8 +18,10 @@
 	}
 	view := g.state.members.View()
 	snapshot := &Snapshot{Catalogue: current, View: view, Owned: g.ownedTargets(current, view)}
+	g.markUnloaded(now, snapshot)
 	g.configureAdmission(snapshot)
 	g.snapshot.Store(snapshot)
+	g.updateOrders(now, snapshot)
 	g.publishUpdates(now)
 }
 
@@ -58,6 +60,9 @@
 	case snapshot.View.Target(t.Name) != membership.Live:
 		c.SetTarget(t.Name, t.Zone, t.Pool().Name)
 		return c.SetCap(now, t.Name, admission.None(reason.TargetLeaving), out)
+	case snapshot.Unloaded[t.Name]:
+		c.SetTarget(t.Name, t.Zone, t.Pool().Name)
+		return c.SetCap(now, t.Name, admission.None(reason.ModelNotLoaded), out)
 	}
 	c.SetTarget(t.Name, t.Zone, t.Pool().Name)
 	return c.SetCap(now, t.Name, admission.Full(), out)
@@ -94,7 +99,8 @@
 		pool := &snapshot.Catalogue.Pools[i]
 		targets := 0
 		for j := range pool.Targets {
-			if snapshot.View.Target(pool.Targets[j].Name) != membership.Gone {
+			name := pool.Targets[j].Name
+			if snapshot.View.Target(name) != membership.Gone && !snapshot.Unloaded[name] {
 				targets++
 			}
 		}
@@ -111,4 +117,6 @@
 }
 
 // roundConfirmed notes that every reachable peer answered a heartbeat that was sent at the time.
-func (g *Gate) roundConfirmed(_, _ time.Duration) {}
+func (g *Gate) roundConfirmed(now, started time.Duration) {
+	g.renewOrderLease(now, started)
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -289,7 +289,7 @@
 		Target:       t.Name,
 		Status:       int32(response.Status),
 		ContentType:  response.ContentType,
-		ModelVersion: t.Pool().Version,
+		ModelVersion: c.gate.modelVersion(t),
 	}}})
 }
 
--- a/internal/orders/effect.go
+++ b/internal/orders/effect.go
@@ -17,6 +17,8 @@
 	Target  string
 	Fence   uint64
 	Desired Desired
+	// Change is what the order asks of the engine on the way to the desired state.
+	Change Change
 	// NotAfter is compared with the clock just before the write, like the lease of a request: a process that
 	// was frozen in between must not write the order.
 	NotAfter time.Duration
--- a/internal/orders/reconcile.go
+++ b/internal/orders/reconcile.go
@@ -63,6 +63,8 @@
 	attempts   int
 	retryAt    time.Duration
 	reconciled bool
+	// change is what the last order asked.
+	change Change
 	// permitUntil is the end of an unused permit.
 	permitUntil time.Duration
 }
@@ -126,6 +128,17 @@
 		e.nextAt = now + pollInterval
 	case e.desired.metBy(e.status):
 		m.reached(now, e)
+	default:
+		m.correct(now, e)
+	}
+}
+
+// correct orders the next change. An engine that has carried out the last change waits for no retry.
+func (m *Machine) correct(now time.Duration, e *engine) {
+	if e.desired.nextChange(e.status) != e.change {
+		e.attempts, e.retryAt = 0, 0
+	}
+	switch {
 	case now < e.retryAt || !m.holdsLease(now):
 		e.nextAt = now + pollInterval
 	case e.desired.needsWeights(e.status) && now >= e.permitUntil:
@@ -154,12 +167,14 @@
 		notAfter = min(notAfter, e.permitUntil)
 		e.permitUntil = 0
 	}
+	e.change = e.desired.nextChange(e.status)
 	order := m.call(e, ordering, notAfter+orderTimeout)
 	m.emit(SendOrder{
 		Order:    order,
 		Target:   e.name,
 		Fence:    nextFence(e.status.Fence, m.settings.Incarnation),
 		Desired:  e.desired,
+		Change:   e.change,
 		NotAfter: notAfter,
 	})
 }
--- a/internal/orders/state.go
+++ b/internal/orders/state.go
@@ -8,22 +8,22 @@
 
 // Desired is the state that the catalogue wants of an engine. An empty Version or Role leaves the engine's own.
 type Desired struct {
-	Model    string
-	Version  string
-	Adapters []string
-	Role     string
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
 }
 
 // Status is the state that an engine reports.
 type Status struct {
-	Model    string
-	Version  string
-	Adapters []string
-	Role     string
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
 	// Fence is the number of the last order that the engine took.
-	Fence uint64
+	Fence uint64 `json:"fence"`
 	// Busy is true while the engine carries out an order.
-	Busy bool
+	Busy bool `json:"busy"`
 }
 
 // DesiredOf returns the desired state of a model pool's target. The model has the name of the pool.
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -35,6 +35,8 @@
 	Probation Reason = "probation"
 	// TargetLeaving is a target that the platform is taking away.
 	TargetLeaving Reason = "target_leaving"
+	// ModelNotLoaded is an engine that reports another model or version than that of the catalogue.
+	ModelNotLoaded Reason = "model_not_loaded"
 	// TargetUnreachable is a connection to a target that failed before the first byte was written.
 	TargetUnreachable Reason = "target_unreachable"
 	// TargetFailed is a target that failed after it was sent the request.
@@ -100,7 +102,7 @@
 func All() []Reason {
 	return []Reason{
 		BadRequest, BodyTooLarge, UnknownCustomer, ForeignCustomer, UnknownPool, NotReady, Draining,
-		NotOwner, LeaseLost, OverLimit, Probation, TargetLeaving, TargetUnreachable, TargetFailed,
+		NotOwner, LeaseLost, OverLimit, Probation, TargetLeaving, ModelNotLoaded, TargetUnreachable, TargetFailed,
 		TargetRefused, GateUnreachable, GateFailed, NoTarget, NoGate, QueueFull, QueueTimeout,
 		DeadlineExceeded, CustomerRate, CustomerConcurrency, RetryBudget, TicketRequired,
 		TicketInvalid, TicketExpired, TicketSealed, WitnessUnreachable, UnknownOutcome, CrashSuspect,
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -39,6 +39,7 @@
 	reason.OverLimit:         {scope: OtherTarget},
 	reason.Probation:         {scope: OtherTarget},
 	reason.TargetLeaving:     {scope: OtherTarget},
+	reason.ModelNotLoaded:    {scope: OtherTarget},
 	reason.TargetUnreachable: {scope: OtherTarget},
 	reason.TargetFailed:      {scope: OtherTarget},
 	reason.BrokenAnswer:      {scope: OtherTarget},
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -105,6 +105,8 @@
 	Adapters        []string `json:"adapters"`
 	Role            string   `json:"role"`
 	Incarnation     uint64   `json:"incarnation"`
+	// Busy is true while the engine carries out an order.
+	Busy bool `json:"busy"`
 }
 
 // Age returns the age of the figures.
@@ -143,7 +145,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	switch response.Status {
-	case http.StatusOK:
+	case http.StatusOK, http.StatusAccepted:
 		return nil
 	case http.StatusConflict:
 		return ErrStaleFence
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -31,6 +31,7 @@
 	controlBytes metric.Int64Counter
 	controlCalls metric.Int64Counter
 	events       metric.Int64Counter
+	orders       metric.Int64Counter
 
 	refusalLabels map[refusalLabel]metric.AddOption
 	retryLabels   map[reason.Reason]metric.AddOption
@@ -76,6 +77,7 @@
 		{&m.controlBytes, "amaranth_control_bytes", "Bytes of control traffic by direction."},
 		{&m.controlCalls, "amaranth_control_calls", "Control calls by method and result."},
 		{&m.events, "amaranth_events", "Changes of control state by kind."},
+		{&m.orders, "amaranth_orders", "Orders to engines by kind and result."},
 	}
 	for _, c := range counters {
 		counter, err := m.meter.Int64Counter(c.name, metric.WithDescription(c.help))
@@ -139,6 +141,11 @@
 	m.controlCalls.Add(context.Background(), 1, option(attribute.String("method", method), attribute.String("result", result)))
 }
 
+// Order counts an order to an engine.
+func (m *Meters) Order(kind, result string) {
+	m.orders.Add(context.Background(), 1, option(attribute.String("kind", kind), attribute.String("result", result)))
+}
+
 // Event counts a change of control state.
 func (m *Meters) Event(kind string) {
 	m.events.Add(context.Background(), 1, option(attribute.String("kind", kind)))
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -105,6 +106,8 @@
 
 // execute loads what the order needs. An order with a higher number that arrives meanwhile wins.
 func (e *Server) execute(c echo.Context, order Order) error {
+	e.countOrder(1)
+	defer e.countOrder(-1)
 	e.orderMu.Lock()
 	defer e.orderMu.Unlock()
 	current := e.currentState()
@@ -126,13 +129,19 @@
 	return c.JSON(http.StatusOK, map[string]uint64{"fence": next.fence})
 }
 
+func (e *Server) countOrder(change int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ordersRunning += change
+}
+
 func (e *Server) currentState() state {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.state
 }
 
-// load logs the order and takes the time to read the weights.
+// load logs the order and takes the time to read the weights. A sender that gives up does not end the load.
 func (e *Server) load(c echo.Context, order Order, reads bool) {
 	run := backend.NewRun(c.Request(), mustEncode(order))
 	run.Kind = "order"
@@ -140,7 +149,7 @@
 	run.Incarnation = e.Incarnation()
 	e.runs.Begin(run)
 	if reads {
-		backend.Sleep(c.Request().Context(), e.config.LoadTime)
+		backend.Sleep(context.WithoutCancel(c.Request().Context()), e.config.LoadTime)
 	}
 	e.runs.End(run, backend.Done, func() {
 		if reads {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -79,6 +79,8 @@
 	history     backend.History
 	events      *events
 	state       state
+	// ordersRunning counts the orders that are carried out or wait for their turn.
+	ordersRunning int
 
 	// orderMu lets one order run at a time.
 	orderMu sync.Mutex
--- a/standin/engine/status.go
+++ b/standin/engine/status.go
@@ -23,6 +23,8 @@
 	Adapters    []string `json:"adapters"`
 	Role        string   `json:"role"`
 	Incarnation uint64   `json:"incarnation"`
+	// Busy is true while an order is carried out.
+	Busy bool `json:"busy"`
 }
 
 func (e *Server) status(c echo.Context) error {
@@ -40,6 +42,7 @@
 		Adapters:    append([]string{}, e.state.adapters...),
 		Role:        e.state.role,
 		Incarnation: e.incarnation,
+		Busy:        e.ordersRunning > 0,
 	})
 }
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -229,7 +229,7 @@
 	n := f.nodes[name]
 	switch n.role {
 	case roleEngine:
-		return f.run(name, "standin-engine", append([]string{"--listen", n.address, "--name", name}, f.spec.EngineFlags...)...)
+		return f.run(name, "standin-engine", f.engineFlags(n)...)
 	case roleService:
 		return f.run(name, "standin-service", append([]string{"--listen", n.address, "--name", name}, f.spec.ServiceFlags...)...)
 	}
@@ -239,6 +239,17 @@
 	return f.run(name, "amaranth-"+n.role, "--settings", f.path(name+".yaml"))
 }
 
+func (f *Fleet) engineFlags(n *node) []string {
+	flags := []string{"--listen", n.address, "--name", n.name}
+	if !f.spec.EmptyEngines {
+		flags = append(flags, "--model", f.spec.Model.Name, "--version-loaded", f.spec.Model.Version)
+	}
+	if !f.spec.Model.ChecksFencing {
+		flags = append(flags, "--ignore-fencing")
+	}
+	return append(flags, f.spec.EngineFlags...)
+}
+
 func (f *Fleet) settings(n *node) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "name: %s\nzone: %s\nregion: %s\n", n.name, f.spec.Zones[n.zone], f.spec.region(n.zone))
--- a/standin/fleet/spec.go
+++ b/standin/fleet/spec.go
@@ -33,6 +33,8 @@
 	// EngineFlags and ServiceFlags are passed to the stand-ins.
 	EngineFlags  []string
 	ServiceFlags []string
+	// EmptyEngines start without a model; others have loaded that of the first catalogue.
+	EmptyEngines bool
 	// PlatformFlags are passed to the platform's stand-in.
 	PlatformFlags []string
 	Customers     []catalogue.Customer
