--- a/cmd/amaranthctl/main.go
+++ b/cmd/amaranthctl/main.go
@@ -1,4 +1,4 @@
-// Command amaranthctl checks and compares catalogues.
+// Command amaranthctl checks and compares catalogues, and shows the state of daemons.
 package main
 
 import (
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -16,7 +16,7 @@
 const (
 	// Good means that there is nothing to report.
 	Good = 0
-	// Finding means that the command ran and found something, such as a difference.
+	// Finding means that the command ran and found something, such as a difference or a daemon that does not answer.
 	Finding = 1
 	// BadInput means that the arguments or a file can't be used.
 	BadInput = 2
@@ -27,13 +27,15 @@
 
 // arguments holds one field per command; the parser sets the one that is given.
 type arguments struct {
-	Check *checkCommand `arg:"subcommand:check" help:"check a catalogue"`
-	Diff  *diffCommand  `arg:"subcommand:diff" help:"compare two catalogues"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a catalogue"`
+	Diff    *diffCommand    `arg:"subcommand:diff" help:"compare two catalogues"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"show the state of daemons"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"say where an entry would send a request, and why"`
 }
 
 // Description is the first line of the help text.
 func (arguments) Description() string {
-	return "Checks and compares catalogues. Exit codes: 0 good, 1 finding, 2 bad input."
+	return "Checks and compares catalogues, and shows the state of daemons. Exit codes: 0 good, 1 finding, 2 bad input."
 }
 
 // command is implemented by every subcommand.
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -63,7 +63,7 @@
 		stream:      chat.Stream,
 		deadline:    time.Now().Add(limit),
 		chat:        key,
-		chatHash:    xxhash.Sum64String(key),
+		chatHash:    chatHash(key),
 		holder:      routing.NoHolder,
 		repeatable:  !pool.NonRepeatableCall(http.MethodPost, chatPath),
 	}
@@ -94,7 +94,7 @@
 // chatKey identifies a chat over its turns: by the caller's own key, or by its first messages, which stay the same.
 func chatKey(c *caller, chat *chatBody) string {
 	if key := c.Request().Header.Get(headerChat); key != "" {
-		return c.customer.Name + "/" + key[:min(len(key), maximumChatKey)]
+		return callerKey(c.customer.Name, key)
 	}
 	hash := xxhash.New()
 	for i, message := range chat.Messages {
@@ -106,6 +106,14 @@
 	return c.customer.Name + "/" + uuid.NewSHA1(uuid.Nil, hash.Sum(nil)).String()
 }
 
+// callerKey identifies a chat by the caller's own key.
+func callerKey(customer, key string) string {
+	return customer + "/" + key[:min(len(key), maximumChatKey)]
+}
+
+// chatHash returns the number by which targets are ranked for a chat.
+func chatHash(key string) uint64 { return xxhash.Sum64String(key) }
+
 // placementOf opens the caller's placement token. A token that is expired, or of another fleet key, is a cache
 // hint that is lost, not an error.
 func (e *Entry) placementOf(c *caller, pool *catalogue.Pool) (placement.Token, bool) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,7 +107,11 @@
 	if err != nil {
 		return trace.Wrap(err, "listening")
 	}
-	admin, err := telemetry.StartAdmin(e.settings.Admin, e.meters, telemetry.Probe{Ready: e.ready, Status: e.status})
+	admin, err := telemetry.StartAdmin(e.settings.Admin, e.meters, telemetry.Probe{
+		Ready:    e.ready,
+		Status:   e.status,
+		Handlers: map[string]http.HandlerFunc{"/explain": e.explain},
+	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- /dev/null
+++ b/internal/entry/explain.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
+	"github.com/amaranthlb/amaranthlb/internal/routing"
+)
+
+// Explanation says where a request would go and why.
+type Explanation struct {
+	Pool     string `json:"pool"`
+	Revision uint64 `json:"catalogue_revision"`
+	Limit    int32  `json:"limit"`
+	// Choice is the chosen target; it is empty when no target is open.
+	Choice string `json:"choice"`
+	Why    Why    `json:"why"`
+	// Candidates are the targets of the pool by rank.
+	Candidates []ExplainedCandidate `json:"candidates"`
+}
+
+// ExplainedCandidate is one target as the entry knows it.
+type ExplainedCandidate struct {
+	Rank     int    `json:"rank"`
+	Target   string `json:"target"`
+	Distance string `json:"distance"`
+	Load     int32  `json:"load"`
+	Open     bool   `json:"open"`
+	// Owner is the gate that admits for the target; it is empty when no gate is live.
+	Owner  string `json:"owner"`
+	Holder bool   `json:"holder"`
+}
+
+// Why is the rule that made a choice.
+type Why string
+
+// Rules of choices.
+const (
+	// WhyHolder is the target that holds the chat's prefix.
+	WhyHolder Why = "holder"
+	// WhyFirstRank is the first target by rank that is open and has room.
+	WhyFirstRank Why = "first_rank"
+	// WhyLessLoaded is the second such target, which has less load than the first.
+	WhyLessLoaded Why = "less_loaded"
+	// WhyAllAtLimit is the least loaded open target, at which the request waits.
+	WhyAllAtLimit Why = "all_at_limit"
+	// WhyNoneOpen means that no target takes new work.
+	WhyNoneOpen Why = "none_open"
+)
+
+// explain answers operators on the admin endpoint.
+func (e *Entry) explain(w http.ResponseWriter, r *http.Request) {
+	snapshot := e.snapshot.Load()
+	if snapshot == nil {
+		http.Error(w, "no catalogue and view yet", http.StatusServiceUnavailable)
+		return
+	}
+	query := r.URL.Query()
+	routes, ok := snapshot.Routes.Pool(query.Get("pool"))
+	if !ok {
+		http.Error(w, "the catalogue has no pool "+query.Get("pool"), http.StatusNotFound)
+		return
+	}
+	holder := routing.NoHolder
+	if name := query.Get("holder"); name != "" {
+		if holder, ok = routes.Index(name); !ok {
+			http.Error(w, "pool "+routes.Pool.Name+" has no target "+name, http.StatusNotFound)
+			return
+		}
+	}
+	customer := query.Get("customer")
+	if customer != "" && !hasCustomer(snapshot.Catalogue, customer) {
+		http.Error(w, "the catalogue has no customer "+customer, http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(explanation(snapshot, routes, callerKey(customer, query.Get("chat")), holder))
+}
+
+func hasCustomer(current *catalogue.Catalogue, name string) bool {
+	for i := range current.Customers {
+		if current.Customers[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// explanation chooses as for a request and describes the candidates.
+func explanation(snapshot *Snapshot, routes *routing.Pool, key string, holder int) Explanation {
+	request := &request{pool: routes.Pool, chatHash: chatHash(key), holder: holder}
+	ranks := routes.Rank(request.chatHash)
+	result := Explanation{Pool: routes.Pool.Name, Revision: snapshot.Catalogue.Revision, Limit: routes.Limit}
+	position, room, ok := choose(request, routes, &routing.Tried{})
+	if ok {
+		result.Choice = routes.Candidates[position].Target.Name
+	}
+	result.Why = why(routes, ranks, holder, position, room, ok)
+	for i, position := range ranks {
+		candidate := &routes.Candidates[position]
+		owner, _ := ownership.Owner(snapshot.View, candidate.Target.Name, candidate.Target.Zone)
+		result.Candidates = append(result.Candidates, ExplainedCandidate{
+			Rank:     i + 1,
+			Target:   candidate.Target.Name,
+			Distance: candidate.Distance.String(),
+			Load:     candidate.Load(),
+			Open:     candidate.Open,
+			Owner:    owner.Name,
+			Holder:   position == holder,
+		})
+	}
+	return result
+}
+
+// why names the rule that led to a choice.
+func why(routes *routing.Pool, ranks []int, holder, chosen int, room, ok bool) Why {
+	switch {
+	case !ok:
+		return WhyNoneOpen
+	case !room:
+		return WhyAllAtLimit
+	case chosen == holder:
+		return WhyHolder
+	}
+	for _, position := range ranks {
+		candidate := &routes.Candidates[position]
+		if position != holder && candidate.Open && candidate.Load() < routes.Limit {
+			if position == chosen {
+				return WhyFirstRank
+			}
+			break
+		}
+	}
+	return WhyLessLoaded
+}
--- /dev/null
+++ b/internal/routing/explain.go
@@ -0,0 +1,25 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
+)
+
+func (d Distance) String() string {
+	return [...]string{SameZone: "same_zone", SameRegion: "same_region", OtherRegion: "other_region"}[d]
+}
+
+// Rank returns the positions of all candidates in the order of their ranks for a chat, whether they are open or not.
+func (p *Pool) Rank(chat uint64) []int {
+	positions := make([]int, len(p.Candidates))
+	scores := make([]float64, len(p.Candidates))
+	for i := range p.Candidates {
+		candidate := &p.Candidates[i]
+		positions[i] = i
+		scores[i] = weighted(rendezvous.Score(chat, candidate.Hash), p.weights[candidate.Distance])
+	}
+	slices.SortFunc(positions, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	return positions
+}
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -22,6 +22,8 @@
 	Ready func() (bool, string)
 	// Status returns a value that is encoded as JSON.
 	Status func() any
+	// Handlers answer further paths.
+	Handlers map[string]http.HandlerFunc
 }
 
 // StartAdmin listens on the address.
@@ -49,6 +51,9 @@
 	router.GET("/status", func(c echo.Context) error {
 		return c.JSON(http.StatusOK, probe.Status())
 	})
+	for path, handler := range probe.Handlers {
+		router.GET(path, echo.WrapHandler(handler))
+	}
 	router.GET("/metrics", echo.WrapHandler(meters.Handler()))
 	router.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	router.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
