Read an engine's state soon after a call to it has failed

Cause: an engine that restarts without its model was found only by the regular read, up to 6 s later, and got requests until then.

Change: a failed call, a broken stream or status 404 brings the next read forward, at most to one a second. Load records of gates that are not live no longer close engines, and tickets avoid engines without their model.

--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -137,7 +137,7 @@
 	var owned []*catalogue.Target
 	for i := range pool.Targets {
 		t := &pool.Targets[i]
-		if snapshot.Owned[t.Name] && snapshot.View.Target(t.Name) == membership.Live {
+		if snapshot.Owned[t.Name] && snapshot.View.Target(t.Name) == membership.Live && !snapshot.Unloaded[t.Name] {
 			owned = append(owned, t)
 		}
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
@@ -58,6 +59,8 @@
 	desk      *desk
 	runs      *runs
 	inFlight  inFlight
+	// doubted holds the names of engines to which a call has failed since the last tick.
+	doubted sync.Map
 }
 
 // Snapshot is what traffic goroutines read of the control state. It is immutable.
--- a/internal/gate/orders.go
+++ b/internal/gate/orders.go
@@ -51,10 +51,27 @@
 		return
 	}
 	g.state.orders.ticked = now
+	g.takeDoubted(now)
 	g.stepOrders(now, orders.Tick{})
 	g.refreshUnloaded(now)
 }
 
+// takeDoubted lets the engines to which calls have failed be read soon.
+func (g *Gate) takeDoubted(now time.Duration) {
+	g.doubted.Range(func(target, _ any) bool {
+		g.doubted.Delete(target)
+		g.stepOrders(now, orders.Doubted{Target: target.(string)})
+		return true
+	})
+}
+
+// doubt notes that a call to an engine failed; the next tick takes the note.
+func (g *Gate) doubt(t *catalogue.Target) {
+	if t.Pool().Kind == catalogue.Model {
+		g.doubted.Store(t.Name, true)
+	}
+}
+
 // renewOrderLease extends the lease under which orders are sent and permits issued.
 func (g *Gate) renewOrderLease(now, started time.Duration) {
 	g.stepOrders(now, orders.LeaseRenewed{Until: started + time.Duration(g.settings.Timing.Lease)})
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -145,9 +145,13 @@
 	attempt := &target.Attempt{Guard: func() bool { return c.gate.mayWrite(t) }}
 	response, err := c.gate.targets.Do(ctx, t.Address, c.targetRequest(), attempt)
 	if err != nil {
+		c.gate.doubt(t)
 		return c.targetError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.Status == http.StatusNotFound {
+		c.gate.doubt(t)
+	}
 	if t.Pool().Kind == catalogue.Model && response.Status >= http.StatusInternalServerError {
 		return refuse(reason.TargetRefused, reason.Unknown, t.Name+" answered with "+http.StatusText(response.Status))
 	}
@@ -231,6 +235,7 @@
 		if !t.Pool().Resumable || attempt >= resumeAttempts {
 			return refuse(reason.TargetFailed, reason.Unknown, t.Name+" broke off its answer")
 		}
+		c.gate.doubt(t)
 		again, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, writer.Next())
 		if err != nil {
 			return c.targetError(ctx, err)
--- a/internal/gate/unloaded.go
+++ b/internal/gate/unloaded.go
@@ -40,8 +40,12 @@
 	snapshot.Unloaded = make(map[string]bool)
 	snapshot.Outdated = make(map[string]string)
 	for _, record := range g.state.loads.All(now) {
+		member, _ := snapshot.View.Gate(record.Payload.Gate)
+		if member.State != membership.Live || member.Name == g.self.Name {
+			continue
+		}
 		for _, load := range record.Payload.Targets {
-			if load.State == stateUnloaded && record.Payload.Gate != g.self.Name && !snapshot.Owned[load.Target] {
+			if load.State == stateUnloaded && !snapshot.Owned[load.Target] {
 				snapshot.Unloaded[load.Target] = true
 			}
 		}
--- a/internal/orders/event.go
+++ b/internal/orders/event.go
@@ -33,6 +33,9 @@
 // Lost says that this gate no longer owns a target.
 type Lost struct{ Target string }
 
+// Doubted says that a call to an engine failed, so that the engine may have restarted without its model.
+type Doubted struct{ Target string }
+
 // StatusRead answers a ReadStatus.
 type StatusRead struct {
 	Read   uint64
@@ -87,6 +90,7 @@
 func (LeaseRenewed) isEvent()     {}
 func (Acquired) isEvent()         {}
 func (Lost) isEvent()             {}
+func (Doubted) isEvent()          {}
 func (StatusRead) isEvent()       {}
 func (StatusFailed) isEvent()     {}
 func (OrderAnswered) isEvent()    {}
--- a/internal/orders/machine.go
+++ b/internal/orders/machine.go
@@ -95,6 +95,8 @@
 		m.acquired(now, e)
 	case Lost:
 		m.lost(e.Target)
+	case Doubted:
+		m.doubted(now, e.Target)
 	case StatusRead:
 		m.statusRead(now, e)
 	case StatusFailed:
--- a/internal/orders/machine_test.go
+++ b/internal/orders/machine_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// Guards against an engine that stays without its model until the next regular read although calls to it failed.
+func TestDoubtedEngineIsReadSoon(t *testing.T) {
+	r := newRig(t, true)
+	r.status = Status{Model: "rose", Version: "1"}
+	r.step(Acquired{Target: "rose-0", Released: true})
+	r.status = Status{}
+	r.step(Doubted{"rose-0"})
+	r.runFor(pollInterval + tick)
+	if len(r.orders) != 1 {
+		t.Errorf("%d orders within a poll interval, want 1", len(r.orders))
+	}
+}
+
 // Guards against an order that the engine would refuse, and against equal numbers of two owners.
 func TestFenceIsAboveThePresentOne(t *testing.T) {
 	for _, present := range []uint64{0, 1, 1<<16 - 1, 1 << 16, 1<<40 + 12345} {
--- a/internal/orders/reconcile.go
+++ b/internal/orders/reconcile.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// doubted brings the next status read forward, as often as once in a poll interval.
+func (m *Machine) doubted(now time.Duration, target string) {
+	if e, ok := m.engines[target]; ok && e.phase == waiting {
+		e.nextAt = min(e.nextAt, max(now, e.statusAt+pollInterval))
+	}
+}
+
 func (m *Machine) statusFailed(now time.Duration, read uint64) {
 	if e, ok := m.answered(read, reading); ok {
 		e.nextAt = now + spread(m.random, pollInterval)
--- a/test/e2e/orders_test.go
+++ b/test/e2e/orders_test.go
@@ -164,7 +164,19 @@
 	spec := fleet.Default()
 	spec.EmptyEngines = true
 	f := start(t, spec)
+	time.Sleep(time.Second)
+	early := send(http.MethodPost, f.URL("entry-a1")+"/v1/chat/completions", "rose", nil, chatBody("early", 5, false))
+	if code, ran := early.errorCode(); early.status != http.StatusServiceUnavailable || ran != "no" {
+		t.Errorf("status %d, code %s, ran %s while no engine has a model", early.status, code, ran)
+	}
 	awaitVersion(t, f, "v1")
+	for _, name := range f.Names("engine") {
+		for _, run := range logOf(t, f, name) {
+			if run.Kind == "run" {
+				t.Errorf("%s got request %s without a model", name, run.RequestID)
+			}
+		}
+	}
 	f.Kill("engine-01")
 	if err := f.StartNode("engine-01"); err != nil {
 		t.Fatal(err)
