--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -10,7 +10,7 @@
 )
 
 // followInterval is the shortest time between two updates to an entry.
-const followInterval = 250 * time.Millisecond
+const followInterval = 400 * time.Millisecond
 
 // followRefresh is the longest time between two updates, by which an entry knows that its gate is alive.
 const followRefresh = time.Second
@@ -133,7 +133,7 @@
 	if state == membership.Live && snapshot.Unloaded[name] {
 		return stateUnloaded
 	}
-	return string(state)
+	return wire.TargetState(state)
 }
 
 // knownLoads returns the state and the best known load of every target of the catalogue.
--- a/internal/gate/orders.go
+++ b/internal/gate/orders.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/orders"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
 )
 
 // orderInterval is the time between two ticks of the orders machine.
@@ -77,25 +80,20 @@
 	g.stepOrders(now, orders.LeaseRenewed{Until: started + time.Duration(g.settings.Timing.Lease)})
 }
 
-// releaseOrders notes that a target's predecessor has handed it over without an order in flight. The handover calls
-// it before the target becomes owned; the note is used up by that.
-func (g *Gate) releaseOrders(target string) { g.state.orders.released[target] = true }
-
-// ordersInFlight returns those of the targets at which an order of this gate may still arrive. The answer to a
-// handover names them, and the successor then must not count them as released.
-func (g *Gate) ordersInFlight(now time.Duration, targets []string) []string {
-	var busy []string
-	for _, target := range targets {
-		if g.state.orders.machine.OrderInFlight(now, target) {
-			busy = append(busy, target)
-		}
+// noteRelease notes that a target's predecessor held it until it stopped, and has no order in flight there. The note
+// is used up when the target is acquired.
+func (g *Gate) noteRelease(handover *pb.TargetHandover) {
+	if handover.Stopped && handover.Clean && !handover.OrderInFlight {
+		g.state.orders.released[handover.Target] = true
 	}
-	return busy
 }
 
-// updateOrders tells the orders machine what a new snapshot changes.
-func (g *Gate) updateOrders(now time.Duration, snapshot *Snapshot) {
-	state := &g.state.orders
+// updateOrders tells the orders machine what a new snapshot or new permissions change.
+func (g *Gate) updateOrders(now time.Duration) {
+	snapshot, state := g.snapshot.Load(), &g.state.orders
+	if snapshot == nil {
+		return
+	}
 	if state.view != snapshot.View {
 		state.view = snapshot.View
 		g.stepOrders(now, orders.ViewChanged{View: snapshot.View})
@@ -105,24 +103,31 @@
 		g.stepOrders(now, orders.CatalogueChanged{Catalogue: snapshot.Catalogue})
 	}
 	for target := range state.owned {
-		if !ownsEngine(snapshot, target) {
+		if !g.ordersTo(snapshot, target) {
 			delete(state.owned, target)
-			delete(state.reports, target)
 			g.stepOrders(now, orders.Lost{Target: target})
 		}
 	}
 	for target := range snapshot.Owned {
-		if !state.owned[target] && ownsEngine(snapshot, target) {
+		if !state.owned[target] && g.ordersTo(snapshot, target) {
 			state.owned[target] = true
 			g.stepOrders(now, orders.Acquired{Target: target, Released: state.released[target]})
+			delete(state.released, target)
 		}
-		delete(state.released, target)
 	}
+	forget(state.reports, snapshot.Owned)
+	forget(state.released, snapshot.Owned)
 }
 
-func ownsEngine(snapshot *Snapshot, target string) bool {
+// ordersTo reports whether this gate orders an engine: it owns the engine and the takeover permits some work.
+func (g *Gate) ordersTo(snapshot *Snapshot, target string) bool {
 	t, ok := snapshot.Catalogue.Target(target)
-	return ok && snapshot.Owned[target] && t.Pool().Kind == catalogue.Model
+	return ok && snapshot.Owned[target] && t.Pool().Kind == catalogue.Model && g.permission(target).Mode != ownership.None
+}
+
+// forget deletes what concerns targets that this gate no longer owns.
+func forget[V any](facts map[string]V, owned map[string]bool) {
+	maps.DeleteFunc(facts, func(target string, _ V) bool { return !owned[target] })
 }
 
 // stepOrders applies an event to the orders machine and carries out the effects.
--- a/internal/gate/orders_test.go
+++ b/internal/gate/orders_test.go
@@ -12,6 +12,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/orders"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/settings"
 )
 
@@ -67,13 +68,12 @@
 	}
 }
 
-// Guards against a handover that calls a target released while an order of the old owner may still arrive there.
-func TestOrdersInFlightAreReported(t *testing.T) {
+// Guards against a handover that calls a target released while an order of the old owner may still arrive there, and
+// against a successor that takes such a target as released.
+func TestOrdersInFlightAreHandedOver(t *testing.T) {
 	g, snapshot := newTestGate(t, 2)
 	machine := g.state.orders.machine
-	g.releaseOrders("e0")
 	g.renewOrderLease(time.Second, time.Hour)
-	machine.Step(time.Second, orders.ViewChanged{View: snapshot.View})
 	machine.Step(time.Second, orders.CatalogueChanged{Catalogue: snapshot.Catalogue})
 	for _, effect := range machine.Step(time.Second, orders.Acquired{Target: "e0", Released: true}) {
 		if read, ok := effect.(orders.ReadStatus); ok {
@@ -81,14 +81,13 @@
 			machine.Step(time.Second, orders.StatusRead{Read: read.Read, Status: orders.Status{Model: "rose", Version: "v2", Adapters: []string{"x"}}})
 		}
 	}
-	if busy := g.ordersInFlight(time.Second, []string{"e0", "e1"}); !slices.Equal(busy, []string{"e0"}) {
-		t.Errorf("orders in flight at %v, want e0", busy)
-	}
 	machine.Step(2*time.Second, orders.Lost{Target: "e0"})
-	if busy := g.ordersInFlight(2*time.Second, []string{"e0"}); len(busy) != 1 {
-		t.Error("the order is forgotten when the target is lost")
-	}
-	if busy := g.ordersInFlight(time.Minute, []string{"e0"}); len(busy) != 0 {
-		t.Error("the order counts as in flight although it can't arrive any more")
+	stopped := []ownership.Handover{{Target: "e0", Stopped: true, Clean: true}, {Target: "e1", Stopped: true, Clean: true}, {Target: "e2", Stopped: true}}
+	for at, want := range map[time.Duration][]string{2 * time.Second: {"e1"}, time.Minute: {"e0", "e1"}} {
+		successor, _ := newTestGate(t, 3)
+		successor.handoverFrom(0, 0, g.handoverReply(at, stopped))
+		if released := slices.Sorted(maps.Keys(successor.state.orders.released)); !slices.Equal(released, want) {
+			t.Errorf("after %s the successor takes %v as released, want %v", at, released, want)
+		}
 	}
 }
