--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -41,8 +41,11 @@
 		for _, t := range c.Snapshot(now).Targets {
 			if !t.Lost || t.InFlight > t.TakenOver {
 				load := &pb.TargetLoad{Target: t.Target, Load: int32(t.InFlight)}
-				if g.reports.down(t.Target) {
+				switch {
+				case g.reports.down(t.Target):
 					load.State = stateDown
+				case !t.Lost && g.unloaded(t.Target):
+					load.State = stateUnloaded
 				}
 				record.Targets = append(record.Targets, load)
 			}
@@ -102,7 +105,9 @@
 			sums[k] = &admission.PoolDigest{Pool: k.pool, Zone: k.zone, Gate: gate, Age: record.Age}
 		}
 		sums[k].Load += int(load.Load)
-		sums[k].Targets++
+		if load.State != stateUnloaded {
+			sums[k].Targets++
+		}
 	}
 	for _, digest := range sums {
 		c.SetPoolDigest(now, *digest)
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -151,9 +151,13 @@
 	attempt := &target.Attempt{Guard: func() bool { return c.gate.mayWrite(t) }}
 	response, err := c.gate.targets.Do(ctx, t.Address, c.targetRequest(), attempt)
 	if err != nil {
+		c.gate.doubt(t)
 		return c.targetError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.Status == http.StatusNotFound {
+		c.gate.doubt(t)
+	}
 	if t.Pool().Kind == catalogue.Model && response.Status >= http.StatusInternalServerError {
 		return refuse(reason.TargetRefused, reason.Unknown, t.Name+" answered with "+http.StatusText(response.Status))
 	}
@@ -236,6 +240,7 @@
 		if !t.Pool().Resumable || attempt >= resumeAttempts {
 			return refuse(reason.TargetFailed, reason.Unknown, t.Name+" broke off its answer")
 		}
+		c.gate.doubt(t)
 		again, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, writer.Next())
 		if err != nil {
 			return ranAlready(c.targetError(ctx, err))
@@ -294,7 +299,7 @@
 		Target:       t.Name,
 		Status:       int32(response.Status),
 		ContentType:  response.ContentType,
-		ModelVersion: t.Pool().Version,
+		ModelVersion: c.gate.modelVersion(t),
 	}}})
 }
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -252,7 +252,7 @@
 	n := f.nodes[name]
 	switch n.role {
 	case roleEngine:
-		return f.run(name, "standin-engine", f.targetFlags(n, f.spec.EngineFlags)...)
+		return f.run(name, "standin-engine", f.targetFlags(n, f.engineFlags())...)
 	case roleService:
 		return f.run(name, "standin-service", f.targetFlags(n, f.spec.ServiceFlags)...)
 	}
@@ -262,6 +262,21 @@
 	return f.run(name, "amaranth-"+n.role, "--settings", f.path(name+".yaml"))
 }
 
+// engineFlags are those of every engine. Targets of the spec bring their own.
+func (f *Fleet) engineFlags() []string {
+	if len(f.spec.Targets) > 0 {
+		return f.spec.EngineFlags
+	}
+	var flags []string
+	if !f.spec.EmptyEngines {
+		flags = append(flags, "--model", f.spec.Model.Name, "--version-loaded", f.spec.Model.Version)
+	}
+	if !f.spec.Model.ChecksFencing {
+		flags = append(flags, "--ignore-fencing")
+	}
+	return append(flags, f.spec.EngineFlags...)
+}
+
 func (f *Fleet) targetFlags(n *node, flags []string) []string {
 	all := append([]string{"--listen", n.address, "--name", n.name}, flags...)
 	return append(all, n.flags...)
