Read durations in settings, and test at-most-once with a killed executor (in progress)

Settings files with any timing failed with "cannot unmarshal string" since the YAML library was given no unmarshaler for durations; TestLoadNamesTheWrongField was red for the same reason.

--- a/internal/catalogue/duration.go
+++ b/internal/catalogue/duration.go
@@ -40,3 +40,14 @@
 	*d = value
 	return err
 }
+
+// UnmarshalYAML accepts only durations with a unit.
+func (d *Duration) UnmarshalYAML(unmarshal func(any) error) error {
+	var text string
+	if err := unmarshal(&text); err != nil {
+		return err
+	}
+	value, err := parseDuration(text)
+	*d = value
+	return err
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -26,6 +26,7 @@
 	pollPause  = 50 * time.Millisecond
 	platformID = "platform"
 	linkID     = "link"
+	fleetKey   = "demo-fleet-key-demo-fleet-key-demo-fleet-key-"
 )
 
 // Fleet is a running system.
@@ -65,8 +66,7 @@
 	if err := f.assignAddresses(); err != nil {
 		return err
 	}
-	key := strings.Repeat("demo-fleet-key-", 3)
-	if err := f.write("fleet.key", []byte(key)); err != nil {
+	if err := f.write("fleet.key", []byte(fleetKey)); err != nil {
 		return err
 	}
 	f.catalogue = f.firstCatalogue()
@@ -229,9 +229,9 @@
 	n := f.nodes[name]
 	switch n.role {
 	case roleEngine:
-		return f.run(name, "standin-engine", append([]string{"--listen", n.address, "--name", name}, f.spec.EngineFlags...)...)
+		return f.run(name, "standin-engine", append(f.targetFlags(n), f.spec.EngineFlags...)...)
 	case roleService:
-		return f.run(name, "standin-service", append([]string{"--listen", n.address, "--name", name}, f.spec.ServiceFlags...)...)
+		return f.run(name, "standin-service", append(f.targetFlags(n), f.spec.ServiceFlags...)...)
 	}
 	if err := f.write(name+".yaml", []byte(f.settings(n))); err != nil {
 		return err
@@ -239,6 +239,13 @@
 	return f.run(name, "amaranth-"+n.role, "--settings", f.path(name+".yaml"))
 }
 
+func (f *Fleet) targetFlags(n *node) []string {
+	return []string{"--listen", n.address, "--name", n.name, "--log-file", f.RunLog(n.name)}
+}
+
+// RunLog returns the file to which a target logs its runs; it outlives the target's process.
+func (f *Fleet) RunLog(name string) string { return f.path(name + ".runs") }
+
 func (f *Fleet) settings(n *node) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "name: %s\nzone: %s\nregion: %s\n", n.name, f.spec.Zones[n.zone], f.spec.region(n.zone))
@@ -257,6 +264,11 @@
 			b.WriteString("  " + line + "\n")
 		}
 	}
+	if n.role == roleEntry {
+		for _, line := range f.spec.EntrySettings {
+			b.WriteString(line + "\n")
+		}
+	}
 	return b.String()
 }
 
@@ -432,6 +444,15 @@
 	return f.call(http.MethodPost, f.URL(name)+"/standin/faults", []byte(faults))
 }
 
+// FleetKey returns the key that authenticates the fleet's tickets.
+func (f *Fleet) FleetKey() []byte { return []byte(fleetKey) }
+
+// SetLink changes the condition of the link before a gate; see the stand-in for its fields.
+func (f *Fleet) SetLink(gate, fields string) error {
+	body := fmt.Sprintf(`{"route":%q,%s}`, gate, fields)
+	return f.call(http.MethodPost, f.LinkControl()+"/standin/link", []byte(body))
+}
+
 // LinkControl returns the base URL of the control of the links.
 func (f *Fleet) LinkControl() string { return "http://" + f.link }
 
--- a/standin/fleet/spec.go
+++ b/standin/fleet/spec.go
@@ -41,6 +41,8 @@
 	Service catalogue.Pool
 	// Timing lines are added to the settings, such as "suspicion: 2s".
 	Timing []string
+	// EntrySettings lines are added to the settings of entries, such as "stall_timeout: 2s".
+	EntrySettings []string
 	// ThroughLinks puts a stand-in link before each gate, so that tests can cut and delay it.
 	ThroughLinks bool
 	// LinkFlags are passed to the link's stand-in.
