Make every "not run" true, and report the progress of slow requests

Found with real processes under kills, cuts and freezes (test/e2e/notrun_test.go, once_failure_test.go): - A gate whose target died during a stream failed to resume it and refused with target_unreachable, ran: no. - An entry whose retry was refused answered with the "ran" of the last try although an earlier try had run. - A process that replaced a ticket's executor refused repeats with not_ready, ran: no, before it looked at the ticket's incarnation; a fresh entry did the same. The order had run. - An executor or engine that worked for longer than the entry's stall timeout was given up: the order became unknown, and the chat was run again until its targets were used up. Gates now send progress once a second.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -79,6 +79,8 @@
 		return true, nil
 	case *pb.ServeEvent_Refusal:
 		return false, refusalOf(body.Refusal)
+	case *pb.ServeEvent_Progress:
+		return false, nil
 	}
 	return false, &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: "the gate sent an unknown event"}
 }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -112,6 +112,7 @@
 	var status *echo.HTTPError
 	switch {
 	case errors.As(err, &refusal):
+		refusal = unsettled(c, refusal)
 	case errors.As(err, &status):
 		refusal = refuse(reason.BadRequest, "%v", status.Message)
 		e.answerError(c, status.Code, refusal)
@@ -122,6 +123,21 @@
 	e.answerError(c, refusal.Reason.Status(), refusal)
 }
 
+// unsettled marks a refusal that was made before the request's ticket was looked at: an earlier try with the same
+// ticket may have run.
+func unsettled(c echo.Context, refusal *Refusal) *Refusal {
+	if refusal.Ran != reason.No || c.Request().Header.Get(headerTicket) == "" {
+		return refusal
+	}
+	switch refusal.Reason {
+	case reason.NotReady, reason.UnknownCustomer, reason.UnknownPool, reason.BadRequest, reason.BodyTooLarge:
+		changed := *refusal
+		changed.Ran = reason.Unknown
+		return &changed
+	}
+	return refusal
+}
+
 func (e *Entry) answerError(c echo.Context, status int, refusal *Refusal) {
 	e.meters.Refused(refusal.Reason, refusal.Ran)
 	if c.Response().Committed {
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -31,6 +31,7 @@
 		pool:       pool,
 		deadline:   time.Now().Add(time.Duration(pool.Deadline)),
 		resumeFrom: from,
+		mayHaveRun: true,
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), request.deadline)
 	defer cancel()
@@ -38,7 +39,7 @@
 	if err := e.resume(ctx, request, answer, token.Target); err != nil {
 		var refusal *Refusal
 		if errors.As(err, &refusal) {
-			return answer.fail(refusal)
+			return answer.fail(request.overall(refusal))
 		}
 		return err
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -38,6 +38,8 @@
 	repeatable  bool
 	// resumeFrom is the first event that the caller lacks.
 	resumeFrom int64
+	// mayHaveRun says that a try failed after its target may have run it.
+	mayHaveRun bool
 	// redirected says that a gate has pointed the request to the targets in next.
 	redirected bool
 	next       []string
@@ -69,16 +71,27 @@
 		if !errors.As(err, &refusal) {
 			return err
 		}
+		request.mayHaveRun = request.mayHaveRun || refusal.Ran == reason.Unknown
 		if request.redirect(refusal) {
 			e.meters.Event("redirected_over_limit")
 			continue
 		}
 		if !e.mayRetry(ctx, request, answer, refusal, attempt) {
-			return answer.fail(refusal)
+			return answer.fail(request.overall(refusal))
 		}
 	}
 }
 
+// overall returns the refusal of the last try as that of the whole request, which may have run in an earlier try.
+func (r *request) overall(refusal *Refusal) *Refusal {
+	if !r.mayHaveRun || refusal.Ran == reason.Unknown {
+		return refusal
+	}
+	whole := *refusal
+	whole.Ran = reason.Unknown
+	return &whole
+}
+
 // redirect takes over the targets that a gate names because its own has no room. It happens once for each request
 // and so needs no retry budget: gates name others only while these have room, and the next gate queues the request
 // instead of naming others again.
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -130,6 +130,9 @@
 // chooseTarget returns the target that the entry chose if this gate owns it, else another one of the pool that it owns.
 func (r *onceRun) chooseTarget() (*catalogue.Target, reason.Reason) {
 	snapshot := r.gate.snapshot.Load()
+	if snapshot == nil {
+		return nil, reason.NotReady
+	}
 	pool, ok := snapshot.Catalogue.Pool(r.request.Pool)
 	if !ok {
 		return nil, reason.UnknownPool
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/admission"
@@ -64,6 +65,7 @@
 		defer cancel()
 	}
 	call := &call{gate: g, request: request, out: out}
+	defer call.reportProgress()()
 	err := call.run(ctx)
 	var refused *refusal
 	if errors.As(err, &refused) {
@@ -81,16 +83,19 @@
 	gate    *Gate
 	request *pb.ServeRequest
 	out     pb.DRPCTraffic_ServeStream
+	// sent says that an event was sent since the last look of reportProgress.
+	sent atomic.Bool
 }
 
 func (c *call) run(ctx context.Context) error {
+	// A ticket comes before readiness: a process that replaced the ticket's executor can't know that it did not run.
+	if len(c.request.Ticket) > 0 {
+		return c.runTicket(ctx)
+	}
 	snapshot := c.gate.snapshot.Load()
 	if snapshot == nil {
 		return refuse(reason.NotReady, reason.No, "the gate has no catalogue yet")
 	}
-	if len(c.request.Ticket) > 0 {
-		return c.runTicket(ctx)
-	}
 	t, ok := snapshot.Catalogue.Target(c.request.Target)
 	if !ok {
 		return refuse(reason.NoTarget, reason.No, "the catalogue has no target "+c.request.Target)
@@ -200,11 +205,22 @@
 	return refuse(reason.TargetFailed, reason.Unknown, failed.Error())
 }
 
+// resumeError turns an error of an attempt to resume into a refusal. The request ran before, also when the target can
+// no longer be reached.
+func (c *call) resumeError(ctx context.Context, err error) error {
+	err = c.targetError(ctx, err)
+	var refused *refusal
+	if errors.As(err, &refused) {
+		refused.ran = reason.Unknown
+	}
+	return err
+}
+
 // resume attaches to a stream that already runs at the target; it is no new work.
 func (c *call) resume(ctx context.Context, t *catalogue.Target, from int64) error {
 	response, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, from)
 	if err != nil {
-		return c.targetError(ctx, err)
+		return c.resumeError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if !strings.HasPrefix(response.ContentType, eventStream) {
@@ -233,7 +249,7 @@
 		}
 		again, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, writer.Next())
 		if err != nil {
-			return c.targetError(ctx, err)
+			return c.resumeError(ctx, err)
 		}
 		if !strings.HasPrefix(again.ContentType, eventStream) {
 			_ = again.Body.Close()
@@ -329,6 +345,7 @@
 }
 
 func (c *call) send(event *pb.ServeEvent) error {
+	c.sent.Store(true)
 	event.RequestId = c.request.RequestId
 	return c.out.Send(event)
 }
--- a/test/e2e/once_failure_test.go
+++ b/test/e2e/once_failure_test.go
@@ -253,3 +253,61 @@
 		unknown: neverUnknown,
 	})
 }
+
+// Guards against a "not run" from an entry that knows nothing yet, for an order that ran before its start.
+func TestOnceAtEntryWithoutView(t *testing.T) {
+	f := start(t, fleet.Default())
+	entry := f.Names("entry")[0]
+	const body = `{"part":"fresh-entry"}`
+	header := ticketFor(t, f.URL(entry), body)
+	if got := send("POST", f.URL(entry)+submitPath, "press", header, []byte(body)); got.status != 200 {
+		t.Fatalf("status %d, %s", got.status, got.body)
+	}
+	for _, gate := range f.Names("gate") {
+		must(t, f.Freeze(gate))
+	}
+	f.Kill(entry)
+	must(t, f.StartNode(entry))
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		got := send("POST", f.URL(entry)+submitPath, "press", header, []byte(body))
+		if got.err != nil {
+			continue
+		}
+		if code, ran := got.errorCode(); ran != "unknown" {
+			t.Fatalf("got %s with ran: %s for an order that ran", code, ran)
+		}
+		return
+	}
+	t.Fatal("the entry did not answer")
+}
+
+// Guards against an executor that works on an order for longer than the entry's stall timeout and is given up, so that
+// the caller gets "unknown" although nothing failed.
+func TestSlowOrderIsAnswered(t *testing.T) {
+	spec := fleet.Default()
+	spec.ServiceFlags = []string{"--run-time", "4s"}
+	spec.EntrySettings = []string{"stall_timeout: 2s"}
+	f := start(t, spec)
+	entry := f.URL(f.Names("entry")[0])
+	const body = `{"part":"slow"}`
+	got := send("POST", entry+submitPath, "press", ticketFor(t, entry, body), []byte(body))
+	if got.status != 200 {
+		t.Fatalf("status %d, %s", got.status, got.body)
+	}
+}
+
+// Guards against the same for a chat whose whole answer takes longer than the entry's stall timeout.
+func TestSlowChatIsAnswered(t *testing.T) {
+	spec := fleet.Default()
+	spec.EngineFlags = []string{"--token-time", "100ms"}
+	spec.EntrySettings = []string{"stall_timeout: 2s"}
+	f := start(t, spec)
+	entry := f.URL(f.Names("entry")[0])
+	got := send("POST", entry+"/v1/chat/completions", "rose", nil, chatBody("slow", 40, false))
+	if got.status != 200 {
+		t.Fatalf("status %d, %s", got.status, got.body)
+	}
+	if runs := runLogs(t, f, f.Names("engine")); len(runs) != 1 {
+		t.Fatalf("the engines ran the chat %d times", len(runs))
+	}
+}
