--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -236,7 +236,11 @@
 	writer := stream.NewWriter(from)
 	body := response.Body
 	for attempt := 0; ; attempt++ {
+		before := writer.Next()
 		done, err := c.copyEvents(body, writer)
+		if writer.Next() > before {
+			attempt = 0
+		}
 		if done {
 			return c.sendEnd(writer, response)
 		}
@@ -259,26 +263,41 @@
 	}
 }
 
-// copyEvents relays events until the end marker (true) or a break in the numbering or the connection (false).
+// copyEvents relays events in the order of their numbers until the end marker (true), or until the connection breaks
+// or an event is missing (false).
 func (c *call) copyEvents(body io.Reader, writer *stream.Writer) (bool, error) {
+	var early stream.Window
 	for event, err := range target.Events(body) {
 		switch {
 		case err != nil:
 			return false, err
 		case event.Done:
-			return true, nil
+			return early.Empty(), nil
 		case event.Sequence < writer.Next():
 			continue
 		case event.Sequence > writer.Next():
-			return false, nil
+			if !early.Hold(event.Sequence, []byte(event.Data)) {
+				return false, nil
+			}
+			continue
 		}
-		if err := c.sendChunk(writer, []byte(event.Data)); err != nil {
+		if err := c.sendInOrder(writer, []byte(event.Data), &early); err != nil {
 			return false, err
 		}
 	}
 	return false, nil
 }
 
+// sendInOrder sends the next chunk and those held for which it was missing.
+func (c *call) sendInOrder(writer *stream.Writer, data []byte, early *stream.Window) error {
+	for ok := true; ok; data, ok = early.Take(writer.Next()) {
+		if err := c.sendChunk(writer, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // relayBody relays an answer that is not an event stream.
 func (c *call) relayBody(ctx context.Context, response *target.Response) error {
 	writer := stream.NewWriter(0)
--- /dev/null
+++ b/internal/stream/window_test.go
@@ -0,0 +1,48 @@
+package stream
+
+import (
+	"math/rand"
+	"strconv"
+	"testing"
+)
+
+// Guards against a chunk that is lost, repeated or out of order when chunks arrive swapped and twice.
+func TestWindowRestoresOrder(t *testing.T) {
+	for seed := range int64(200) {
+		random := rand.New(rand.NewSource(seed))
+		const chunks = windowChunks
+		arrivals := append(random.Perm(chunks), random.Perm(chunks)...)
+		var window Window
+		next := int64(0)
+		for _, n := range arrivals {
+			if int64(n) < next {
+				continue
+			}
+			if !window.Hold(int64(n), []byte(strconv.Itoa(n))) {
+				t.Fatalf("seed %d: chunk %d was not held", seed, n)
+			}
+			for data, ok := window.Take(next); ok; data, ok = window.Take(next) {
+				if string(data) != strconv.FormatInt(next, 10) {
+					t.Fatalf("seed %d: chunk %d is %s", seed, next, data)
+				}
+				next++
+			}
+		}
+		if next != chunks || !window.Empty() {
+			t.Fatalf("seed %d: %d of %d chunks, window empty: %v", seed, next, chunks, window.Empty())
+		}
+	}
+}
+
+// Guards against memory that grows with a stream whose next chunk never comes.
+func TestWindowIsBounded(t *testing.T) {
+	var window Window
+	for n := range int64(windowChunks) {
+		if !window.Hold(n+1, nil) {
+			t.Fatalf("chunk %d was not held", n+1)
+		}
+	}
+	if window.Hold(windowChunks+1, nil) {
+		t.Fatal("the window took a chunk too many")
+	}
+}
