--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -462,6 +463,16 @@
 	return f.catalogue.Revision, f.PublishDocument(document)
 }
 
+// Document returns the catalogue with a change and a revision, without publishing or keeping it.
+func (f *Fleet) Document(revision uint64, change func(c *catalogue.Catalogue)) ([]byte, error) {
+	changed := f.catalogue
+	changed.Customers = slices.Clone(changed.Customers)
+	changed.Pools = slices.Clone(changed.Pools)
+	changed.Revision = revision
+	change(&changed)
+	return yaml.Marshal(&changed)
+}
+
 // PublishDocument publishes a catalogue document as it is.
 func (f *Fleet) PublishDocument(document []byte) error {
 	return f.call(http.MethodPut, "http://"+f.platform+"/standin/config/catalogue", document)
