--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -9,6 +9,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"sync/atomic"
 	"time"
 )
 
@@ -54,10 +55,15 @@
 	}
 }
 
-// Call runs a function on the loop and waits for it.
+// Call runs a function on the loop and waits for it. After an error the function has not run and will not, so that the
+// caller may use the variables that it sets.
 func (l *Loop) Call(ctx context.Context, f func(now time.Duration)) error {
 	finished := make(chan struct{})
+	var claimed atomic.Bool
 	posted := l.Post(func(now time.Duration) {
+		if !claimed.CompareAndSwap(false, true) {
+			return
+		}
 		defer close(finished)
 		f(now)
 	})
@@ -68,10 +74,13 @@
 	case <-finished:
 		return nil
 	case <-l.done:
-		return context.Canceled
 	case <-ctx.Done():
-		return ctx.Err()
 	}
+	if claimed.CompareAndSwap(false, true) {
+		return context.Canceled
+	}
+	<-finished
+	return nil
 }
 
 // Handlers are the functions that the loop calls by itself.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -390,9 +390,17 @@
 
 // Stop asks a process to end gracefully and returns its exit code.
 func (f *Fleet) Stop(name string, limit time.Duration) (int, error) {
-	if err := f.processes[name].signal(syscall.SIGTERM); err != nil {
+	if err := f.Terminate(name); err != nil {
 		return 0, err
 	}
+	return f.Await(name, limit)
+}
+
+// Terminate asks a process to end gracefully; Await waits for its end and returns its exit code.
+func (f *Fleet) Terminate(name string) error { return f.processes[name].signal(syscall.SIGTERM) }
+
+// Await waits for the end of a process and returns its exit code.
+func (f *Fleet) Await(name string, limit time.Duration) (int, error) {
 	return f.processes[name].wait(limit)
 }
 
--- a/test/e2e/once_failure_test.go
+++ b/test/e2e/once_failure_test.go
@@ -175,6 +175,36 @@
 	})
 }
 
+// Guards against an order that a graceful stop of its executor cuts, seals falsely or lets the heir run again.
+func TestOnceWhenExecutorIsStopped(t *testing.T) {
+	checkOnce(t, onceFailure{
+		start:   func(_ *testing.T, f *fleet.Fleet, o *order) error { return f.Terminate(o.ticket.Executor.Name) },
+		repair:  func(_ *testing.T, f *fleet.Fleet, o *order) error { return awaitRestart(f, o.ticket.Executor.Name) },
+		unknown: neverUnknown,
+	})
+}
+
+// Guards against an intent or outcome that a graceful stop of the witness loses.
+func TestOnceWhenWitnessIsStopped(t *testing.T) {
+	checkOnce(t, onceFailure{
+		start:   func(_ *testing.T, f *fleet.Fleet, o *order) error { return f.Terminate(o.ticket.Witness.Name) },
+		repair:  func(_ *testing.T, f *fleet.Fleet, o *order) error { return awaitRestart(f, o.ticket.Witness.Name) },
+		unknown: neverUnknown,
+	})
+}
+
+// awaitRestart waits for the end of a process that was told to stop and starts it again.
+func awaitRestart(f *fleet.Fleet, name string) error {
+	code, err := f.Await(name, startLimit)
+	if err != nil {
+		return err
+	}
+	if code != 0 {
+		return fmt.Errorf("%s exited with code %d", name, code)
+	}
+	return f.StartNode(name)
+}
+
 // Guards against an answer that needs the witness although the executor lives.
 func TestOnceWhenWitnessIsKilled(t *testing.T) {
 	checkOnce(t, onceFailure{
