--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -39,7 +39,7 @@
 	if err := e.resume(ctx, request, answer, token.Target); err != nil {
 		var refusal *Refusal
 		if errors.As(err, &refusal) {
-			return answer.fail(request.overall(refusal))
+			return answer.fail(request.noteRan(refusal))
 		}
 		return err
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,6 +10,7 @@
 	"crypto/tls"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
@@ -59,6 +60,13 @@
 	runs      *runs
 	inFlight  inFlight
 	beats     *beats
+	reports   *reports
+	crashes   *crashes
+	transfers transfers
+
+	// poller and spreading belong to the control goroutine.
+	poller    poller
+	spreading spreading
 }
 
 // Snapshot is what traffic goroutines read of the control state. It is immutable.
@@ -106,6 +114,13 @@
 	g.desk = g.newDesk()
 	g.runs = newRuns()
 	g.beats = newBeats()
+	g.reports = newReports()
+	g.crashes = newCrashes(g.clock.Now)
+	g.transfers = newTransfers()
+	g.poller = poller{due: make(map[string]time.Duration)}
+	if err := g.registerReportGauges(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	g.control = rpc.NewDialer(rpc.Control, g.tls, meters)
 	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters)
 	return g, nil
@@ -175,6 +190,10 @@
 	Admission   admission.Snapshot `json:"admission"`
 	InFlight    int                `json:"in_flight"`
 	OpenTickets int                `json:"open_tickets"`
+	Reports     []ReportStatus     `json:"reports"`
+	// CrashSuspects and CrashRefused count the requests that are charged with one crash and with two.
+	CrashSuspects int `json:"crash_suspects"`
+	CrashRefused  int `json:"crash_refused"`
 }
 
 func (g *Gate) status() any {
@@ -186,7 +205,9 @@
 		Admission:   g.admission.snapshot(),
 		InFlight:    g.inFlight.count(),
 		OpenTickets: g.desk.openTickets(),
+		Reports:     g.reportStatuses(),
 	}
+	status.CrashSuspects, status.CrashRefused = g.crashes.suspects()
 	if snapshot := g.snapshot.Load(); snapshot != nil {
 		status.Revision = snapshot.Catalogue.Revision
 		status.View = snapshot.View
--- a/test/e2e/chaos_test.go
+++ b/test/e2e/chaos_test.go
@@ -34,14 +34,14 @@
 	log    []string
 }
 
-// failure is one kind of failure of a node and its repair.
-type failure struct {
+// nodeFailure is one kind of failure of a node and its repair.
+type nodeFailure struct {
 	name          string
 	roles         []string
 	begin, finish func(name string) error
 }
 
-func (c *chaos) failures() []failure {
+func (c *chaos) failures() []nodeFailure {
 	f := c.f
 	kill := func(name string) error { f.Kill(name); return nil }
 	replace := func(name string) error { f.Kill(name); return f.StartNode(name) }
@@ -50,7 +50,7 @@
 	nothing := func(string) error { return nil }
 	daemons := []string{"gate", "entry"}
 	gates := []string{"gate"}
-	return []failure{
+	return []nodeFailure{
 		{"kill", []string{"gate", "entry", "service"}, kill, f.StartNode},
 		{"replace", daemons, replace, nothing},
 		{"freeze", gates, f.Freeze, f.Thaw},
@@ -90,12 +90,12 @@
 }
 
 type drawn struct {
-	failure
+	nodeFailure
 	node string
 }
 
-func (d drawn) begin() error  { return d.wrap("begin", d.failure.begin(d.node)) }
-func (d drawn) finish() error { return d.wrap("finish", d.failure.finish(d.node)) }
+func (d drawn) begin() error  { return d.wrap("begin", d.nodeFailure.begin(d.node)) }
+func (d drawn) finish() error { return d.wrap("finish", d.nodeFailure.finish(d.node)) }
 
 func (d drawn) wrap(phase string, err error) error {
 	if err == nil {
@@ -104,7 +104,7 @@
 	return fmt.Errorf("%s of %s at %s: %w", phase, d.name, d.node, err)
 }
 
-func (c *chaos) draw(failures []failure) drawn {
+func (c *chaos) draw(failures []nodeFailure) drawn {
 	chosen := failures[c.random.Intn(len(failures))]
 	names := c.f.Names(chosen.roles[c.random.Intn(len(chosen.roles))])
 	d := drawn{chosen, names[c.random.Intn(len(names))]}
