--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -80,6 +80,8 @@
 	case *pb.ServeEvent_Refusal:
 		a.entry.learnCharges(a.request, body.Refusal.Charges)
 		return false, refusalOf(body.Refusal)
+	case *pb.ServeEvent_Progress:
+		return false, nil
 	}
 	return false, &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: "the gate sent an unknown event"}
 }
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/admission"
@@ -66,6 +67,7 @@
 		defer cancel()
 	}
 	call := &call{gate: g, request: request, out: out}
+	defer call.reportProgress()()
 	err := call.run(ctx)
 	var refused *refusal
 	if errors.As(err, &refused) {
@@ -83,16 +85,19 @@
 	gate    *Gate
 	request *pb.ServeRequest
 	out     pb.DRPCTraffic_ServeStream
+	// sent says that an event was sent since the last look of reportProgress.
+	sent atomic.Bool
 }
 
 func (c *call) run(ctx context.Context) error {
+	// A ticket comes before readiness: a process that replaced the ticket's executor can't know that it did not run.
+	if len(c.request.Ticket) > 0 {
+		return c.runTicket(ctx)
+	}
 	snapshot := c.gate.snapshot.Load()
 	if snapshot == nil {
 		return refuse(reason.NotReady, reason.No, "the gate has no catalogue yet")
 	}
-	if len(c.request.Ticket) > 0 {
-		return c.runTicket(ctx)
-	}
 	t, ok := snapshot.Catalogue.Target(c.request.Target)
 	if !ok {
 		return refuse(reason.NoTarget, reason.No, "the catalogue has no target "+c.request.Target)
@@ -213,7 +218,7 @@
 func (c *call) resume(ctx context.Context, t *catalogue.Target, from int64) error {
 	response, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, from)
 	if err != nil {
-		return c.targetError(ctx, err)
+		return ranAlready(c.targetError(ctx, err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	if !strings.HasPrefix(response.ContentType, eventStream) {
@@ -230,7 +235,11 @@
 	writer := stream.NewWriter(from)
 	body := response.Body
 	for attempt := 0; ; attempt++ {
+		before := writer.Next()
 		done, err := c.copyEvents(body, writer)
+		if writer.Next() > before {
+			attempt = 0
+		}
 		if done {
 			return c.sendEnd(writer, response)
 		}
@@ -254,26 +263,41 @@
 	}
 }
 
-// copyEvents relays events until the end marker (true) or a break in the numbering or the connection (false).
+// copyEvents relays events in the order of their numbers until the end marker (true), or until the connection breaks
+// or an event is missing (false).
 func (c *call) copyEvents(body io.Reader, writer *stream.Writer) (bool, error) {
+	var early stream.Window
 	for event, err := range target.Events(body) {
 		switch {
 		case err != nil:
 			return false, err
 		case event.Done:
-			return true, nil
+			return early.Empty(), nil
 		case event.Sequence < writer.Next():
 			continue
 		case event.Sequence > writer.Next():
-			return false, nil
+			if !early.Hold(event.Sequence, []byte(event.Data)) {
+				return false, nil
+			}
+			continue
 		}
-		if err := c.sendChunk(writer, []byte(event.Data)); err != nil {
+		if err := c.sendInOrder(writer, []byte(event.Data), &early); err != nil {
 			return false, err
 		}
 	}
 	return false, nil
 }
 
+// sendInOrder sends the next chunk and those held for which it was missing.
+func (c *call) sendInOrder(writer *stream.Writer, data []byte, early *stream.Window) error {
+	for ok := true; ok; data, ok = early.Take(writer.Next()) {
+		if err := c.sendChunk(writer, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // relayBody relays an answer that is not an event stream.
 func (c *call) relayBody(ctx context.Context, response *target.Response) error {
 	writer := stream.NewWriter(0)
@@ -340,6 +364,7 @@
 }
 
 func (c *call) send(event *pb.ServeEvent) error {
+	c.sent.Store(true)
 	event.RequestId = c.request.RequestId
 	return c.out.Send(event)
 }
--- a/standin/fleet/spec.go
+++ b/standin/fleet/spec.go
@@ -57,6 +57,8 @@
 	Document func(addresses map[string]string) ([]byte, error)
 	// Timing lines are added to the settings, such as "suspicion: 2s".
 	Timing []string
+	// EntrySettings lines are added to the settings of entries, such as "stall_timeout: 2s".
+	EntrySettings []string
 	// ThroughLinks puts a stand-in link before each gate, so that tests can cut and delay it.
 	ThroughLinks bool
 	// LinkFlags are passed to the link's stand-in.
