Count an order that ends in a server error as unanswered

Cause: such an order counted as refused, so that the next one could follow while the engine carried out the first.

Change: status 500 and above gives the result unanswered, after which the engine is left alone for D + L.

Conclusion: a table test covers every result of an order.

--- a/internal/gate/orders_test.go
+++ b/internal/gate/orders_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"maps"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +17,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/orders"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/settings"
+	"github.com/amaranthlb/amaranthlb/internal/target"
 )
 
 // newTestGate returns a gate that is not started and a snapshot in which it owns all engines of a pool.
@@ -91,3 +95,32 @@
 		}
 	}
 }
+
+// Guards against an order that counts as refused or not sent although the engine may have taken it: the next one would
+// then follow too early.
+func TestOrderResults(t *testing.T) {
+	cases := []struct {
+		status int
+		guard  bool
+		want   orders.OrderResult
+	}{
+		{http.StatusOK, true, orders.Accepted},
+		{http.StatusAccepted, true, orders.Accepted},
+		{http.StatusConflict, true, orders.Fenced},
+		{http.StatusBadRequest, true, orders.Rejected},
+		{http.StatusServiceUnavailable, true, orders.Unanswered},
+		{http.StatusOK, false, orders.NotSent},
+	}
+	for _, test := range cases {
+		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(test.status) }))
+		address := strings.TrimPrefix(engine.URL, "http://")
+		err := target.NewClient().SendOrder(t.Context(), address, target.Order{}, func() bool { return test.guard })
+		if got := orderResult(err); got != test.want {
+			t.Errorf("status %d, write permitted %v: %s, want %s", test.status, test.guard, got, test.want)
+		}
+		engine.Close()
+	}
+	if got := orderResult(target.NewClient().SendOrder(t.Context(), "127.0.0.1:1", target.Order{}, nil)); got != orders.NotSent {
+		t.Errorf("engine without a listener: %s, want %s", got, orders.NotSent)
+	}
+}
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -132,7 +132,7 @@
 // ErrStaleFence is an order whose fencing number the engine refused.
 var ErrStaleFence = errors.New("the engine has seen a higher fencing number")
 
-// SendOrder gives an order to an engine.
+// SendOrder gives an order to an engine. After a server error the engine may have taken it.
 func (c *Client) SendOrder(ctx context.Context, address string, order Order, guard func() bool) error {
 	body, err := json.Marshal(order)
 	if err != nil {
@@ -150,7 +150,11 @@
 	case http.StatusConflict:
 		return ErrStaleFence
 	}
-	return fmt.Errorf("the engine answered the order with status %d", response.Status)
+	err = fmt.Errorf("the engine answered the order with status %d", response.Status)
+	if response.Status >= http.StatusInternalServerError {
+		return &Error{Kind: Failed, Address: address, Cause: err}
+	}
+	return err
 }
 
 // ExportKV reads the KV cache of a chat's prefix.
