--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -85,7 +85,6 @@
 		GapLimit: gapLimit,
 	})
 	go g.watchVMs(ctx)
-	go g.tmpPoll(ctx)
 }
 
 // tick lets time pass in every state machine.
@@ -101,6 +100,8 @@
 		g.state.deskTicked = now
 		g.desk.tick()
 	}
+	g.tickCrashes(now)
+	g.pollTargets(now)
 	g.publishUpdates(now)
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -11,8 +11,8 @@
 	"maps"
 	"net"
 	"slices"
-	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
@@ -62,9 +62,14 @@
 	desk      *desk
 	runs      *runs
 	inFlight  inFlight
-	// doubted holds the names of engines to which a call has failed since the last tick.
-	doubted sync.Map
-	beats   *beats
+	beats     *beats
+	reports   *reports
+	crashes   *crashes
+	transfers transfers
+
+	// poller and spreading belong to the control goroutine.
+	poller    poller
+	spreading spreading
 }
 
 // Snapshot is what traffic goroutines read of the control state. It is immutable.
@@ -116,6 +121,13 @@
 	g.desk = g.newDesk()
 	g.runs = newRuns()
 	g.beats = newBeats()
+	g.reports = newReports()
+	g.crashes = newCrashes(g.clock.Now)
+	g.transfers = newTransfers()
+	g.poller = poller{due: make(map[string]time.Duration)}
+	if err := g.registerReportGauges(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	g.control = rpc.NewDialer(rpc.Control, g.tls, meters)
 	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters)
 	return g, nil
@@ -185,6 +197,10 @@
 	Admission   admission.Snapshot `json:"admission"`
 	InFlight    int                `json:"in_flight"`
 	OpenTickets int                `json:"open_tickets"`
+	Reports     []ReportStatus     `json:"reports"`
+	// CrashSuspects and CrashRefused count the requests that are charged with one crash and with two.
+	CrashSuspects int `json:"crash_suspects"`
+	CrashRefused  int `json:"crash_refused"`
 	// Orders describes the owned engines, Unloaded names the engines that get no requests until they are loaded.
 	Orders   []orders.EngineStatus `json:"orders"`
 	Unloaded []string              `json:"unloaded"`
@@ -199,8 +215,10 @@
 		Admission:   g.admission.snapshot(),
 		InFlight:    g.inFlight.count(),
 		OpenTickets: g.desk.openTickets(),
+		Reports:     g.reportStatuses(),
 		Orders:      g.orderStatus(),
 	}
+	status.CrashSuspects, status.CrashRefused = g.crashes.suspects()
 	if snapshot := g.snapshot.Load(); snapshot != nil {
 		status.Revision = snapshot.Catalogue.Revision
 		status.View = snapshot.View
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -41,7 +41,10 @@
 		for _, t := range c.Snapshot(now).Targets {
 			if !t.Lost || t.InFlight > t.TakenOver {
 				load := &pb.TargetLoad{Target: t.Target, Load: int32(t.InFlight)}
-				if !t.Lost && g.unloaded(t.Target) {
+				switch {
+				case g.reports.down(t.Target):
+					load.State = stateDown
+				case !t.Lost && g.unloaded(t.Target):
 					load.State = stateUnloaded
 				}
 				record.Targets = append(record.Targets, load)
--- a/internal/gate/orders.go
+++ b/internal/gate/orders.go
@@ -29,8 +29,8 @@
 	owned map[string]bool
 	// released are the targets whose predecessor has confirmed that it stopped and has no order in flight.
 	released map[string]bool
-	// reports are the last reports of the owned engines.
-	reports map[string]orders.Status
+	// incarnations are the processes of the owned engines, by their last reports.
+	incarnations map[string]uint64
 }
 
 func newOrderState(g *Gate) orderState {
@@ -44,7 +44,8 @@
 		machine:  orders.New(settings, rand.New(rand.NewSource(rand.Int63()))),
 		owned:    make(map[string]bool),
 		released: make(map[string]bool),
-		reports:  make(map[string]orders.Status),
+
+		incarnations: make(map[string]uint64),
 	}
 }
 
@@ -54,24 +55,21 @@
 		return
 	}
 	g.state.orders.ticked = now
-	g.takeDoubted(now)
+	g.noteRestarts(now)
 	g.stepOrders(now, orders.Tick{})
 	g.refreshUnloaded(now)
 }
 
-// takeDoubted lets the engines to which calls have failed be read soon.
-func (g *Gate) takeDoubted(now time.Duration) {
-	g.doubted.Range(func(target, _ any) bool {
-		g.doubted.Delete(target)
-		g.stepOrders(now, orders.Doubted{Target: target.(string)})
-		return true
-	})
-}
-
-// doubt notes that a call to an engine failed; the next tick takes the note.
-func (g *Gate) doubt(t *catalogue.Target) {
-	if t.Pool().Kind == catalogue.Model {
-		g.doubted.Store(t.Name, true)
+// noteRestarts lets the engines whose process has changed be read soon: they may have lost their model.
+func (g *Gate) noteRestarts(now time.Duration) {
+	state := &g.state.orders
+	for target := range state.owned {
+		report, ok := g.reports.Latest(target)
+		if !ok || report.Incarnation == state.incarnations[target] {
+			continue
+		}
+		state.incarnations[target] = report.Incarnation
+		g.stepOrders(now, orders.Restarted{Target: target})
 	}
 }
 
@@ -115,7 +113,7 @@
 			delete(state.released, target)
 		}
 	}
-	forget(state.reports, snapshot.Owned)
+	forget(state.incarnations, snapshot.Owned)
 	forget(state.released, snapshot.Owned)
 }
 
--- a/internal/gate/orders_test.go
+++ b/internal/gate/orders_test.go
@@ -48,23 +48,25 @@
 // Guards against requests to an engine with another model or version, and against a new version that closes most
 // engines of a pool at once.
 func TestEnginesWithoutTheModelAreClosed(t *testing.T) {
-	at := func(version string) orders.Status { return orders.Status{Model: "rose", Version: version} }
+	at := func(version string) target.Status { return target.Status{Model: "rose", Version: version} }
 	cases := []struct {
 		name    string
-		reports map[string]orders.Status
+		reports map[string]target.Status
 		closed  []string
 	}{
 		{"no reports", nil, nil},
-		{"other model", map[string]orders.Status{"e0": {Model: "lily", Version: "v2"}}, []string{"e0"}},
-		{"no model", map[string]orders.Status{"e0": {}}, []string{"e0"}},
-		{"one outdated", map[string]orders.Status{"e0": at("v1"), "e1": at("v2")}, []string{"e0"}},
-		{"half outdated", map[string]orders.Status{"e0": at("v1"), "e1": at("v1")}, []string{"e0", "e1"}},
-		{"most outdated", map[string]orders.Status{"e0": at("v1"), "e1": at("v1"), "e2": at("v1")}, nil},
-		{"not owned", map[string]orders.Status{"e9": {}}, nil},
+		{"other model", map[string]target.Status{"e0": {Model: "lily", Version: "v2"}}, []string{"e0"}},
+		{"no model", map[string]target.Status{"e0": {}}, []string{"e0"}},
+		{"one outdated", map[string]target.Status{"e0": at("v1"), "e1": at("v2")}, []string{"e0"}},
+		{"half outdated", map[string]target.Status{"e0": at("v1"), "e1": at("v1")}, []string{"e0", "e1"}},
+		{"most outdated", map[string]target.Status{"e0": at("v1"), "e1": at("v1"), "e2": at("v1")}, nil},
+		{"not owned", map[string]target.Status{"e9": {}}, nil},
 	}
 	for _, test := range cases {
 		g, snapshot := newTestGate(t, 4)
-		maps.Copy(g.state.orders.reports, test.reports)
+		for name, status := range test.reports {
+			g.reports.answered(name, status, 0, 0)
+		}
 		g.markUnloaded(0, snapshot)
 		if closed := slices.Sorted(maps.Keys(snapshot.Unloaded)); !slices.Equal(closed, test.closed) {
 			t.Errorf("%s: closed %v, want %v", test.name, closed, test.closed)
--- a/internal/gate/ownership.go
+++ b/internal/gate/ownership.go
@@ -110,7 +110,7 @@
 		g.loop.Post(func(now time.Duration) {
 			if err != nil {
 				g.meters.ControlCall("handover", "failed")
-				g.stepOwners(now, ownership.HandoverFailed{To: ask.To, Targets: ask.Targets})
+				g.stepOwners(now, ownership.HandoverFailed(ask))
 				return
 			}
 			g.stepOwners(now, g.handoverFrom(now, asked, reply))
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
@@ -44,6 +45,7 @@
 	// elsewhere says that another gate may know more of a ticket: heir if it is set, else the witness.
 	elsewhere bool
 	heir      ticket.Gate
+	charges   []crashguard.Charge
 }
 
 func (r *refusal) Error() string { return string(r.reason) + ": " + r.detail }
@@ -96,7 +98,7 @@
 		return refuse(reason.NoTarget, reason.No, "the catalogue has no target "+c.request.Target)
 	}
 	if c.request.Resume {
-		return c.resume(ctx, t, c.request.ResumeFrom)
+		return c.resumeGuarded(ctx, t, func() error { return c.resume(ctx, t, c.request.ResumeFrom) })
 	}
 	if c.gate.draining.Load() {
 		return c.redirect(snapshot, t, reason.Draining, "the gate is stopping")
@@ -104,6 +106,9 @@
 	if !snapshot.Owned[t.Name] {
 		return c.redirect(snapshot, t, reason.NotOwner, "the gate does not own "+t.Name)
 	}
+	if err := c.checkSuspect(ctx, snapshot, t); err != nil {
+		return err
+	}
 	id, err := c.gate.admission.acquire(ctx, &admission.Request{
 		Target:     t.Name,
 		Customer:   c.request.Customer,
@@ -114,7 +119,8 @@
 	if err != nil {
 		return err
 	}
-	err = c.forward(ctx, t)
+	c.transferCache(ctx, snapshot, t)
+	err = c.runGuarded(ctx, t, func() error { return c.forward(ctx, t) })
 	c.gate.admission.release(id, err == nil)
 	return err
 }
@@ -145,13 +151,9 @@
 	attempt := &target.Attempt{Guard: func() bool { return c.gate.mayWrite(t) }}
 	response, err := c.gate.targets.Do(ctx, t.Address, c.targetRequest(), attempt)
 	if err != nil {
-		c.gate.doubt(t)
 		return c.targetError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.Status == http.StatusNotFound {
-		c.gate.doubt(t)
-	}
 	if t.Pool().Kind == catalogue.Model && response.Status >= http.StatusInternalServerError {
 		return refuse(reason.TargetRefused, reason.Unknown, t.Name+" answered with "+http.StatusText(response.Status))
 	}
@@ -234,10 +236,9 @@
 		if !t.Pool().Resumable || attempt >= resumeAttempts {
 			return refuse(reason.TargetFailed, reason.Unknown, t.Name+" broke off its answer")
 		}
-		c.gate.doubt(t)
 		again, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, writer.Next())
 		if err != nil {
-			return c.targetError(ctx, err)
+			return ranAlready(c.targetError(ctx, err))
 		}
 		if !strings.HasPrefix(again.ContentType, eventStream) {
 			_ = again.Body.Close()
@@ -322,6 +323,7 @@
 		Owner:        owner(r.owner),
 		Elsewhere:    r.elsewhere,
 		Heir:         wire.TicketGate(r.heir),
+		Charges:      wire.Charges(r.charges),
 	}}})
 }
 
--- a/internal/gate/unloaded.go
+++ b/internal/gate/unloaded.go
@@ -6,22 +6,11 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
-	"github.com/amaranthlb/amaranthlb/internal/orders"
 )
 
 // stateUnloaded is the state of a live target that can't serve its pool, in load records and updates to entries.
 const stateUnloaded = "unloaded"
 
-// acceptReport takes over an engine's report. A new model or version changes which engines get requests.
-func (g *Gate) acceptReport(now time.Duration, name string, read uint64, status orders.Status) {
-	state := &g.state.orders
-	if state.owned[name] {
-		state.reports[name] = status
-	}
-	g.stepOrders(now, orders.StatusRead{Read: read, Status: status})
-	g.refreshUnloaded(now)
-}
-
 // refreshUnloaded publishes a new snapshot when other engines than before can't serve their pools.
 func (g *Gate) refreshUnloaded(now time.Duration) {
 	last := g.snapshot.Load()
@@ -67,7 +56,7 @@
 		if !snapshot.Owned[name] || snapshot.View.Target(name) != membership.Live {
 			continue
 		}
-		report, known := g.state.orders.reports[name]
+		report, known := g.reports.Latest(name)
 		switch {
 		case known && report.Model != pool.Name:
 			snapshot.Unloaded[name] = true
--- a/internal/orders/reconcile.go
+++ b/internal/orders/reconcile.go
@@ -103,8 +103,8 @@
 	}
 }
 
-// doubted brings the next status read forward, as often as once in a poll interval.
-func (m *Machine) doubted(now time.Duration, target string) {
+// restarted brings the next status read forward, as often as once in a poll interval.
+func (m *Machine) restarted(now time.Duration, target string) {
 	if e, ok := m.engines[target]; ok && e.phase == waiting {
 		e.nextAt = min(e.nextAt, max(now, e.statusAt+pollInterval))
 	}
