--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -11,7 +11,6 @@
 	"maps"
 	"net"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,8 +62,6 @@
 	desk      *desk
 	runs      *runs
 	inFlight  inFlight
-	// doubted holds the names of engines to which a call has failed since the last tick.
-	doubted   sync.Map
 	beats     *beats
 	reports   *reports
 	crashes   *crashes
--- a/internal/gate/ordercalls.go
+++ b/internal/gate/ordercalls.go
@@ -37,14 +37,14 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(g.lifetime, engineReadTimeout)
 		defer cancel()
-		status, err := g.targets.Status(ctx, t.Address)
+		status, err := g.askStatus(ctx, t)
 		g.loop.Post(func(now time.Duration) {
 			if err != nil {
-				g.meters.ControlCall("engine_status", "failed")
+				g.meters.ControlCall("status", "failed")
 				g.stepOrders(now, orders.StatusFailed{Read: read.Read})
 				return
 			}
-			g.acceptReport(now, t.Name, read.Read, engineStatus(status))
+			g.stepOrders(now, orders.StatusRead{Read: read.Read, Status: engineStatus(status)})
 		})
 	}()
 }
