--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -144,7 +144,7 @@
 	for _, load := range update.Targets {
 		e.state.loads[load.Target] = reportedLoad{
 			load:       load.Load,
-			state:      membership.State(load.State),
+			state:      wire.TargetStateFrom(load.State),
 			at:         now,
 			avoidUntil: e.state.loads[load.Target].avoidUntil,
 		}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -96,7 +96,7 @@
 // and so needs no retry budget: gates name others only while these have room, and the next gate queues the request
 // instead of naming others again.
 func (r *request) redirect(refusal *Refusal) bool {
-	if r.redirected || refusal.Reason != reason.OverLimit || len(refusal.next) == 0 {
+	if r.redirected || refusal.Ran != reason.No || len(refusal.next) == 0 {
 		return false
 	}
 	r.redirected = true
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/platform"
 	"github.com/amaranthlb/amaranthlb/internal/rpc"
@@ -49,13 +50,16 @@
 	// state belongs to the control goroutine.
 	state    controlState
 	snapshot atomic.Pointer[Snapshot]
-	draining atomic.Bool
+	// permissions is what this gate may admit, by the ownership machine.
+	permissions atomic.Pointer[ownership.Snapshot]
+	draining    atomic.Bool
 
 	admission *admitter
 	codec     *ticket.Codec
 	desk      *desk
 	runs      *runs
 	inFlight  inFlight
+	beats     *beats
 	reports   *reports
 	crashes   *crashes
 	transfers transfers
@@ -109,6 +113,7 @@
 	}
 	g.desk = g.newDesk()
 	g.runs = newRuns()
+	g.beats = newBeats()
 	g.reports = newReports()
 	g.crashes = newCrashes(g.clock.Now)
 	g.transfers = newTransfers()
--- a/internal/gate/poll.go
+++ b/internal/gate/poll.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/target"
 )
 
@@ -69,6 +70,7 @@
 	case err == nil:
 		g.reports.answered(t.Name, status, sent, g.clock.Now())
 		g.targetSeen(t.Name, status.Incarnation, sent)
+		g.reportToOwners(t.Name)
 	case connectionRefused(err):
 		g.reports.refused(t.Name)
 	}
@@ -78,3 +80,19 @@
 // connectionRefused reports whether no process listens at the target's address. Other failures to connect may be
 // those of the link.
 func connectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// reportToOwners gives the ownership machine the last report of a target.
+func (g *Gate) reportToOwners(name string) {
+	report, ok := g.reports.Latest(name)
+	if !ok {
+		return
+	}
+	g.loop.Post(func(now time.Duration) {
+		g.stepOwners(now, ownership.EngineReport{
+			Target:   name,
+			Load:     report.Load,
+			Own:      report.OwnInFlight,
+			Measured: report.Measured,
+		})
+	})
+}
