--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -49,6 +49,7 @@
 	// subscribers get the updates that entries follow.
 	subscribers map[*subscriber]struct{}
 	deskTicked  time.Duration
+	orders      orderState
 }
 
 func newControlState(g *Gate) controlState {
@@ -68,6 +69,7 @@
 		reads:       make(map[uint64]context.CancelFunc),
 		subscribers: make(map[*subscriber]struct{}),
 		owners:      g.newOwners(),
+		orders:      newOrderState(g),
 
 		introductions: newIntroductions(),
 	}
@@ -93,6 +95,7 @@
 	g.state.loads.Expire(now)
 	g.state.notices.Expire(now)
 	g.tickAdmission()
+	g.tickOrders(now)
 	if now-g.state.deskTicked >= deskTick {
 		g.state.deskTicked = now
 		g.desk.tick()
--- a/internal/gate/heartbeat.go
+++ b/internal/gate/heartbeat.go
@@ -41,6 +41,7 @@
 			g.publish(now)
 		case membership.RoundConfirmed:
 			g.stepOwners(now, ownership.RoundConfirmed{Started: e.Started})
+			g.renewOrderLease(now, e.Started)
 		case membership.ClockGap:
 			g.stepOwners(now, ownership.ClockGap{})
 		}
