Close the schedules in which two sides exceeded the bound

Change: a stopped gate that is listed live counts as joining; a new process that hears nobody waits D; gates of other zones wait for every gate of the zone; WorkDone names the answer that it belongs to.

--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -129,6 +129,9 @@
 		return m.unlistedState(g, heard, now)
 	}
 	switch {
+	case g.draining && !heard && g.listed == Live:
+		// The process has stopped; the VM may start another one that this gate doesn't hear.
+		return Joining
 	case g.draining || g.listed == Leaving:
 		return Leaving
 	case heard:
@@ -148,7 +151,7 @@
 		return Leaving
 	case heard:
 		return Live
-	case g.heardAt == never:
+	case g.heardAt == never || g.draining:
 		return Gone
 	case now-max(g.unlistedAt, g.heardAt+m.suspectAfter(g)) >= m.config.ListDisagreement && m.listRevision > 0:
 		return Gone
@@ -331,14 +334,14 @@
 	}
 	slices.SortFunc(others, m.byRank)
 	slices.SortStableFunc(others[1:], func(a, b *gate) int {
-		return cmp.Compare(m.view.heardOrder(a.Name), m.view.heardOrder(b.Name))
+		return cmp.Compare(m.heardOrder(a), m.heardOrder(b))
 	})
 	return others[:limit]
 }
 
 // heardOrder is 0 for gates that are heard.
-func (v *View) heardOrder(name string) int {
-	if member, ok := v.Gate(name); ok && member.Heard {
+func (m *Machine) heardOrder(g *gate) int {
+	if m.heard(g, m.lastStep) {
 		return 0
 	}
 	return 1
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -21,7 +21,7 @@
 
 // States of gates and targets.
 const (
-	// Joining gates are listed but were never heard; they own nothing.
+	// Joining gates are listed but no running process of them was heard; they own nothing.
 	Joining State = "joining"
 	// Live gates own targets; live targets get new work.
 	Live State = "live"
@@ -47,8 +47,8 @@
 	// Stopping says that the gate itself reported that it is leaving, so that this process of it takes no new
 	// work again. A gate that is only listed as leaving may not know it yet.
 	Stopping bool
-	// Since is the time of the last news of a gate that is not heard, or the time at which a joining gate was
-	// first listed. It is zero for gates that are heard.
+	// Since is the time of the last news of a gate that is not heard, or the time at which a gate that was never
+	// heard was first listed. It is zero for gates that are heard.
 	Since time.Duration
 }
 
--- a/internal/ownership/events.go
+++ b/internal/ownership/events.go
@@ -85,8 +85,11 @@
 
 // WorkDone says that handed-over requests of a former owner ended.
 type WorkDone struct {
-	Target   string
-	From     membership.Gate
+	Target string
+	From   membership.Gate
+	// Asked is that of the answer which counted the requests. Otherwise a late WorkDone would be subtracted
+	// from a later answer, which leaves the request out already.
+	Asked    time.Duration
 	Customer string
 	Count    int
 }
--- a/internal/ownership/fleet_test.go
+++ b/internal/ownership/fleet_test.go
@@ -42,7 +42,7 @@
 	idleUntil time.Duration
 	claims    []string
 	claimed   time.Duration
-	successor map[string]bool
+	successor map[string]answered
 	asked     time.Duration // when the request that is being answered was sent, on the successor's clock
 	listDelay time.Duration
 	listed    int
@@ -50,6 +50,12 @@
 	nextPoll  time.Duration
 }
 
+// answered identifies the last handover answer to a successor.
+type answered struct {
+	incarnation uint64
+	asked       time.Duration
+}
+
 // link is an undirected pair of gates.
 type link struct{ a, b string }
 
@@ -121,7 +127,7 @@
 func (f *fleet) start(name string) {
 	id := membership.Gate{Name: name, Address: "addr-" + name, Zone: f.zones[name], Region: "r", Incarnation: f.random.Uint64()}
 	d := &daemon{
-		id: id, started: f.now, successor: map[string]bool{}, snapshot: &ownership.Snapshot{},
+		id: id, started: f.now, successor: map[string]answered{}, snapshot: &ownership.Snapshot{},
 		members: membership.New(membership.DefaultConfig(), id, 0), owner: ownership.New(ownership.DefaultConfig(), id, 0),
 		listDelay: f.between(0, listLag),
 	}
@@ -253,7 +259,6 @@
 	asked := d.clock(f.now)
 	f.send(d.id.Name, e.To.Name, func(old *daemon) {
 		f.memberStep(old, membership.Contact{From: d.id})
-		old.successor[d.id.Name] = true
 		old.asked = asked
 		f.ownerStep(old, ownership.HandoverAsked{By: d.id, Targets: e.Targets})
 	})
@@ -263,6 +268,7 @@
 func (f *fleet) answer(d *daemon, e ownership.AnswerHandover) {
 	handovers := append([]ownership.Handover(nil), e.Handovers...)
 	asked := d.asked
+	d.successor[e.To.Name] = answered{e.To.Incarnation, asked}
 	left := make([]int, len(handovers))
 	for i := range handovers {
 		left[i] = f.own(d)
@@ -307,12 +313,16 @@
 
 func (f *fleet) tellSuccessors(d *daemon) {
 	for _, name := range f.names {
-		if d.successor[name] {
-			f.send(d.id.Name, name, func(successor *daemon) {
-				done := ownership.WorkDone{Target: engineName, From: d.id, Customer: "c", Count: 1}
-				f.ownerStep(successor, done)
-			})
+		last, ok := d.successor[name]
+		if !ok {
+			continue
 		}
+		done := ownership.WorkDone{Target: engineName, From: d.id, Asked: last.asked, Customer: "c", Count: 1}
+		f.send(d.id.Name, name, func(successor *daemon) {
+			if successor.id.Incarnation == last.incarnation {
+				f.ownerStep(successor, done)
+			}
+		})
 	}
 }
 
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -58,6 +58,7 @@
 // leftover is handed-over work of one customer.
 type leftover struct {
 	from     membership.Gate
+	asked    time.Duration
 	customer string
 	count    int
 	ends     time.Duration
@@ -273,17 +274,18 @@
 		delete(t.refused, e.From.Name)
 		t.stopped[e.From.Name] = e.From.Incarnation
 		t.stoppedAt, t.least = now, unknown
-		m.keepLeftovers(t, e.From, handover)
+		m.keepLeftovers(t, e, handover)
 	}
 }
 
 // keepLeftovers replaces what is known of a gate's handed-over work.
-func (m *Machine) keepLeftovers(t *target, from membership.Gate, handover Handover) {
+func (m *Machine) keepLeftovers(t *target, e HandoverReply, handover Handover) {
+	from := e.From
 	t.leftovers = slices.DeleteFunc(t.leftovers, func(l leftover) bool {
 		return l.from.Name == from.Name && l.from.Incarnation == from.Incarnation
 	})
 	for _, work := range handover.InFlight {
-		t.leftovers = append(t.leftovers, leftover{from, work.Customer, work.Count, work.Ends})
+		t.leftovers = append(t.leftovers, leftover{from, e.Asked, work.Customer, work.Count, work.Ends})
 	}
 	if handover.Clean && !t.tainted {
 		t.clean = true
@@ -377,7 +379,8 @@
 	}
 	for i := range t.leftovers {
 		l := &t.leftovers[i]
-		if l.from.Name == e.From.Name && l.from.Incarnation == e.From.Incarnation && l.customer == e.Customer {
+		same := l.from.Name == e.From.Name && l.from.Incarnation == e.From.Incarnation && l.asked == e.Asked
+		if same && l.customer == e.Customer {
 			l.count = max(0, l.count-e.Count)
 		}
 	}
--- a/internal/ownership/owner.go
+++ b/internal/ownership/owner.go
@@ -26,7 +26,9 @@
 //   - I5 (return). A contested owner, or one whose lease lapsed, becomes full again only by I2.
 //   - I6 (leftover). Work left by dead gates and handed-over work counts against the share of the side that it
 //     is on. It is bounded by handover replies, and by the least external load in reports since the takeover.
-//   - I7 (zone). A gate of another zone admits nothing while a gate of the target's zone is suspected.
+//   - I7 (zone). A gate of another zone admits nothing while a gate of the target's zone is not heard. If it held
+//     the target and the unheard gate is just starting, it goes on for JoinGrace, and the starting gate waits for
+//     JoinGrace + D + L. So gates of the zone don't have to hear other zones.
 //
 // Let x be the work of the old side, with its leftover, when the report of I4 is measured. By I1 and I3 no gate
 // of the old side is full then, so that side stays at or below max(x, ceil(limit/2)). The new side with its
@@ -38,20 +40,24 @@
 // # Start of the whole fleet
 //
 // A gate that just started has no predecessor in its view and does not know the past. It polls the live gates
-// (I2), which stopped or never started, and needs one report measured after its start. If the report shows no external
-// work it is full at once, without the wait of D + L: every gate that is listed or heard by anyone has agreed,
-// and nothing runs at the engine that an unknown owner admitted. A list that is too old to name a gate behind a
-// cut does no harm, since a gate takes part only after a list named itself: of two such gates, the one that was
-// listed later sees the other. With external work a predecessor existed, and
-// the gate stays on probation for D + L. While a listed gate was never heard by any gate of this side, the new
-// gate admits nothing until JoinGrace + D + L: the unheard gate may be a full owner behind a cut.
+// (I2), which stopped or never started, and needs one report measured after its start. If the report shows no
+// external work it is full at once, without the wait of D + L: every gate that is listed or heard by anyone has
+// agreed, and nothing runs at the engine that an unknown owner admitted. With external work a predecessor
+// existed, and the gate stays on probation for D + L.
+//
+// Two rules keep this safe behind a cut. While a listed gate was never heard by any gate of this side, the new
+// gate admits nothing until JoinGrace + D + L, since the unheard gate may be a full owner. A gate that hears no
+// other gate waits D after its start, since its list may lack a gate that was listed lately. Together with other
+// gates it doesn't wait: some of them know the gate that is missing, unless all gates of the side started within
+// the last D.
 //
 // # Assumptions
 //
 // Clocks of two gates drift apart by less than 1% while a lease runs. A message that is delivered was sent at most
 // 1 s before. Two gates that can't exchange messages lose news of each other within 1.5 s of each other. VM lists of two
 // gates agree within D unless they are cut off from the platform, and a VM that the platform drops from the list
-// runs no more after D if its gates don't hear it.
+// runs no more after D if its gates don't hear it. The platform gives the name of a dropped VM to another one only
+// after D. The gates of one side don't all start within D after a gate was listed that is cut off from them.
 package ownership
 
 import (
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -52,7 +52,7 @@
 			m.begin(now, t)
 		}
 	case statechart.OwnershipSuspended:
-		if m.lease >= t.interruptedAt && now < m.lease+m.config.Lease && !m.zoneCutOff(t) {
+		if m.lease >= t.interruptedAt && now < m.lease+m.config.Lease && !m.zoneCutOff(now, t) {
 			m.fire(t, statechart.OwnershipOnConfirmed)
 			m.begin(now, t)
 		}
@@ -81,7 +81,7 @@
 	if !t.chart.Lists(statechart.OwnershipOnInterrupted) {
 		return
 	}
-	if m.zoneCutOff(t) && t.chart.State() != statechart.OwnershipTaking {
+	if m.zoneCutOff(now, t) && t.chart.State() != statechart.OwnershipTaking {
 		m.interrupt(t, now)
 		return
 	}
@@ -108,19 +108,19 @@
 func (m *Machine) decide(now time.Duration, t *target) (statechart.OwnershipEvent, bool) {
 	blocked := m.blockers(now, t)
 	switch {
-	case m.zoneCutOff(t):
+	case m.zoneCutOff(now, t):
 		return statechart.OwnershipOnBlocked, true
 	case t.held && m.contested(now, t):
 		return statechart.OwnershipOnContest, true
 	case t.chart.State() == statechart.OwnershipFull:
 		return "", false
-	case !m.polled(now, t):
+	case !m.polled(now, t) || m.listMayLag(now):
 		return statechart.OwnershipOnBlocked, true
 	case (t.held || len(blocked) == 0) && m.settled(now, t):
 		return statechart.OwnershipOnSettled, true
 	case t.held:
 		return "", false
-	case m.reducible(t, blocked):
+	case m.reducible(now, t, blocked):
 		return statechart.OwnershipOnReduced, true
 	}
 	return statechart.OwnershipOnBlocked, true
@@ -138,8 +138,8 @@
 }
 
 // reducible says whether reduced work is permitted (I4).
-func (m *Machine) reducible(t *target, blocked []membership.Member) bool {
-	t.quick = len(blocked) == 0 || m.follows(t, blocked)
+func (m *Machine) reducible(now time.Duration, t *target, blocked []membership.Member) bool {
+	t.quick = len(blocked) == 0 || m.follows(now, t, blocked)
 	earliest := max(t.since, t.stoppedAt)
 	for _, member := range blocked {
 		if !t.quick {
@@ -165,7 +165,7 @@
 
 // follows says whether the only cut-off gate is the former owner and ranks directly before this gate, so that
 // it is contested as soon as it doesn't hear this gate.
-func (m *Machine) follows(t *target, blocked []membership.Member) bool {
+func (m *Machine) follows(now time.Duration, t *target, blocked []membership.Member) bool {
 	if len(blocked) != 1 {
 		return false
 	}
@@ -180,7 +180,7 @@
 		return false
 	}
 	gates := []membership.Gate{former.Gate}
-	for _, member := range m.candidates(t) {
+	for _, member := range m.candidates(now, t) {
 		if member.Heard && member.State == membership.Live {
 			gates = append(gates, member.Gate)
 		}
@@ -189,17 +189,16 @@
 	return len(ranked) > 1 && ranked[0].Name == former.Name && ranked[1].Name == m.self.Name
 }
 
-// candidates returns the gates, with this one, that may own the target on this or another side (I7). Gates of
-// other zones count for a gate that is alone in its zone: until it is known to them, they may own its targets.
-func (m *Machine) candidates(t *target) []membership.Member {
-	selfIn := m.self.Zone == t.Zone
-	alone := selfIn && m.alone(t)
+// candidates returns the gates, with this one, that may own the target on this or another side (I7). A process
+// that just started counts gates of other zones as well: until they know of it, they may own targets of its zone.
+func (m *Machine) candidates(now time.Duration, t *target) []membership.Member {
+	all := m.self.Zone != t.Zone || (m.young(now) && !t.clean) || m.alone(t)
 	var members []membership.Member
 	for _, member := range m.view.Gates {
-		if finished(member) {
+		if finished(member) && member.State != membership.Joining {
 			continue
 		}
-		if !selfIn || alone || member.Zone == t.Zone {
+		if all || member.Zone == t.Zone {
 			members = append(members, member)
 		}
 	}
@@ -223,25 +222,42 @@
 
 // blockers returns the gates that this gate doesn't hear and that may admit to the target.
 func (m *Machine) blockers(now time.Duration, t *target) []membership.Member {
-	selfIn := m.self.Zone == t.Zone
-	return slices.DeleteFunc(m.candidates(t), func(member membership.Member) bool {
+	return slices.DeleteFunc(m.candidates(now, t), func(member membership.Member) bool {
 		switch {
 		case member.Heard || member.Name == m.self.Name:
 			return true
-		case member.State == membership.Joining:
-			return !m.young(now) && now < member.Since+m.config.JoinGrace
+		case m.self.Zone == t.Zone && member.Zone != t.Zone && !m.young(now):
+			return true
 		}
-		return selfIn && member.Zone != t.Zone && !m.young(now)
+		return member.State == membership.Joining && !m.young(now) && now < member.Since+m.config.JoinGrace
+	})
+}
+
+// listMayLag says whether this process started so recently that its list may lack gates, and hears no other gate
+// that would know them.
+func (m *Machine) listMayLag(now time.Duration) bool {
+	if now >= m.started+m.config.ListDisagreement {
+		return false
+	}
+	return !slices.ContainsFunc(m.view.Gates, func(member membership.Member) bool {
+		return member.Name != m.self.Name && member.Heard && member.Met
 	})
 }
 
-// zoneCutOff says whether this gate is of another zone and a gate of the target's zone may be alive (I7).
-func (m *Machine) zoneCutOff(t *target) bool {
+// zoneCutOff says whether this gate is of another zone and a gate of the target's zone may be alive (I7). A gate
+// that held the target continues while a gate of the zone starts, which waits for JoinGrace + D + L meanwhile.
+func (m *Machine) zoneCutOff(now time.Duration, t *target) bool {
 	if m.self.Zone == t.Zone {
 		return false
 	}
-	return slices.ContainsFunc(m.candidates(t), func(member membership.Member) bool {
-		return member.Zone == t.Zone && !member.Heard && member.State != membership.Joining
+	return slices.ContainsFunc(m.view.Gates, func(member membership.Member) bool {
+		if member.Zone != t.Zone || member.Heard {
+			return false
+		}
+		if member.State == membership.Joining {
+			return !t.held || now >= member.Since+m.config.JoinGrace
+		}
+		return !finished(member)
 	})
 }
 
@@ -251,22 +267,26 @@
 		return true
 	}
 	for _, member := range m.blockers(now, t) {
-		after := member.Since + m.config.SuspectAfter + m.config.ListDisagreement
-		if member.State == membership.Joining {
-			after = member.Since + m.config.JoinGrace
-		}
-		if t.interrupted || now >= after || m.wasNext(t, member) {
+		if t.interrupted || now >= m.mayOwnFrom(member) || m.wasNext(t, member) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayOwnFrom returns the time from which a gate that isn't heard counts as a possible owner (I3).
+func (m *Machine) mayOwnFrom(member membership.Member) time.Duration {
+	if member.State == membership.Joining {
+		return member.Since + m.config.JoinGrace
+	}
+	return member.Since + m.config.SuspectAfter + m.config.ListDisagreement
+}
+
 // wasNext says whether a gate that isn't heard ranked next shortly before it fell silent. Its view may lack a
 // gate that ranks next now.
 func (m *Machine) wasNext(t *target, member membership.Member) bool {
 	last, ok := t.nexts[member.Name]
-	return ok && last >= member.Since-m.config.ListDisagreement
+	return ok && member.State != membership.Joining && last >= member.Since-m.config.ListDisagreement
 }
 
 // noteNext remembers the gate that ranks next.
@@ -304,7 +324,7 @@
 
 // poll asks the gates that have not stopped yet. Gates that fell silent have to be asked again.
 func (m *Machine) poll(now time.Duration, t *target) {
-	for _, member := range m.candidates(t) {
+	for _, member := range m.candidates(now, t) {
 		if member.Name == m.self.Name {
 			continue
 		}
@@ -330,7 +350,7 @@
 
 // polled says whether every gate that is heard has stopped, or was given the time in which its view catches up.
 func (m *Machine) polled(now time.Duration, t *target) bool {
-	for _, member := range m.candidates(t) {
+	for _, member := range m.candidates(now, t) {
 		if !member.Heard || member.Name == m.self.Name || t.stopped[member.Name] == member.Incarnation {
 			continue
 		}
