Simulate the fleet with real admission, and bound it by oracles

The simulation had its own admission that read exact loads and never queued. It now runs a Controller for each gate. Overadmitted counts each start at a target that is at the limit by exact loads; oracle policies show what placement can reach.

--- a/internal/replay/document.go
+++ b/internal/replay/document.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"time"
@@ -53,8 +54,10 @@
 func (p *Pool) entry(addresses map[string]string) catalogue.Pool {
 	entry := catalogue.Pool{
 		Name: p.Name, Owner: owner, Kind: p.Kind, Class: catalogue.Standard,
-		LoadMultiple: p.LoadMultiple, ReuseWeight: p.ReuseWeight, SkewWeight: p.SkewWeight,
+		LoadMultiple: cmp.Or(p.LoadMultiple, catalogue.DefaultLoadMultiple),
+		ReuseWeight:  p.ReuseWeight, SkewWeight: p.SkewWeight, ZoneWeight: catalogue.DefaultZoneWeight,
 		MaxInFlight: documentMaxInFlight, QueueLength: documentQueueLength,
+		QueueWait:     catalogue.Duration(catalogue.DefaultQueueWait),
 		Deadline:      catalogue.Duration(documentDeadline),
 		NonRepeatable: p.NonRepeatable, FateQuery: true,
 	}
--- a/internal/replay/fleetpolicy.go
+++ b/internal/replay/fleetpolicy.go
@@ -2,7 +2,9 @@
 
 import (
 	"sync/atomic"
+	"time"
 
+	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
 	"github.com/amaranthlb/amaranthlb/internal/routing"
@@ -11,12 +13,15 @@
 // maximumInFlight is the absolute bound of a target in simulated runs; it is above any load of the traces.
 const maximumInFlight = 1 << 20
 
-// fleetPolicy runs the fleet's own routing: each zone's entry picks from its table, and the target's owner
-// admits by the exact load. It keeps the holder of a chat, as callers do with the placement token.
+// fleetPolicy runs the fleet's own routing and admission: each zone's entry picks from its table, and the gate that
+// owns the target admits, queues or points elsewhere. It keeps the holder of a chat, as callers do with the
+// placement token.
 type fleetPolicy struct {
-	pool    *catalogue.Pool
-	entries map[string]*simulatedEntry
-	holders map[string]int
+	pool     *catalogue.Pool
+	gates    *gates
+	entries  map[string]*simulatedEntry
+	holders  map[string]int
+	admitted map[string]admission.ID
 }
 
 // simulatedEntry is the state of one zone's entry.
@@ -26,35 +31,40 @@
 }
 
 func newFleetPolicy() *fleetPolicy {
-	return &fleetPolicy{entries: make(map[string]*simulatedEntry), holders: make(map[string]int)}
+	return &fleetPolicy{
+		entries: make(map[string]*simulatedEntry), holders: make(map[string]int), admitted: make(map[string]admission.ID),
+	}
 }
 
-// Reports gives every entry a new load digest.
-func (p *fleetPolicy) Reports(cluster *Cluster) {
-	for zone, entry := range p.entries {
-		p.rebuild(entry, zone, cluster)
+// Start creates the entries and gates.
+func (p *fleetPolicy) Start(cluster *Cluster, customers []Customer) {
+	p.pool = catalogueOf(cluster.Pool)
+	p.gates = newGates(p.pool, cluster, customers)
+	p.gates.configure(0, cluster)
+	for _, zone := range cluster.zones() {
+		p.entries[zone] = &simulatedEntry{inFlight: make([]atomic.Int32, len(cluster.Load))}
+		p.rebuild(p.entries[zone], zone, cluster)
 	}
 }
 
-// entry returns the entry of a zone.
-func (p *fleetPolicy) entry(zone string, cluster *Cluster) *simulatedEntry {
-	if p.pool == nil {
-		p.pool = catalogueOf(cluster.Pool)
-	}
-	entry, ok := p.entries[zone]
-	if !ok {
-		entry = &simulatedEntry{inFlight: make([]atomic.Int32, len(cluster.Load))}
-		p.entries[zone] = entry
+// Reports gives every entry and gate new load digests.
+func (p *fleetPolicy) Reports(now time.Duration, cluster *Cluster) {
+	p.gates.configure(now, cluster)
+	p.gates.gossip(now, cluster)
+	for zone, entry := range p.entries {
 		p.rebuild(entry, zone, cluster)
 	}
-	return entry
 }
 
+// Tick lets time pass in the gates.
+func (p *fleetPolicy) Tick(now time.Duration) { p.gates.tick(now) }
+
 // catalogueOf returns the pool as the catalogue has it.
 func catalogueOf(pool *Pool) *catalogue.Pool {
 	entry := &catalogue.Pool{
 		Name: pool.Name, Kind: pool.Kind, LoadMultiple: pool.LoadMultiple, MaxInFlight: maximumInFlight,
 		ReuseWeight: pool.ReuseWeight, SkewWeight: pool.SkewWeight, ZoneWeight: catalogue.DefaultZoneWeight,
+		QueueLength: catalogue.DefaultQueueLength, QueueWait: catalogue.Duration(catalogue.DefaultQueueWait),
 	}
 	for _, target := range pool.Targets {
 		entry.Targets = append(entry.Targets, catalogue.Target{Name: target.Name, Zone: target.Zone})
@@ -84,31 +94,108 @@
 	return routing.SameRegion
 }
 
-// Pick asks the owners of the entry's candidates in turn.
-func (p *fleetPolicy) Pick(ask Ask, cluster *Cluster) (int, bool) {
-	entry := p.entry(ask.Zone, cluster)
-	holder, ok := p.holders[ask.Chat]
-	if !ok {
-		holder = routing.NoHolder
+// Pick is not used: the turns of a fleet may wait, see Submit.
+func (p *fleetPolicy) Pick(Ask, *Cluster) (int, bool) { return 0, false }
+
+// try is one turn on its way through the fleet.
+type try struct {
+	ask        Ask
+	entry      *simulatedEntry
+	holder     int
+	tried      routing.Tried
+	next       []string
+	redirected bool
+	done       func(target int, ok bool)
+}
+
+// Submit asks the owners of the entry's candidates in turn. Like the entry daemon, it follows one redirect of a gate
+// and then leaves it to the queue of the target.
+func (p *fleetPolicy) Submit(ask Ask, cluster *Cluster, done func(target int, ok bool)) {
+	t := &try{ask: ask, entry: p.entries[ask.Zone], holder: routing.NoHolder, done: done}
+	if holder, ok := p.holders[ask.Chat]; ok {
+		t.holder = holder
 	}
-	limit := cluster.Limit()
-	var tried routing.Tried
-	for range cluster.Load {
-		target, ok := entry.table.Pick(rendezvous.Hash(ask.Chat), holder, &tried)
-		if !ok {
-			return 0, false
+	for {
+		target, room, ok := t.choose()
+		if !ok || !cluster.Reachable(target, ask.Zone) {
+			done(0, false)
+			return
+		}
+		t.tried.Add(target)
+		decision := p.ask(t, target, room)
+		switch decision.Verdict {
+		case admission.Start:
+			p.started(t, target, decision.ID)
+			return
+		case admission.Wait:
+			return
 		}
-		if cluster.Reachable(target, ask.Zone) && cluster.Load[target] < limit {
-			entry.inFlight[target].Add(1)
-			p.holders[ask.Chat] = target
-			return target, true
+		if t.redirected || decision.Next() == nil {
+			done(0, false)
+			return
+		}
+		t.redirected, t.next = true, decision.Next()
+	}
+}
+
+// ask sends the turn to the gate that owns a target.
+func (p *fleetPolicy) ask(t *try, target int, room bool) admission.Decision {
+	request := &admission.Request{Customer: t.ask.Customer, Class: catalogue.DefaultClass}
+	if room && !t.redirected {
+		request.Candidates = t.candidates()
+	}
+	t.entry.inFlight[target].Add(1)
+	decision := p.gates.submit(t.ask.Now, target, request, func(id admission.ID, started bool) {
+		if started {
+			p.started(t, target, id)
+			return
+		}
+		t.entry.inFlight[target].Add(-1)
+		t.done(0, false)
+	})
+	if decision.Verdict == admission.Refuse {
+		t.entry.inFlight[target].Add(-1)
+	}
+	return decision
+}
+
+func (p *fleetPolicy) started(t *try, target int, id admission.ID) {
+	p.holders[t.ask.Chat] = target
+	p.admitted[t.ask.Chat] = id
+	t.done(target, true)
+}
+
+// choose picks a target as the entry does.
+func (t *try) choose() (target int, room, ok bool) {
+	table := t.entry.table
+	for _, name := range t.next {
+		if position, ok := table.Index(name); ok && table.Open(position, &t.tried) {
+			return position, true, true
+		}
+	}
+	chat := rendezvous.Hash(t.ask.Chat)
+	if position, ok := table.Pick(chat, t.holder, &t.tried); ok {
+		return position, true, true
+	}
+	position, ok := table.LeastLoaded(chat, &t.tried)
+	return position, false, ok
+}
+
+// candidates names the targets to which a gate may point the turn.
+func (t *try) candidates() []string {
+	var names []string
+	for i := range t.entry.table.Candidates {
+		if t.entry.table.Open(i, &t.tried) {
+			names = append(names, t.entry.table.Candidates[i].Target.Name)
 		}
-		tried.Add(target)
 	}
-	return 0, false
+	return names
 }
 
-// Ended takes a turn out of the entry's own requests.
+// Ended takes a turn out of the entry's own requests and out of its gate's.
 func (p *fleetPolicy) Ended(ask Ask, target int) {
 	p.entries[ask.Zone].inFlight[target].Add(-1)
+	id := p.admitted[ask.Chat]
+	delete(p.admitted, ask.Chat)
+	p.gates.release(ask.Now, target, id)
 }
--- a/internal/replay/measures.go
+++ b/internal/replay/measures.go
@@ -61,6 +61,9 @@
 	Seconds int `json:"seconds"`
 	// OverLimit counts the seconds in which a target's mean load was above the load limit for that second.
 	OverLimit int `json:"over_limit"`
+	// Overadmitted counts requests that started at a target which was at the limit by the exact loads of that
+	// moment. Only a simulation knows these.
+	Overadmitted int `json:"overadmitted"`
 }
 
 // Percentiles of times in milliseconds.
@@ -191,7 +194,9 @@
 	m.Reuse.OfPrompt = ratio(m.Reuse.CachedTokens, m.Reuse.PromptTokens)
 	m.FirstTokenMS = percentiles(r.first)
 	m.BetweenTokenMS = percentiles(r.between)
+	overadmitted := m.Skew.Overadmitted
 	m.Skew = skewOf(t, loads, offset, r.lastSent)
+	m.Skew.Overadmitted = overadmitted
 	m.loads = loads
 	m.firstToken = r.first
 	return m
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -34,18 +34,35 @@
 	return c
 }
 
+// connected reports whether two zones reach each other.
+func (c *Cluster) connected(zone, other string) bool {
+	return c.cutZone == "" || (zone == c.cutZone) == (other == c.cutZone)
+}
+
+// zones returns the zones of the targets, sorted.
+func (c *Cluster) zones() []string {
+	zones := slices.Clone(c.zone)
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
 // Reachable reports whether a target takes new work from an entry's zone.
 func (c *Cluster) Reachable(target int, zone string) bool {
 	if !c.Open[target] {
 		return false
 	}
-	return c.cutZone == "" || (c.zone[target] == c.cutZone) == (zone == c.cutZone)
+	return c.connected(c.zone[target], zone)
 }
 
 // Limit is the load limit by the last reports.
-func (c *Cluster) Limit() int {
+func (c *Cluster) Limit() int { return c.limitOf(c.Reported) }
+
+// exactLimit is the load limit by the loads of now.
+func (c *Cluster) exactLimit() int { return c.limitOf(c.Load) }
+
+func (c *Cluster) limitOf(loads []int) int {
 	total, open := 0, 0
-	for i, load := range c.Reported {
+	for i, load := range loads {
 		if c.Open[i] {
 			total += load
 			open++
@@ -59,6 +76,10 @@
 	Now  time.Duration
 	Chat string
 	Zone string
+	// Customer is the chat's customer.
+	Customer string
+	// cached returns the prompt blocks that a target holds; no real router knows this.
+	cached func(target int) int
 }
 
 // Policy chooses a target for each turn.
@@ -69,7 +90,16 @@
 
 // reporter is a policy that uses reports of load.
 type reporter interface {
-	Reports(cluster *Cluster)
+	Reports(now time.Duration, cluster *Cluster)
+}
+
+// queuer is a policy whose turns may wait for a target.
+type queuer interface {
+	Start(cluster *Cluster, customers []Customer)
+	// Submit calls done once, now or later: with a target, or when the turn is refused.
+	Submit(ask Ask, cluster *Cluster, done func(target int, ok bool))
+	// Tick is called every simulatedTick.
+	Tick(now time.Duration)
 }
 
 // tracker is a policy that is told when a turn ends at a target.
@@ -84,6 +114,8 @@
 	"least_load":         func(seed uint64) Policy { return &leastLoad{rand.New(rand.NewPCG(seed, 2))} },
 	"rendezvous":         func(uint64) Policy { return &rendezvousPolicy{} },
 	"rendezvous_bounded": func(uint64) Policy { return &rendezvousPolicy{bounded: true} },
+	"oracle":             func(uint64) Policy { return &oraclePolicy{} },
+	"oracle_bounded":     func(uint64) Policy { return &oraclePolicy{bounded: true} },
 	"fleet":              func(uint64) Policy { return newFleetPolicy() },
 }
 
@@ -170,6 +202,25 @@
 	return best, found
 }
 
+// oraclePolicy knows the cache of every target and picks the one that holds the most of the prompt, the least loaded
+// of equals; when bounded, among those below the limit by exact loads. It shows how much of the measure "of_oracle"
+// placement of one turn after the other can reach.
+type oraclePolicy struct{ bounded bool }
+
+func (p *oraclePolicy) Pick(ask Ask, cluster *Cluster) (int, bool) {
+	best, bestCached, found := 0, 0, false
+	for _, target := range cluster.reachable(ask.Zone) {
+		if p.bounded && cluster.Load[target] >= cluster.exactLimit() {
+			continue
+		}
+		cached := ask.cached(target)
+		if !found || cached > bestCached || (cached == bestCached && cluster.Load[target] < cluster.Load[best]) {
+			best, bestCached, found = target, cached, true
+		}
+	}
+	return best, found
+}
+
 // Baselines runs every policy but the named one.
 func Baselines(t *Trace, except string, seed uint64) (map[string]*Measures, error) {
 	baselines := make(map[string]*Measures)
--- a/internal/replay/simulate.go
+++ b/internal/replay/simulate.go
@@ -14,6 +14,9 @@
 // simulatedReport is the interval of load digests, which is the fleet's heartbeat interval.
 const simulatedReport = 500 * time.Millisecond
 
+// simulatedTick is the interval at which gates let time pass in admission.
+const simulatedTick = 100 * time.Millisecond
+
 // notPlaced is the message of a simulated refusal.
 const notPlaced = "the policy found no target"
 
@@ -90,6 +93,10 @@
 		}
 	}
 	s.addFaults()
+	if policy, ok := s.policy.(queuer); ok {
+		policy.Start(s.cluster, s.trace.Deployment.Customers)
+		s.tick(policy)
+	}
 	s.report()
 	for s.open > 0 {
 		s.step()
@@ -123,14 +130,20 @@
 func (s *simulation) report() {
 	copy(s.cluster.Reported, s.cluster.Load)
 	if policy, ok := s.policy.(reporter); ok {
-		policy.Reports(s.cluster)
+		policy.Reports(s.now, s.cluster)
 	}
 	s.at(s.now+simulatedReport, s.report)
 }
 
+func (s *simulation) tick(policy queuer) {
+	policy.Tick(s.now)
+	s.at(s.now+simulatedTick, func() { s.tick(policy) })
+}
+
 // arrive sends a turn at a time.
 func (s *simulation) arrive(turn *turn, when time.Duration) {
-	ask := Ask{Chat: turn.event.Chat, Zone: turn.event.Zone}
+	ask := Ask{Chat: turn.event.Chat, Zone: turn.event.Zone, Customer: turn.event.Customer}
+	ask.cached = func(target int) int { return s.engines[target].Cache().Prefix(turn.request.Prompt) }
 	j := &job{turn: turn, ask: ask, sent: when}
 	s.recorder.sent(when)
 	s.at(when, func() { s.place(j) })
@@ -139,12 +152,26 @@
 // place asks the policy for a target; a refused turn tries again.
 func (s *simulation) place(j *job) {
 	j.ask.Now = s.now
-	target, ok := s.policy.Pick(j.ask, s.cluster)
-	if !ok {
+	begin := func(target int, ok bool) {
+		if ok {
+			s.begin(j, target)
+			return
+		}
 		s.refuse(j)
+	}
+	if policy, ok := s.policy.(queuer); ok {
+		policy.Submit(j.ask, s.cluster, begin)
 		return
 	}
+	begin(s.policy.Pick(j.ask, s.cluster))
+}
+
+// begin starts a turn at its target.
+func (s *simulation) begin(j *job, target int) {
 	j.target = target
+	if s.cluster.Load[target] >= s.cluster.exactLimit() {
+		s.recorder.update(func(m *Measures) { m.Skew.Overadmitted++ })
+	}
 	request := *j.turn.request
 	s.running[&request] = j
 	s.change(target, 1)
@@ -206,6 +233,7 @@
 	delete(s.running, request)
 	s.change(j.target, -1)
 	if policy, ok := s.policy.(tracker); ok {
+		j.ask.Now = s.now
 		policy.Ended(j.ask, j.target)
 	}
 }
--- a/internal/replay/simulate_test.go
+++ b/internal/replay/simulate_test.go
@@ -64,6 +64,26 @@
 	}
 }
 
+// Guards against a bounded oracle that breaks its bound, or an oracle that knows less than a hash does: either would
+// make it useless as a measure of what placement can reach.
+func TestOracleKeepsBound(t *testing.T) {
+	generated, err := Generate("cordillera", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	oracle, err := Simulate(generated, "oracle_bounded", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hashed, err := Simulate(generated, "rendezvous_bounded", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if oracle.Skew.Overadmitted != 0 || oracle.Reuse.OfOracle <= hashed.Reuse.OfOracle || oracle.Reuse.OfOracle > 1 {
+		t.Errorf("oracle: %d over the limit, reuse %v; rendezvous %v", oracle.Skew.Overadmitted, oracle.Reuse.OfOracle, hashed.Reuse.OfOracle)
+	}
+}
+
 // Guards against seconds that count a target which was away, or a target that joined too early.
 func TestTimeline(t *testing.T) {
 	parsed := parse(t,
