Let returning chats wait at their holder instead of moving at once

A holder at its limit frees a place within a fraction of a request's time, while a move loses the cached prefix. The gate queues the request for the entry's patience when it expects a place by then, and names other targets afterwards.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -158,6 +158,45 @@
 	}
 }
 
+// Guards against a returning chat that loses its cached prefix although its target frees a place soon, waits longer
+// than the prefix is worth, or is then refused without the targets that have room.
+func TestPatience(t *testing.T) {
+	const patience = 500 * time.Millisecond
+	cases := []struct {
+		name     string
+		service  time.Duration
+		patience time.Duration
+		want     Verdict
+	}{
+		{"place is free soon", 400 * time.Millisecond, patience, Wait},
+		{"place is free too late", 600 * time.Millisecond, patience, Refuse},
+		{"without patience", 400 * time.Millisecond, 0, Refuse},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController(single(1), "a", "b")
+			first := submit(c, 0, Request{Target: "a"})
+			c.Release(tc.service, first.ID, true, nil)
+			now := tc.service
+			submit(c, now, Request{Target: "a"})
+			req := Request{Target: "a", Candidates: []string{"b"}, Patience: tc.patience}
+			if d := submit(c, now, req); d.Verdict != tc.want {
+				t.Fatalf("%+v, want verdict %d", d, tc.want)
+			}
+			if tc.want == Refuse {
+				return
+			}
+			out := c.Tick(now+patience, nil)
+			if len(out) != 1 || out[0].Started || out[0].Reason != reason.OverLimit {
+				t.Fatalf("outcomes %+v after the patience", out)
+			}
+			if d := c.Elsewhere(now+patience, &req); !slices.Equal(d.Next(), []string{"b"}) {
+				t.Fatalf("next is %v, want b", d.Next())
+			}
+		})
+	}
+}
+
 // Guards against a request that waits although it can't meet its deadline, and against an estimate that refuses
 // short requests, or refuses for ever.
 func TestDeadline(t *testing.T) {
--- a/internal/admission/record.go
+++ b/internal/admission/record.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+)
 
 // state is the state of a record.
 type state uint8
@@ -25,6 +29,7 @@
 	since      time.Duration // start of the wait, or of the run
 	expires    time.Duration // latest start while waiting
 	deadline   time.Duration
+	expiry     reason.Reason // why it is refused then
 }
 
 // table holds the records. Freed ones are used again, so the steady state allocates nothing.
--- a/internal/admission/schedule_test.go
+++ b/internal/admission/schedule_test.go
@@ -91,6 +91,7 @@
 	}
 	if s.rng.Intn(3) == 0 {
 		req.Candidates = []string{s.pick(), s.pick()}
+		req.Patience = time.Duration(s.rng.Intn(2)*s.rng.Intn(1000)) * time.Millisecond
 	}
 	d, out := s.c.Submit(s.now, &req, nil)
 	s.submitted++
@@ -101,6 +102,9 @@
 	case Wait:
 		s.waiting[d.ID] = req.Target
 		s.expiry[d.ID] = s.now + testPool.QueueWait
+		if req.Patience > 0 {
+			s.expiry[d.ID] = s.now + req.Patience
+		}
 	case Refuse:
 		if d.Reason == "" || d.RetryAfter <= 0 {
 			s.fail("refusal without reason or Retry-After: %+v", d)
--- a/internal/admission/submit.go
+++ b/internal/admission/submit.go
@@ -68,14 +68,14 @@
 // wait queues a request, or refuses it when it should go elsewhere or can't be served in time.
 func (c *Controller) wait(now time.Duration, t *target, customer *customer, req *Request, out []Outcome) (Decision, []Outcome) {
 	_, full := t.bound(now)
-	if len(req.Candidates) > 0 {
+	class := uint8(req.Class.Priority())
+	wait := t.waitBehind(now, t.queue.ahead(class, customer))
+	if len(req.Candidates) > 0 && wait >= req.Patience {
 		d := c.refuseWithNext(now, t, req, full)
 		if d.nextCount > 0 {
 			return d, out
 		}
 	}
-	class := uint8(req.Class.Priority())
-	wait := t.waitBehind(now, t.queue.ahead(class, customer))
 	if missesDeadline(now, req.Deadline, wait+t.service.least(now)) {
 		return refuse(reason.DeadlineExceeded, wait), out
 	}
@@ -100,9 +100,12 @@
 	r.class = uint8(req.Class.Priority())
 	r.target, r.customer, r.deadline = t, customer, req.Deadline
 	r.since = now
-	r.expires = now + t.pool.settings.QueueWait
+	r.expires, r.expiry = now+t.pool.settings.QueueWait, reason.QueueTimeout
+	if req.Patience > 0 && len(req.Candidates) > 0 {
+		r.expireBy(now+req.Patience, reason.OverLimit)
+	}
 	if req.Deadline != 0 {
-		r.expires = min(r.expires, req.Deadline-t.service.least(now))
+		r.expireBy(req.Deadline-t.service.least(now), reason.DeadlineExceeded)
 	}
 	t.queue.push(&c.table, i)
 	return c.table.id(i)
@@ -206,18 +209,26 @@
 		return true
 	})
 	for _, i := range c.scratch {
-		out = c.refuseWaiting(now, i, c.table.records[i].expiryReason(), out)
+		out = c.refuseWaiting(now, i, c.table.records[i].expiry, out)
 	}
 	t.queue.expires = earliest
 	return out
 }
 
-// expiryReason tells a request that waited for the longest permitted time from one that can't meet its deadline.
-func (r *record) expiryReason() reason.Reason {
-	if r.expires < r.since+r.target.pool.settings.QueueWait {
-		return reason.DeadlineExceeded
+// Elsewhere returns the refusal of a request whose patience is over, with the targets to try next.
+func (c *Controller) Elsewhere(now time.Duration, req *Request) Decision {
+	t, ok := c.targets[req.Target]
+	if !ok || t.lost {
+		return refuse(reason.NotOwner, 0)
+	}
+	return c.refuseWithNext(now, t, req, reason.OverLimit)
+}
+
+// expireBy makes the wait end at a time, unless it ends earlier.
+func (r *record) expireBy(at time.Duration, why reason.Reason) {
+	if at < r.expires {
+		r.expires, r.expiry = at, why
 	}
-	return reason.QueueTimeout
 }
 
 // collect fills the scratch list with the waiting records that match.
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -20,6 +20,9 @@
 	// Candidates are other targets of the pool that the caller would try, in its order of preference. A request
 	// without candidates waits when its target is full.
 	Candidates []string
+	// Patience is how long the request waits for its target although a candidate has room, because its prefix is
+	// cached there. When that is over it is refused as over the limit; see Controller.Elsewhere.
+	Patience time.Duration
 }
 
 // Verdict is the kind of a decision.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -140,6 +140,9 @@
 	call := e.serveRequest(ctx, request, candidate.Target.Name)
 	if room && !request.redirected {
 		call.Candidates = candidates(routes, tried)
+		if position == request.holder {
+			call.PatienceMs = uint32(routes.Patience().Milliseconds())
+		}
 	}
 	err := e.callGate(ctx, owner, call, answer)
 	var refusal *Refusal
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -69,23 +69,40 @@
 	waiter := make(chan admission.Outcome, 1)
 	a.waiters[decision.ID] = waiter
 	a.mu.Unlock()
-	return a.wait(ctx, decision.ID, waiter)
+	return a.wait(ctx, request, decision.ID, waiter)
 }
 
 // wait blocks until the queue decides or the caller gives up.
-func (a *admitter) wait(ctx context.Context, id admission.ID, waiter chan admission.Outcome) (admission.ID, error) {
+func (a *admitter) wait(ctx context.Context, request *admission.Request, id admission.ID, waiter chan admission.Outcome) (admission.ID, error) {
 	select {
 	case outcome := <-waiter:
 		if outcome.Started {
 			return id, nil
 		}
-		return 0, &refusal{reason: outcome.Reason, ran: reason.No, detail: "the request waited in the target's queue", retryAfter: outcome.RetryAfter}
+		return 0, &refusal{
+			reason:     outcome.Reason,
+			ran:        reason.No,
+			detail:     "the request waited in the target's queue",
+			retryAfter: outcome.RetryAfter,
+			next:       a.elsewhere(request, outcome),
+		}
 	case <-ctx.Done():
 		a.release(id, false)
 		return 0, refuse(reason.DeadlineExceeded, reason.No, "the caller gave up while the request waited in the target's queue")
 	}
 }
 
+// elsewhere names the next targets for a request whose patience is over.
+func (a *admitter) elsewhere(request *admission.Request, outcome admission.Outcome) []string {
+	if outcome.Reason != reason.OverLimit || request.Patience == 0 {
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	decision := a.controller.Elsewhere(a.clock.Now(), request)
+	return append([]string(nil), decision.Next()...)
+}
+
 // release ends a request, whether it runs or waits.
 func (a *admitter) release(id admission.ID, completed bool) {
 	a.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -110,6 +110,7 @@
 		Class:      catalogue.Class(c.request.Class),
 		Deadline:   c.deadline(ctx),
 		Candidates: c.request.Candidates,
+		Patience:   time.Duration(c.request.PatienceMs) * time.Millisecond,
 	})
 	if err != nil {
 		return err
--- a/internal/replay/fleetgates.go
+++ b/internal/replay/fleetgates.go
@@ -18,7 +18,7 @@
 type simulatedGate struct {
 	name, zone string
 	controller *admission.Controller
-	waiting    map[admission.ID]func(started bool)
+	waiting    map[admission.ID]func(now time.Duration, started bool)
 }
 
 // gates are the gates of a simulated fleet, each with the admission controller that a real gate has.
@@ -39,7 +39,7 @@
 	byName := make(map[string]*simulatedGate)
 	for _, zone := range cluster.zones() {
 		for i := range gatesPerZone {
-			gate := &simulatedGate{name: fmt.Sprintf("gate-%s-%d", zone, i+1), zone: zone, waiting: make(map[admission.ID]func(bool))}
+			gate := &simulatedGate{name: fmt.Sprintf("gate-%s-%d", zone, i+1), zone: zone, waiting: make(map[admission.ID]func(time.Duration, bool))}
 			gate.controller = admission.New(gate.name)
 			view.Gates = append(view.Gates, membership.Member{
 				Gate: membership.Gate{Name: gate.name, Zone: zone}, State: membership.Live,
@@ -78,10 +78,10 @@
 		gate, name := g.owner[i], g.pool.Targets[i].Name
 		if is {
 			gate.controller.SetTarget(name, g.pool.Targets[i].Zone, g.pool.Name)
-			gate.wake(gate.controller.SetCap(now, name, admission.Full(), nil))
+			gate.wake(now, gate.controller.SetCap(now, name, admission.Full(), nil))
 			continue
 		}
-		gate.wake(gate.controller.DropTarget(now, name, reason.TargetLeaving, nil))
+		gate.wake(now, gate.controller.DropTarget(now, name, reason.TargetLeaving, nil))
 	}
 }
 
@@ -107,33 +107,39 @@
 // tick lets time pass in every controller.
 func (g *gates) tick(now time.Duration) {
 	for _, gate := range g.all {
-		gate.wake(gate.controller.Tick(now, nil))
+		gate.wake(now, gate.controller.Tick(now, nil))
 	}
 }
 
 // wake ends the waits of turns.
-func (gate *simulatedGate) wake(outcomes []admission.Outcome) {
+func (gate *simulatedGate) wake(now time.Duration, outcomes []admission.Outcome) {
 	for _, outcome := range outcomes {
 		ended := gate.waiting[outcome.ID]
 		delete(gate.waiting, outcome.ID)
-		ended(outcome.Started)
+		ended(now, outcome.Started)
 	}
 }
 
 // submit asks the owner of a target; ended is called when a wait ends.
-func (g *gates) submit(now time.Duration, target int, request *admission.Request, ended func(id admission.ID, started bool)) admission.Decision {
+func (g *gates) submit(now time.Duration, target int, request *admission.Request, ended func(id admission.ID, now time.Duration, started bool)) admission.Decision {
 	gate := g.owner[target]
 	request.Target = g.pool.Targets[target].Name
 	decision, outcomes := gate.controller.Submit(now, request, nil)
 	if decision.Verdict == admission.Wait {
-		gate.waiting[decision.ID] = func(started bool) { ended(decision.ID, started) }
+		gate.waiting[decision.ID] = func(now time.Duration, started bool) { ended(decision.ID, now, started) }
 	}
-	gate.wake(outcomes)
+	gate.wake(now, outcomes)
 	return decision
 }
 
 // release ends a request at the owner of its target.
 func (g *gates) release(now time.Duration, target int, id admission.ID) {
 	gate := g.owner[target]
-	gate.wake(gate.controller.Release(now, id, true, nil))
+	gate.wake(now, gate.controller.Release(now, id, true, nil))
+}
+
+// elsewhere names the targets for a turn whose wait is over.
+func (g *gates) elsewhere(now time.Duration, target int, request *admission.Request) []string {
+	decision := g.owner[target].controller.Elsewhere(now, request)
+	return decision.Next()
 }
--- a/internal/replay/fleetpolicy.go
+++ b/internal/replay/fleetpolicy.go
@@ -115,14 +115,18 @@
 	if holder, ok := p.holders[ask.Chat]; ok {
 		t.holder = holder
 	}
+	p.route(t, cluster)
+}
+
+func (p *fleetPolicy) route(t *try, cluster *Cluster) {
 	for {
 		target, room, ok := t.choose()
-		if !ok || !cluster.Reachable(target, ask.Zone) {
-			done(0, false)
+		if !ok || !cluster.Reachable(target, t.ask.Zone) {
+			t.done(0, false)
 			return
 		}
 		t.tried.Add(target)
-		decision := p.ask(t, target, room)
+		decision := p.ask(t, cluster, target, room)
 		switch decision.Verdict {
 		case admission.Start:
 			p.started(t, target, decision.ID)
@@ -131,7 +135,7 @@
 			return
 		}
 		if t.redirected || decision.Next() == nil {
-			done(0, false)
+			t.done(0, false)
 			return
 		}
 		t.redirected, t.next = true, decision.Next()
@@ -139,19 +143,28 @@
 }
 
 // ask sends the turn to the gate that owns a target.
-func (p *fleetPolicy) ask(t *try, target int, room bool) admission.Decision {
+func (p *fleetPolicy) ask(t *try, cluster *Cluster, target int, room bool) admission.Decision {
 	request := &admission.Request{Customer: t.ask.Customer, Class: catalogue.DefaultClass}
 	if room && !t.redirected {
 		request.Candidates = t.candidates()
+		if target == t.holder {
+			request.Patience = t.entry.table.Patience()
+		}
 	}
 	t.entry.inFlight[target].Add(1)
-	decision := p.gates.submit(t.ask.Now, target, request, func(id admission.ID, started bool) {
+	decision := p.gates.submit(t.ask.Now, target, request, func(id admission.ID, now time.Duration, started bool) {
 		if started {
 			p.started(t, target, id)
 			return
 		}
 		t.entry.inFlight[target].Add(-1)
-		t.done(0, false)
+		t.ask.Now = now
+		if request.Patience == 0 {
+			t.done(0, false)
+			return
+		}
+		t.redirected, t.next = true, p.gates.elsewhere(now, target, request)
+		p.route(t, cluster)
 	})
 	if decision.Verdict == admission.Refuse {
 		t.entry.inFlight[target].Add(-1)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -3,13 +3,14 @@
 // A Table is an immutable snapshot for one entry, built by the control goroutine from the catalogue, the view and
 // the load digest. Pick reads it without locks and without allocation.
 //
-// A returning chat goes to the target that holds its prefix unless that target's load costs more than the reuse is
-// worth. A new chat goes to the less loaded of its first ranks, which keeps the skew low without a table of chats.
+// A returning chat goes to the target that holds its prefix, and waits there for a time, unless that target's load
+// costs more than the reuse is worth. A new chat goes to the less loaded of its first ranks, which keeps the skew low without a table of chats.
 package routing
 
 import (
 	"math"
 	"sync/atomic"
+	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
@@ -161,9 +162,10 @@
 type finalists [distances][choices]ranked
 
 // Pick returns the position of the target for a chat; holder is the position of the target that holds the chat's
-// prefix, or NoHolder. It reports false when no target is open and below the limit.
+// prefix, or NoHolder. A holder at its limit is picked as long as waiting there is worth the reuse; its gate decides
+// by the wait that it expects. Pick reports false when no target is open and below the limit.
 func (p *Pool) Pick(chat uint64, holder int, tried *Tried) (int, bool) {
-	holds := holder != NoHolder && p.eligible(holder, tried)
+	holds := holder != NoHolder && p.Open(holder, tried)
 	if holds && p.worthReuse(holder) {
 		return holder, true
 	}
@@ -174,7 +176,7 @@
 	if position, ok := p.decide(&best, holder == NoHolder); ok {
 		return position, true
 	}
-	return holder, holds
+	return holder, holds && p.eligible(holder, tried)
 }
 
 // Open reports whether a target takes new work and has not been tried.
@@ -207,12 +209,22 @@
 }
 
 // worthReuse compares the holder's load with the bound: with a high skew weight a holder is passed over before it
-// is at its limit.
+// is at its limit, with a low one it may have requests that wait.
 func (p *Pool) worthReuse(holder int) bool {
 	share := float64(p.Candidates[holder].Load()) / float64(p.Limit)
 	return p.Pool.SkewWeight*share <= p.Pool.ReuseWeight+p.Pool.SkewWeight/2
 }
 
+// Patience is how long a returning chat waits at its holder before it goes elsewhere: the part of the pool's queue
+// wait that reuse has against skew.
+func (p *Pool) Patience() time.Duration {
+	weights := p.Pool.ReuseWeight + p.Pool.SkewWeight
+	if weights <= 0 {
+		return 0
+	}
+	return time.Duration(float64(p.Pool.QueueWait) * p.Pool.ReuseWeight / weights)
+}
+
 // scan finds the first ranks of one distance. Few candidates reach the ranks, so that the score is compared before
 // the load is read.
 func (p *Pool) scan(ranks []rank, chat uint64, holder int, tried *Tried, best *[choices]ranked) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -47,6 +47,7 @@
 	}{
 		{"holder below limit", []int32{3, 2, 2}, nil, 0, nil, nil, func(p int, ok bool) bool { return ok && p == 0 }},
 		{"holder at limit", []int32{9, 1, 1}, nil, 0, nil, nil, func(p int, ok bool) bool { return ok && p != 0 }},
+		{"holder at limit, reuse worth a wait", []int32{5, 1, 1}, func(p *catalogue.Pool) { p.ReuseWeight = 2 }, 0, nil, nil, func(p int, ok bool) bool { return ok && p == 0 }},
 		{"holder tried", []int32{3, 2, 2}, nil, 0, []int{0}, nil, func(p int, ok bool) bool { return ok && p != 0 }},
 		{"holder closed", []int32{0, 0, 0}, nil, 0, nil, []int{0}, func(p int, ok bool) bool { return ok && p != 0 }},
 		{"all tried", []int32{0, 0, 0}, nil, NoHolder, []int{0, 1, 2}, nil, func(_ int, ok bool) bool { return !ok }},
