Pass loads between gates with requests

The load limit follows the sum of admitted loads, which other gates learnt only from heartbeats: after a cold start it rose by the multiple every 500 ms. Calls now carry changes of other gates' loads, and heads, ends and refusals the gate's own.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -120,6 +120,32 @@
 	}
 }
 
+// PoolLoads returns this gate's own digests of a pool, one for each zone.
+func (c *Controller) PoolLoads(pool string) []PoolDigest {
+	var s Snapshot
+	for _, t := range c.order {
+		if t.pool.settings.Name == pool {
+			s.addLoad(c.gate, t)
+		}
+	}
+	return s.Digests
+}
+
+// AcceptLoads takes over loads of other gates that came with a request, and starts the waiting requests that the
+// higher limit permits.
+func (c *Controller) AcceptLoads(now time.Duration, pool string, digests []PoolDigest, out []Outcome) []Outcome {
+	for _, digest := range digests {
+		digest.Pool = pool
+		c.SetPoolDigest(now, digest)
+	}
+	for _, t := range c.order {
+		if t.queue.length > 0 && t.pool.settings.Name == pool {
+			out = c.dispatch(now, t, out)
+		}
+	}
+	return out
+}
+
 // ForgetGate drops the digests of a gate whose targets have other owners now.
 func (c *Controller) ForgetGate(gate string) {
 	for _, p := range c.pools {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -61,6 +61,7 @@
 func (a *answer) accept(event *pb.ServeEvent) (done bool, err error) {
 	switch body := event.Event.(type) {
 	case *pb.ServeEvent_Admitted:
+		a.entry.news.accept(a.request.pool.Name, body.Admitted.Loads)
 		return false, a.acceptAdmitted(body.Admitted)
 	case *pb.ServeEvent_Chunk:
 		fresh, fault := a.verifier.Chunk(event.RequestId, body.Chunk.Sequence, body.Chunk.Data)
@@ -72,12 +73,14 @@
 		}
 		return false, a.acceptChunk(body.Chunk)
 	case *pb.ServeEvent_End:
+		a.entry.news.accept(a.request.pool.Name, body.End.Loads)
 		if fault := a.verifier.End(event.RequestId, body.End.Count, body.End.Checksum); fault != nil {
 			return false, broken(fault)
 		}
 		a.events, a.checksum = body.End.Count, body.End.Checksum
 		return true, nil
 	case *pb.ServeEvent_Refusal:
+		a.entry.news.accept(a.request.pool.Name, body.Refusal.Loads)
 		return false, refusalOf(body.Refusal)
 	}
 	return false, &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: "the gate sent an unknown event"}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,7 @@
 	retries  *retries
 	codec    *ticket.Codec
 	heirs    *heirs
+	news     *news
 
 	// lifetime ends when the entry has drained; it bounds the calls that the control goroutine starts.
 	lifetime context.Context
@@ -94,6 +95,7 @@
 		retries:  newRetries(clock),
 		codec:    codec,
 		heirs:    newHeirs(),
+		news:     newNews(clock),
 		state:    newControlState(s.Name, s.Zone),
 	}, nil
 }
--- /dev/null
+++ b/internal/entry/news.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/loadnews"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+// news passes loads from one gate's answers to the calls of others. All calls of the entry share it.
+type news struct {
+	clock control.Clock
+
+	mu    sync.Mutex
+	relay *loadnews.Relay
+}
+
+func newNews(clock control.Clock) *news {
+	return &news{clock: clock, relay: loadnews.NewRelay()}
+}
+
+// accept takes over what a gate told of a pool.
+func (n *news) accept(pool string, loads []*pb.PoolLoad) {
+	if len(loads) == 0 {
+		return
+	}
+	digests := wire.PoolLoadsFrom(pool, loads)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.relay.Accept(n.now(), digests)
+}
+
+// loadsFor returns what a gate has not been told of a pool.
+func (n *news) loadsFor(pool, gate string) []*pb.PoolLoad {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return wire.PoolLoads(n.relay.For(n.now(), pool, gate, nil))
+}
+
+func (n *news) now() time.Duration { return n.clock.Now() }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -206,6 +206,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	client := pb.NewDRPCTrafficClient(e.traffic.Conn(ctx, gate.Address))
+	call.Loads = e.news.loadsFor(call.Pool, gate.Name)
 	events, err := client.Serve(ctx, call)
 	if err != nil {
 		return gateError(ctx, err)
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -113,3 +113,21 @@
 		return c.Tick(now, out)
 	})
 }
+
+// acceptNews gives admission the loads of other gates that came with a request.
+func (g *Gate) acceptNews(request *pb.ServeRequest) {
+	if len(request.Loads) == 0 {
+		return
+	}
+	digests := wire.PoolLoadsFrom(request.Pool, request.Loads)
+	g.admission.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
+		return c.AcceptLoads(now, request.Pool, digests, out)
+	})
+}
+
+// news returns this gate's loads of a pool, for the entry that asks.
+func (g *Gate) news(pool string) []*pb.PoolLoad {
+	g.admission.mu.Lock()
+	defer g.admission.mu.Unlock()
+	return wire.PoolLoads(g.admission.controller.PoolLoads(pool))
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -81,6 +81,8 @@
 	gate    *Gate
 	request *pb.ServeRequest
 	out     pb.DRPCTraffic_ServeStream
+	// admitted is set while the request counts as in flight at its target.
+	admitted admission.ID
 }
 
 func (c *call) run(ctx context.Context) error {
@@ -104,6 +106,7 @@
 	if !snapshot.Owned[t.Name] {
 		return c.redirect(snapshot, t, reason.NotOwner, "the gate does not own "+t.Name)
 	}
+	c.gate.acceptNews(c.request)
 	id, err := c.gate.admission.acquire(ctx, &admission.Request{
 		Target:     t.Name,
 		Customer:   c.request.Customer,
@@ -115,6 +118,7 @@
 	if err != nil {
 		return err
 	}
+	c.admitted = id
 	err = c.forward(ctx, t)
 	c.gate.admission.release(id, err == nil)
 	return err
@@ -291,6 +295,7 @@
 		Status:       int32(response.Status),
 		ContentType:  response.ContentType,
 		ModelVersion: t.Pool().Version,
+		Loads:        c.gate.news(c.request.Pool),
 	}}})
 }
 
@@ -301,11 +306,14 @@
 
 func (c *call) sendEnd(writer *stream.Writer, response *target.Response) error {
 	count, checksum := writer.End()
+	// The target has finished, so its place is free before the caller's next request can arrive.
+	c.gate.admission.release(c.admitted, true)
 	return c.send(&pb.ServeEvent{Event: &pb.ServeEvent_End{End: &pb.End{
 		Count:       count,
 		Checksum:    checksum,
 		Status:      int32(response.Status),
 		ContentType: response.ContentType,
+		Loads:       c.gate.news(c.request.Pool),
 	}}})
 }
 
@@ -319,6 +327,7 @@
 		Owner:        owner(r.owner),
 		Elsewhere:    r.elsewhere,
 		Heir:         wire.TicketGate(r.heir),
+		Loads:        c.gate.news(c.request.Pool),
 	}}})
 }
 
--- a/internal/replay/fleetgates.go
+++ b/internal/replay/fleetgates.go
@@ -6,6 +6,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/loadnews"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
@@ -143,3 +144,15 @@
 	decision := g.owner[target].controller.Elsewhere(now, request)
 	return decision.Next()
 }
+
+// tell passes an entry's news to the gate of a target.
+func (g *gates) tell(now time.Duration, target int, news *loadnews.Relay) {
+	gate := g.owner[target]
+	digests := news.For(now, g.pool.Name, gate.name, nil)
+	gate.wake(now, gate.controller.AcceptLoads(now, g.pool.Name, digests, nil))
+}
+
+// loads returns the loads of the gate that owns a target.
+func (g *gates) loads(target int) []admission.PoolDigest {
+	return g.owner[target].controller.PoolLoads(g.pool.Name)
+}
--- a/internal/replay/fleetpolicy.go
+++ b/internal/replay/fleetpolicy.go
@@ -6,6 +6,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/loadnews"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
 	"github.com/amaranthlb/amaranthlb/internal/routing"
 )
@@ -19,20 +20,24 @@
 type fleetPolicy struct {
 	pool     *catalogue.Pool
 	gates    *gates
-	entries  map[string]*simulatedEntry
+	entries  map[string][]*simulatedEntry // by zone
 	holders  map[string]int
 	admitted map[string]admission.ID
 }
 
-// simulatedEntry is the state of one zone's entry.
+// entriesPerZone gives a deployment 6 to 8 entries, which is its number of VMs.
+const entriesPerZone = 2
+
+// simulatedEntry is the state of one entry.
 type simulatedEntry struct {
+	news     *loadnews.Relay
 	inFlight []atomic.Int32
 	table    *routing.Pool
 }
 
 func newFleetPolicy() *fleetPolicy {
 	return &fleetPolicy{
-		entries: make(map[string]*simulatedEntry), holders: make(map[string]int), admitted: make(map[string]admission.ID),
+		entries: make(map[string][]*simulatedEntry), holders: make(map[string]int), admitted: make(map[string]admission.ID),
 	}
 }
 
@@ -42,8 +47,11 @@
 	p.gates = newGates(p.pool, cluster, customers)
 	p.gates.configure(0, cluster)
 	for _, zone := range cluster.zones() {
-		p.entries[zone] = &simulatedEntry{inFlight: make([]atomic.Int32, len(cluster.Load))}
-		p.rebuild(p.entries[zone], zone, cluster)
+		for range entriesPerZone {
+			entry := &simulatedEntry{news: loadnews.NewRelay(), inFlight: make([]atomic.Int32, len(cluster.Load))}
+			p.rebuild(entry, zone, cluster)
+			p.entries[zone] = append(p.entries[zone], entry)
+		}
 	}
 }
 
@@ -51,8 +59,10 @@
 func (p *fleetPolicy) Reports(now time.Duration, cluster *Cluster) {
 	p.gates.configure(now, cluster)
 	p.gates.gossip(now, cluster)
-	for zone, entry := range p.entries {
-		p.rebuild(entry, zone, cluster)
+	for zone, entries := range p.entries {
+		for _, entry := range entries {
+			p.rebuild(entry, zone, cluster)
+		}
 	}
 }
 
@@ -94,6 +104,17 @@
 	return routing.SameRegion
 }
 
+// entry returns the entry of the turn's zone to which the platform's balancer sends the chat.
+func (p *fleetPolicy) entry(ask Ask) *simulatedEntry {
+	entries := p.entries[ask.Zone]
+	return entries[rendezvous.Hash(ask.Chat)%uint64(len(entries))]
+}
+
+// Began brings the gate's loads to the entry, with the head of the answer.
+func (p *fleetPolicy) Began(ask Ask, target int) {
+	p.entry(ask).news.Accept(ask.Now, p.gates.loads(target))
+}
+
 // Pick is not used: the turns of a fleet may wait, see Submit.
 func (p *fleetPolicy) Pick(Ask, *Cluster) (int, bool) { return 0, false }
 
@@ -111,7 +132,7 @@
 // Submit asks the owners of the entry's candidates in turn. Like the entry daemon, it follows one redirect of a gate
 // and then leaves it to the queue of the target.
 func (p *fleetPolicy) Submit(ask Ask, cluster *Cluster, done func(target int, ok bool)) {
-	t := &try{ask: ask, entry: p.entries[ask.Zone], holder: routing.NoHolder, done: done}
+	t := &try{ask: ask, entry: p.entry(ask), holder: routing.NoHolder, done: done}
 	if holder, ok := p.holders[ask.Chat]; ok {
 		t.holder = holder
 	}
@@ -152,6 +173,7 @@
 		}
 	}
 	t.entry.inFlight[target].Add(1)
+	p.gates.tell(t.ask.Now, target, t.entry.news)
 	decision := p.gates.submit(t.ask.Now, target, request, func(id admission.ID, now time.Duration, started bool) {
 		if started {
 			p.started(t, target, id)
@@ -167,6 +189,7 @@
 		p.route(t, cluster)
 	})
 	if decision.Verdict == admission.Refuse {
+		t.entry.news.Accept(t.ask.Now, p.gates.loads(target))
 		t.entry.inFlight[target].Add(-1)
 	}
 	return decision
@@ -207,8 +230,9 @@
 
 // Ended takes a turn out of the entry's own requests and out of its gate's.
 func (p *fleetPolicy) Ended(ask Ask, target int) {
-	p.entries[ask.Zone].inFlight[target].Add(-1)
+	p.entry(ask).inFlight[target].Add(-1)
 	id := p.admitted[ask.Chat]
 	delete(p.admitted, ask.Chat)
 	p.gates.release(ask.Now, target, id)
+	p.entry(ask).news.Accept(ask.Now, p.gates.loads(target))
 }
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -98,6 +98,8 @@
 	Start(cluster *Cluster, customers []Customer)
 	// Submit calls done once, now or later: with a target, or when the turn is refused.
 	Submit(ask Ask, cluster *Cluster, done func(target int, ok bool))
+	// Began is called when a turn's first token arrives.
+	Began(ask Ask, target int)
 	// Tick is called every simulatedTick.
 	Tick(now time.Duration)
 }
--- a/internal/replay/simulate.go
+++ b/internal/replay/simulate.go
@@ -217,6 +217,10 @@
 		s.recorder.token(false, s.now-j.last)
 	} else {
 		s.recorder.token(true, s.now-j.sent+s.roundTrip(j))
+		if policy, ok := s.policy.(queuer); ok {
+			j.ask.Now = s.now
+			policy.Began(j.ask, j.target)
+		}
 	}
 	j.begun, j.last = true, s.now
 }
