Keep headroom for loads that fall before the news arrives

A load of another gate that has ended since it was measured made the limit too high. A part of the excess over the mean is now taken off the others' loads; the limit stays above the mean. Every first call names candidates, so that a gate with fresher loads than the entry can point the request elsewhere.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -75,6 +75,30 @@
 	}
 }
 
+// Guards against a headroom that raises the limit over the multiple, that stops loads from growing, or that has no
+// effect where only old news of the other gates is known.
+func TestHeadroom(t *testing.T) {
+	const targets = 10
+	for _, multiple := range []float64{1, 1.05, 1.25, 2} {
+		for load := range 300 {
+			c := newController(func(p *Pool) { p.LoadMultiple, p.MaxInFlight, p.Targets = multiple, 1000, targets }, "a")
+			c.SetPoolDigest(0, PoolDigest{Pool: "p", Gate: "x", Load: load, Targets: targets - 1})
+			limit, _ := c.Limit(0, "a")
+			if bound := int(math.Ceil(multiple*float64(load+1)/targets - 1e-9)); limit > bound {
+				t.Fatalf("multiple %v, load %d: limit %d, bound %d", multiple, load, limit, bound)
+			}
+			if limit*targets <= load {
+				t.Fatalf("multiple %v, load %d: limit %d leaves no room", multiple, load, limit)
+			}
+		}
+	}
+	c := newController(func(p *Pool) { p.MaxInFlight, p.Targets = 1000, targets }, "a")
+	c.SetPoolDigest(0, PoolDigest{Pool: "p", Gate: "x", Load: 200, Targets: targets - 1})
+	if limit, _ := c.Limit(0, "a"); limit != 23 {
+		t.Fatalf("limit %d, want 23 of the 26 that the multiple permits", limit)
+	}
+}
+
 // Guards against a digest that keeps its load after it has become stale without further news.
 func TestLimitFallsWhenDigestBecomesStale(t *testing.T) {
 	c := newController(nil, "a")
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -11,6 +11,10 @@
 // limitEpsilon keeps rounding errors of the product from raising the limit by one.
 const limitEpsilon = 1e-9
 
+// headroomShare is the share of the excess over the mean that is kept for loads which fall before the news of it
+// arrives. In simulated traces less lets more targets exceed the multiple, more makes requests wait longer.
+const headroomShare = 0.6
+
 // digestKey names the origin of a digest.
 type digestKey struct{ gate, zone string }
 
@@ -87,7 +91,13 @@
 func (p *pool) limit(now time.Duration) int {
 	p.refresh(now)
 	targets := max(p.settings.Targets, p.owned+p.remoteTargets, 1)
-	sum := p.running + p.remoteLoad
-	mean := p.settings.LoadMultiple * float64(sum+1) / float64(targets)
+	sum := float64(p.running) + float64(p.remoteLoad)*(1-p.headroom())
+	mean := p.settings.LoadMultiple * (sum + 1) / float64(targets)
 	return min(p.settings.MaxInFlight, int(math.Ceil(mean-limitEpsilon)))
 }
+
+// headroom is the part of the other gates' load that counts as ended since it was measured. It is taken from what the
+// multiple permits above the mean, so that the limit stays above the mean and loads can always grow.
+func (p *pool) headroom() float64 {
+	return headroomShare * (p.settings.LoadMultiple - 1) / p.settings.LoadMultiple
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -125,7 +125,7 @@
 	if !ok {
 		return refuse(reason.UnknownPool, "the catalogue no longer has pool %s", request.pool.Name)
 	}
-	position, room, ok := choose(request, routes, tried)
+	position, ok := choose(request, routes, tried)
 	if !ok {
 		return &Refusal{Reason: reason.NoTarget, Ran: reason.No, Message: "no target of " + request.pool.Name + " is open", RetryAfter: time.Second}
 	}
@@ -138,7 +138,7 @@
 	candidate.InFlight.Add(1)
 	defer candidate.InFlight.Add(-1)
 	call := e.serveRequest(ctx, request, candidate.Target.Name)
-	if room && !request.redirected {
+	if !request.redirected {
 		call.Candidates = candidates(routes, tried)
 		if position == request.holder {
 			call.PatienceMs = uint32(routes.Patience().Milliseconds())
@@ -154,18 +154,17 @@
 }
 
 // choose picks a target: the one that a gate named, else by policy, else the least loaded, at which the request has
-// to wait. It reports whether the target has room as far as the entry knows.
-func choose(request *request, routes *routing.Pool, tried *routing.Tried) (position int, room, ok bool) {
+// to wait unless its gate knows of one with room.
+func choose(request *request, routes *routing.Pool, tried *routing.Tried) (position int, ok bool) {
 	for _, name := range request.next {
 		if position, ok := routes.Index(name); ok && routes.Open(position, tried) {
-			return position, true, true
+			return position, true
 		}
 	}
 	if position, ok := routes.Pick(request.chatHash, request.holder, tried); ok {
-		return position, true, true
+		return position, true
 	}
-	position, ok = routes.LeastLoaded(request.chatHash, tried)
-	return position, false, ok
+	return routes.LeastLoaded(request.chatHash, tried)
 }
 
 // candidates names targets to which the gate may point the request; without any, the request waits at its target.
--- a/internal/replay/fleetpolicy.go
+++ b/internal/replay/fleetpolicy.go
@@ -141,13 +141,13 @@
 
 func (p *fleetPolicy) route(t *try, cluster *Cluster) {
 	for {
-		target, room, ok := t.choose()
+		target, ok := t.choose()
 		if !ok || !cluster.Reachable(target, t.ask.Zone) {
 			t.done(0, false)
 			return
 		}
 		t.tried.Add(target)
-		decision := p.ask(t, cluster, target, room)
+		decision := p.ask(t, cluster, target)
 		switch decision.Verdict {
 		case admission.Start:
 			p.started(t, target, decision.ID)
@@ -164,9 +164,9 @@
 }
 
 // ask sends the turn to the gate that owns a target.
-func (p *fleetPolicy) ask(t *try, cluster *Cluster, target int, room bool) admission.Decision {
+func (p *fleetPolicy) ask(t *try, cluster *Cluster, target int) admission.Decision {
 	request := &admission.Request{Customer: t.ask.Customer, Class: catalogue.DefaultClass}
-	if room && !t.redirected {
+	if !t.redirected {
 		request.Candidates = t.candidates()
 		if target == t.holder {
 			request.Patience = t.entry.table.Patience()
@@ -202,19 +202,18 @@
 }
 
 // choose picks a target as the entry does.
-func (t *try) choose() (target int, room, ok bool) {
+func (t *try) choose() (target int, ok bool) {
 	table := t.entry.table
 	for _, name := range t.next {
 		if position, ok := table.Index(name); ok && table.Open(position, &t.tried) {
-			return position, true, true
+			return position, true
 		}
 	}
 	chat := rendezvous.Hash(t.ask.Chat)
 	if position, ok := table.Pick(chat, t.holder, &t.tried); ok {
-		return position, true, true
+		return position, true
 	}
-	position, ok := table.LeastLoaded(chat, &t.tried)
-	return position, false, ok
+	return table.LeastLoaded(chat, &t.tried)
 }
 
 // candidates names the targets to which a gate may point the turn.
