--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -81,6 +81,7 @@
 		return true, nil
 	case *pb.ServeEvent_Refusal:
 		a.entry.news.accept(a.request.pool.Name, body.Refusal.Loads)
+		a.entry.learnCharges(a.request, body.Refusal.Charges)
 		return false, refusalOf(body.Refusal)
 	}
 	return false, &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: "the gate sent an unknown event"}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 	traffic  *rpc.Dialer
 	sealer   *placement.Codec
 	retries  *retries
+	suspects *suspects
 	codec    *ticket.Codec
 	heirs    *heirs
 	news     *news
@@ -93,6 +94,7 @@
 		traffic:  rpc.NewDialer(rpc.Traffic, tlsConfig, meters),
 		sealer:   placement.NewCodec(s.FleetKeys),
 		retries:  newRetries(clock),
+		suspects: newSuspects(clock),
 		codec:    codec,
 		heirs:    newHeirs(),
 		news:     newNews(clock),
--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -4,17 +4,21 @@
 	"context"
 	"time"
 
+	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
 // followInterval is the shortest time between two updates to an entry.
-const followInterval = 250 * time.Millisecond
+const followInterval = 400 * time.Millisecond
 
 // followRefresh is the longest time between two updates, by which an entry knows that its gate is alive.
 const followRefresh = time.Second
 
+// stateDown is the state of a live target that refuses connections. Entries send it no work.
+const stateDown = "down"
+
 // subscriber is one entry that follows this gate. It is owned by the control goroutine, except for the channel.
 type subscriber struct {
 	updates chan *pb.FollowUpdate
@@ -132,19 +136,25 @@
 	loads := make(map[string]*pb.TargetLoad)
 	for i := range snapshot.Catalogue.Pools {
 		for _, t := range snapshot.Catalogue.Pools[i].Targets {
-			loads[t.Name] = &pb.TargetLoad{Target: t.Name, State: string(snapshot.View.Target(t.Name))}
+			loads[t.Name] = &pb.TargetLoad{Target: t.Name, State: wire.TargetState(snapshot.View.Target(t.Name))}
 		}
 	}
 	for _, record := range g.state.loads.All(g.clock.Now()) {
 		for _, load := range record.Payload.Targets {
 			if known, ok := loads[load.Target]; ok {
 				known.Load = max(known.Load, load.Load)
+				if load.State == stateDown && record.Age < admission.StaleAfter {
+					known.State = stateDown
+				}
 			}
 		}
 	}
 	for _, t := range g.admission.snapshot().Targets {
 		if known, ok := loads[t.Target]; ok && !t.Lost {
 			known.Load = int32(t.InFlight + t.Waiting)
+			if g.reports.down(t.Target) {
+				known.State = stateDown
+			}
 		}
 	}
 	return loads
--- a/internal/replay/document.go
+++ b/internal/replay/document.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"time"
@@ -54,10 +53,10 @@
 func (p *Pool) entry(addresses map[string]string) catalogue.Pool {
 	entry := catalogue.Pool{
 		Name: p.Name, Owner: owner, Kind: p.Kind, Class: catalogue.Standard,
-		LoadMultiple: cmp.Or(p.LoadMultiple, catalogue.DefaultLoadMultiple),
-		ReuseWeight:  p.ReuseWeight, SkewWeight: p.SkewWeight, ZoneWeight: catalogue.DefaultZoneWeight,
+		LoadMultiple: orDefault(p.LoadMultiple, catalogue.DefaultLoadMultiple), ReuseWeight: p.ReuseWeight,
+		SkewWeight: p.SkewWeight, ZoneWeight: catalogue.DefaultZoneWeight,
+		QueueWait:   catalogue.Duration(catalogue.DefaultQueueWait),
 		MaxInFlight: documentMaxInFlight, QueueLength: documentQueueLength,
-		QueueWait:     catalogue.Duration(catalogue.DefaultQueueWait),
 		Deadline:      catalogue.Duration(documentDeadline),
 		NonRepeatable: p.NonRepeatable, FateQuery: true,
 	}
@@ -73,6 +72,14 @@
 	return entry
 }
 
+// orDefault returns the default for a value that the trace leaves out.
+func orDefault(value, standard float64) float64 {
+	if value == 0 {
+		return standard
+	}
+	return value
+}
+
 func targetRole(kind catalogue.Kind) string {
 	if kind == catalogue.Model {
 		return "serve"
