Let returning chats wait at their holder whatever the skew weight

The ramp test starts after the probation of the first owners, which halves the limits that it measures.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -215,14 +215,16 @@
 	return p.Pool.SkewWeight*share <= p.Pool.ReuseWeight+p.Pool.SkewWeight/2
 }
 
-// Patience is how long a returning chat waits at its holder before it goes elsewhere: the part of the pool's queue
-// wait that reuse has against skew.
+// patienceShare is the part of the queue wait for which a returning chat waits at its holder. Waiting does not load
+// the target, so that it costs no skew; the rest of the time is left for the wait at another target.
+const patienceShare = 2.0 / 3
+
+// Patience is how long a returning chat waits at its holder before it goes elsewhere.
 func (p *Pool) Patience() time.Duration {
-	weights := p.Pool.ReuseWeight + p.Pool.SkewWeight
-	if weights <= 0 {
+	if p.Pool.ReuseWeight <= 0 {
 		return 0
 	}
-	return time.Duration(float64(p.Pool.QueueWait) * p.Pool.ReuseWeight / weights)
+	return time.Duration(float64(p.Pool.QueueWait) * patienceShare)
 }
 
 // scan finds the first ranks of one distance. Few candidates reach the ranks, so that the score is compared before
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
@@ -76,6 +77,19 @@
 	}
 }
 
+// Guards against chats that wait at a holder although reuse counts for nothing, or for as long as the queue permits, so
+// that nothing is left for another target.
+func TestPatience(t *testing.T) {
+	for weight, want := range map[float64]time.Duration{0: 0, 1: time.Second, 5: time.Second} {
+		pool := testPool(t, 2, func(p *catalogue.Pool) {
+			p.ReuseWeight, p.QueueWait = weight, catalogue.Duration(1500*time.Millisecond)
+		})
+		if got := pool.Patience(); got != want {
+			t.Errorf("reuse weight %v: patience %v, want %v", weight, got, want)
+		}
+	}
+}
+
 // Guards against traffic that crosses zones although near targets have room.
 func TestNearTargetsArePreferred(t *testing.T) {
 	pool := testPool(t, 10, func(p *catalogue.Pool) { p.ZoneWeight = 8 })
--- a/test/e2e/ramp_test.go
+++ b/test/e2e/ramp_test.go
@@ -15,12 +15,14 @@
 	rampSlots    = 8
 	rampTokens   = 25
 	rampDuration = 8 * time.Second
+	// rampSettles is longer than the probation of the first owners, which halves their limits.
+	rampSettles = 8 * time.Second
 	// rampLimit is the longest time from idle to nine tenths of the capacity at twice the demand: three heartbeat
 	// rounds, where a limit that rises by the multiple in each round needs five.
 	rampLimit = 1500 * time.Millisecond
 )
 
-// Guards against a load limit that stays low after a cold start because it follows the admitted load too slowly.
+// Guards against a load limit that stays low after an idle time because it follows the admitted load too slowly.
 func TestRampFromIdle(t *testing.T) {
 	for name, factor := range map[string]int{"demand 1x": 1, "demand 2x": 2} {
 		t.Run(name, func(t *testing.T) {
@@ -29,6 +31,7 @@
 			spec.Model.MaxInFlight, spec.Model.LoadMultiple = rampSlots, 1.25
 			spec.EngineFlags = []string{"--slots", "8", "--token-time", "40ms", "--batch-token-time", "0s"}
 			f := start(t, spec)
+			time.Sleep(rampSettles)
 			began := time.Now()
 			l := startLoad(f, "rose", factor*rampEngines*rampSlots, rampTokens)
 			time.Sleep(rampDuration)
