--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -93,7 +93,8 @@
 	request := &request{pool: routes.Pool, chatHash: chatHash(key), holder: holder}
 	ranks := routes.Rank(request.chatHash)
 	result := Explanation{Pool: routes.Pool.Name, Revision: snapshot.Catalogue.Revision, Limit: routes.Limit}
-	position, room, ok := choose(request, routes, &routing.Tried{})
+	position, ok := choose(request, routes, &routing.Tried{})
+	room := ok && routes.Candidates[position].Load() < routes.Limit
 	if ok {
 		result.Choice = routes.Candidates[position].Target.Name
 	}
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -88,8 +88,8 @@
 	return refuse(reason.CrashSuspect, "the request has crashed two targets")
 }
 
-// pick chooses the target of a try. It reports whether the target has room, and whether there is one at all.
-func (e *Entry) pick(routes *routing.Pool, request *request, tried *routing.Tried) (position int, room, ok bool) {
+// pick chooses the target of a try and reports whether there is one.
+func (e *Entry) pick(routes *routing.Pool, request *request, tried *routing.Tried) (position int, ok bool) {
 	if len(request.charges) > 0 {
 		return e.pickForSuspect(routes, request, tried)
 	}
@@ -98,18 +98,18 @@
 
 // pickForSuspect prefers targets without another suspect of this entry. A suspect that has tried every target starts
 // over, since the other suspects come to an end.
-func (e *Entry) pickForSuspect(routes *routing.Pool, request *request, tried *routing.Tried) (position int, room, ok bool) {
+func (e *Entry) pickForSuspect(routes *routing.Pool, request *request, tried *routing.Tried) (position int, ok bool) {
 	avoid := *tried
 	for i := range routes.Candidates {
 		if !e.suspects.mayRun(request.digest, routes.Candidates[i].Target.Name) {
 			avoid.Add(i)
 		}
 	}
-	if position, room, ok = choose(request, routes, &avoid); ok {
-		return position, room, ok
+	if position, ok = choose(request, routes, &avoid); ok {
+		return position, ok
 	}
-	if position, room, ok = choose(request, routes, tried); ok {
-		return position, room, ok
+	if position, ok = choose(request, routes, tried); ok {
+		return position, ok
 	}
 	*tried = routing.Tried{}
 	return choose(request, routes, tried)
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -87,6 +87,8 @@
 	out     pb.DRPCTraffic_ServeStream
 	// sent says that an event was sent since the last look of reportProgress.
 	sent atomic.Bool
+	// admitted is set while the request counts as in flight at its target.
+	admitted admission.ID
 }
 
 func (c *call) run(ctx context.Context) error {
@@ -111,6 +113,7 @@
 	if !snapshot.Owned[t.Name] {
 		return c.redirect(snapshot, t, reason.NotOwner, "the gate does not own "+t.Name)
 	}
+	c.gate.acceptNews(c.request)
 	if err := c.checkSuspect(ctx, snapshot, t); err != nil {
 		return err
 	}
@@ -120,10 +123,12 @@
 		Class:      catalogue.Class(c.request.Class),
 		Deadline:   c.deadline(ctx),
 		Candidates: c.request.Candidates,
+		Patience:   time.Duration(c.request.PatienceMs) * time.Millisecond,
 	})
 	if err != nil {
 		return err
 	}
+	c.admitted = id
 	c.transferCache(ctx, snapshot, t)
 	err = c.runGuarded(ctx, t, func() error { return c.forward(ctx, t) })
 	c.gate.admission.release(id, err == nil)
@@ -319,6 +324,7 @@
 		Status:       int32(response.Status),
 		ContentType:  response.ContentType,
 		ModelVersion: c.gate.modelVersion(t),
+		Loads:        c.gate.news(c.request.Pool),
 	}}})
 }
 
@@ -329,11 +335,14 @@
 
 func (c *call) sendEnd(writer *stream.Writer, response *target.Response) error {
 	count, checksum := writer.End()
+	// The target has finished, so its place is free before the caller's next request can arrive.
+	c.gate.admission.release(c.admitted, true)
 	return c.send(&pb.ServeEvent{Event: &pb.ServeEvent_End{End: &pb.End{
 		Count:       count,
 		Checksum:    checksum,
 		Status:      int32(response.Status),
 		ContentType: response.ContentType,
+		Loads:       c.gate.news(c.request.Pool),
 	}}})
 }
 
@@ -347,6 +356,7 @@
 		Owner:        owner(r.owner),
 		Elsewhere:    r.elsewhere,
 		Heir:         wire.TicketGate(r.heir),
+		Loads:        c.gate.news(c.request.Pool),
 		Charges:      wire.Charges(r.charges),
 	}}})
 }
