--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -92,6 +92,9 @@
 	fields := []*string{&f.platform, &f.Balancer, &f.link}
 	for _, n := range f.order {
 		f.nodes[n.name] = n
+		if n.external {
+			continue
+		}
 		fields = append(fields, &n.address, &n.admin)
 		if f.spec.ThroughLinks && n.role == roleGate {
 			fields = append(fields, &n.linked)
@@ -250,6 +253,9 @@
 // StartNode starts the process of a node.
 func (f *Fleet) StartNode(name string) error {
 	n := f.nodes[name]
+	if n.external {
+		return nil
+	}
 	switch n.role {
 	case roleEngine:
 		return f.run(name, "standin-engine", f.targetFlags(n, f.spec.EngineFlags)...)
@@ -422,6 +428,9 @@
 // AdminAddress returns the address of a daemon's admin endpoint.
 func (f *Fleet) AdminAddress(name string) string { return f.nodes[name].admin }
 
+// PID returns the process id of a node.
+func (f *Fleet) PID(name string) int { return f.processes[name].command.Process.Pid }
+
 // Platform returns the address of the platform's stand-in.
 func (f *Fleet) Platform() string { return f.platform }
 
--- a/standin/fleet/spec.go
+++ b/standin/fleet/spec.go
@@ -21,6 +21,8 @@
 	Service bool
 	Zone    string
 	Flags   []string
+	// Address is set for a target that the caller serves itself; the fleet starts no process for it.
+	Address string
 }
 
 // Names of the pools in the fleet's catalogue.
@@ -142,6 +144,8 @@
 	admin string
 	// flags are passed to a target's stand-in after those of the fleet.
 	flags []string
+	// external says that the caller serves the node's address itself.
+	external bool
 	// linked is the address that others use when the node is behind a link.
 	linked string
 }
@@ -192,7 +196,14 @@
 		if t.Service {
 			role = roleService
 		}
-		nodes = append(nodes, &node{name: t.Name, role: role, zone: slices.Index(s.Zones, t.Zone), flags: t.Flags})
+		nodes = append(nodes, &node{
+			name:     t.Name,
+			role:     role,
+			zone:     slices.Index(s.Zones, t.Zone),
+			flags:    t.Flags,
+			address:  t.Address,
+			external: t.Address != "",
+		})
 	}
 	return nodes
 }
