Gossip customers' use only when it changes

Cause: each gate repeated the use of every limited customer in each load record, once a second to every peer, also in an idle fleet. Ruled out: leaving out customers without demand, because a gate enlarges its share only after it has heard from every gate; one record per customer, because the tables of 165 gates with 350 customers would not fit the memory. Change: use is a gossip record of its own. It crosses a link when it changes; load records name the version in force, which renews its age. A gate that lacks the record asks for everything again. A renewed record is still relayed. Conclusion: control traffic of an idle fleet no longer depends on the number of customers.

--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -42,6 +42,9 @@
 	loadVersion uint64
 	lastLoad    *pb.LoadRecord
 	lastLoadAt  time.Duration
+	// useVersion counts this gate's records of use.
+	useVersion uint64
+	lastUse    *pb.LoadRecord
 	// transit is the longest recent round trip to each peer, an upper bound of the age that a message gains.
 	transit map[string]time.Duration
 	// reads are the cancel functions of the reads of the platform under way.
--- a/internal/gate/heartbeat.go
+++ b/internal/gate/heartbeat.go
@@ -130,8 +130,9 @@
 	peer := from.Name
 	if message.Introduce {
 		g.state.introductions.forget(peer)
+		g.state.loads.Forget(peer)
 	}
-	g.acceptLoads(now, g.state.loads.Merge(now, peer, wire.LoadsFrom(message.Loads)))
+	g.acceptLoads(now, peer, g.state.loads.Merge(now, peer, wire.LoadsFrom(message.Loads)))
 	g.acceptNotices(now, g.state.notices.Merge(now, peer, wire.NoticesFrom(message.Notices)))
 	if len(message.Claims) > 0 {
 		g.stepOwners(now, ownership.PeerClaim{By: from, Targets: message.Claims})
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -26,6 +26,7 @@
 		return
 	}
 	record := g.loadRecord()
+	g.refreshUse(now, record)
 	unchanged := g.state.lastLoad != nil && proto.Equal(record, g.state.lastLoad)
 	if unchanged && now-g.state.lastLoadAt < loadRefresh {
 		return
@@ -47,33 +48,18 @@
 				record.Targets = append(record.Targets, load)
 			}
 		}
-		for _, use := range c.Uses() {
-			record.Uses = append(record.Uses, &pb.CustomerUse{
-				Customer: use.Customer,
-				Rate:     share(use.Rate),
-				InFlight: share(use.InFlight),
-			})
-		}
 		return out
 	})
 	slices.SortFunc(record.Targets, func(a, b *pb.TargetLoad) int { return strings.Compare(a.Target, b.Target) })
-	slices.SortFunc(record.Uses, func(a, b *pb.CustomerUse) int { return strings.Compare(a.Customer, b.Customer) })
 	return record
 }
 
-func share(s admission.Share) *pb.Share {
-	return &pb.Share{Demand: s.Demand, Fraction: s.Fraction, Known: s.Known}
-}
-
-func shareFrom(s *pb.Share) admission.Share {
-	return admission.Share{Demand: s.GetDemand(), Fraction: s.GetFraction(), Known: s.GetKnown()}
-}
-
 // acceptLoads gives the loads of other gates to admission.
-func (g *Gate) acceptLoads(now time.Duration, records []gossip.Record[*pb.LoadRecord]) {
+func (g *Gate) acceptLoads(now time.Duration, peer string, records []gossip.Record[*pb.LoadRecord]) {
 	if len(records) == 0 {
 		return
 	}
+	records = append(records, g.renewUses(now, peer, records)...)
 	g.admission.update(func(c *admission.Controller, _ time.Duration, out []admission.Outcome) []admission.Outcome {
 		for _, record := range records {
 			g.acceptLoad(c, now, record)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -35,6 +35,8 @@
 type entry[P any] struct {
 	version uint64
 	made    time.Duration
+	// first is the time at which the version was made; made is later when the version has been renewed.
+	first   time.Duration
 	payload P
 	// own says that this daemon is the origin.
 	own bool
@@ -47,7 +49,19 @@
 
 // Put stores a version that this daemon made now.
 func (t *Table[P]) Put(now time.Duration, key string, version uint64, payload P) {
-	t.records[key] = entry[P]{version: version, made: now, payload: payload, own: true}
+	t.records[key] = entry[P]{version: version, made: now, first: now, payload: payload, own: true}
+}
+
+// Renew makes a version that this daemon holds as young as the age given: its origin has said that the version is
+// still in force. It reports the renewed record, and whether any version of the key is held.
+func (t *Table[P]) Renew(now time.Duration, key string, version uint64, age time.Duration) (renewed []Record[P], held bool) {
+	e, held := t.records[key]
+	if !held || e.version != version || now-age <= e.made {
+		return nil, held
+	}
+	e.made = now - age
+	t.records[key] = e
+	return []Record[P]{{Key: key, Version: version, Age: age, Payload: e.payload}}, true
 }
 
 // Merge stores the records that a peer sent and reports those that are new here.
@@ -60,7 +74,7 @@
 		if record.Age > t.lifetime || (ok && current.version >= record.Version) {
 			continue
 		}
-		t.records[record.Key] = entry[P]{version: record.Version, made: now - record.Age, payload: record.Payload}
+		t.records[record.Key] = entry[P]{version: record.Version, made: now - record.Age, first: now - record.Age, payload: record.Payload}
 		fresh = append(fresh, record)
 	}
 	return fresh
@@ -73,7 +87,7 @@
 	known := t.known(peer)
 	var news []Record[P]
 	for key, e := range t.records {
-		if known[key] >= e.version || (!e.own && now-e.made < relayAfter) {
+		if known[key] >= e.version || (!e.own && now-e.first < relayAfter) {
 			continue
 		}
 		known[key] = e.version
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -100,3 +100,44 @@
 		t.Fatalf("relayed %d records after the delay", len(news))
 	}
 }
+
+// Guards against a renewal that makes another version look fresh, or a record older than it was.
+func TestRenewKeepsOnlyTheSameVersionFresh(t *testing.T) {
+	cases := []struct {
+		name    string
+		version uint64
+		age     time.Duration
+		want    time.Duration
+	}{
+		{"same version", 2, time.Second, time.Second},
+		{"other version", 1, time.Second, 6 * time.Second},
+		{"older news", 2, 7 * time.Second, 6 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := New[string](lifetime)
+			table.Merge(2*time.Second, "p", []Record[string]{{Key: "k", Version: 2, Payload: "a"}})
+			renewed, held := table.Renew(8*time.Second, "k", c.version, c.age)
+			if !held || (len(renewed) == 1) != (c.want == c.age) {
+				t.Fatalf("renewed %v, held %v", renewed, held)
+			}
+			if age := table.All(8 * time.Second)[0].Age; age != c.want {
+				t.Fatalf("age is %s, want %s", age, c.want)
+			}
+		})
+	}
+	if _, held := New[string](lifetime).Renew(0, "k", 1, 0); held {
+		t.Fatal("a record that was never sent counts as held")
+	}
+}
+
+// Guards against a record that is renewed all the time and therefore never relayed to gates that its origin does not
+// reach.
+func TestRenewedRecordIsRelayed(t *testing.T) {
+	table := New[string](lifetime)
+	table.Merge(0, "origin", []Record[string]{{Key: "k", Version: 1, Payload: "a"}})
+	table.Renew(relayDelay, "k", 1, 0)
+	if news := table.News(relayDelay, "p", 0, relayDelay); len(news) != 1 || news[0].Age != 0 {
+		t.Fatalf("relayed: %v", news)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -96,6 +96,8 @@
 			AgeMs:       milliseconds(record.Age),
 			Targets:     record.Payload.Targets,
 			Uses:        record.Payload.Uses,
+			UsesVersion: record.Payload.UsesVersion,
+			Use:         record.Payload.Use,
 		}
 	}
 	return loads
@@ -106,7 +108,7 @@
 	records := make([]gossip.Record[*pb.LoadRecord], len(loads))
 	for i, load := range loads {
 		records[i] = gossip.Record[*pb.LoadRecord]{
-			Key:     LoadKey(load.Gate, load.Incarnation),
+			Key:     keyOf(load),
 			Version: load.Version,
 			Age:     duration(load.AgeMs),
 			Payload: load,
@@ -115,6 +117,16 @@
 	return records
 }
 
+func keyOf(load *pb.LoadRecord) string {
+	if load.Use {
+		return UseKey(load.Gate, load.Incarnation)
+	}
+	return LoadKey(load.Gate, load.Incarnation)
+}
+
+// UseKey is the key of a gate process's record of the customers' use.
+func UseKey(gate string, incarnation uint64) string { return LoadKey(gate, incarnation) + "/use" }
+
 // LoadKey is the key of a gate process's load record.
 func LoadKey(gate string, incarnation uint64) string {
 	key := make([]byte, 0, len(gate)+9)
