Relay tokens that are ready together in one message and one write

Cause: each token cost a drpc message, two system calls and a flush at the caller, also when the engine had sent several already. Ruled out: waiting for further tokens, which would add latency; another SSE parser, since the library is the one in use. Change: the gate collects the events that it has read and sends them before it reads the target's connection again, so no token waits for a later one. The entry checks each chunk as before and writes those of a message at once.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -63,14 +63,7 @@
 	case *pb.ServeEvent_Admitted:
 		return false, a.acceptAdmitted(body.Admitted)
 	case *pb.ServeEvent_Chunk:
-		fresh, fault := a.verifier.Chunk(event.RequestId, body.Chunk.Sequence, body.Chunk.Data)
-		if fault != nil {
-			return false, broken(fault)
-		}
-		if !fresh {
-			return false, nil
-		}
-		return false, a.acceptChunk(body.Chunk)
+		return false, a.acceptChunks(event.RequestId, body.Chunk)
 	case *pb.ServeEvent_End:
 		if fault := a.verifier.End(event.RequestId, body.End.Count, body.End.Checksum); fault != nil {
 			return false, broken(fault)
@@ -98,36 +91,56 @@
 	return strings.HasPrefix(a.admitted.ContentType, eventStream)
 }
 
-func (a *answer) acceptChunk(chunk *pb.Chunk) error {
+// acceptChunks takes over the chunks of one message and sends those of a stream with one write.
+func (a *answer) acceptChunks(request string, chunk *pb.Chunk) error {
 	if a.admitted == nil {
 		return &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: "a chunk came before the answer's head"}
 	}
-	if a.streaming() {
-		return a.writeEvent(chunk)
+	a.line = a.line[:0]
+	fault := a.acceptChunk(request, chunk.Sequence, chunk.Data)
+	for i := 0; i < len(chunk.More) && fault == nil; i++ {
+		fault = a.acceptChunk(request, chunk.Sequence+1+int64(i), chunk.More[i])
 	}
-	if len(a.buffer)+len(chunk.Data) > maximumBuffered {
+	if len(a.line) > 0 {
+		if err := a.write(a.line); err != nil {
+			return err
+		}
+	}
+	return fault
+}
+
+// acceptChunk checks a chunk and adds it to the events to be sent or to the answer that is held back.
+func (a *answer) acceptChunk(request string, sequence int64, data []byte) error {
+	fresh, fault := a.verifier.Chunk(request, sequence, data)
+	switch {
+	case fault != nil:
+		return broken(fault)
+	case !fresh:
+		return nil
+	case a.streaming():
+		return a.addEvent(sequence, data)
+	case len(a.buffer)+len(data) > maximumBuffered:
 		return &Refusal{Reason: reason.BrokenAnswer, Ran: reason.Unknown, Message: "the answer is too large"}
 	}
-	a.buffer = append(a.buffer, chunk.Data...)
+	a.buffer = append(a.buffer, data...)
 	return nil
 }
 
-// writeEvent sends one event with its id to the caller.
-func (a *answer) writeEvent(chunk *pb.Chunk) error {
+// addEvent adds one event with its id to those that go to the caller next.
+func (a *answer) addEvent(sequence int64, data []byte) error {
 	if !a.started {
 		if err := a.startStream(); err != nil {
 			return err
 		}
 	}
-	line := append(a.line[:0], "id: "...)
+	line := append(a.line, "id: "...)
 	line = append(line, a.streamID...)
 	line = append(line, '.')
-	line = strconv.AppendInt(line, chunk.Sequence, 10)
+	line = strconv.AppendInt(line, sequence, 10)
 	line = append(line, "\ndata: "...)
-	line = append(line, chunk.Data...)
-	line = append(line, "\n\n"...)
-	a.line = line
-	return a.write(line)
+	line = append(line, data...)
+	a.line = append(line, "\n\n"...)
+	return nil
 }
 
 func (a *answer) write(data []byte) error {
--- /dev/null
+++ b/internal/gate/chunkbatch.go
@@ -0,0 +1,81 @@
+package gate
+
+import (
+	"io"
+
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/stream"
+	"github.com/amaranthlb/amaranthlb/internal/target"
+)
+
+// batchBytes bounds the data of a message that carries several chunks.
+const batchBytes = 32 << 10
+
+// chunkBatch collects chunks that are ready at once. It is sent before the target's connection is read again, so that
+// no chunk waits for a later one.
+type chunkBatch struct {
+	call   *call
+	writer *stream.Writer
+	first  int64
+	chunks [][]byte
+	bytes  int
+	err    error
+}
+
+// copy relays events until the end marker (true) or a break in the numbering or the connection (false).
+func (b *chunkBatch) copy(body io.Reader) (bool, error) {
+	for event, err := range target.Events(&flushingReader{source: body, batch: b}) {
+		switch {
+		case err != nil:
+			return false, err
+		case event.Done:
+			return true, nil
+		case event.Sequence < b.writer.Next():
+			continue
+		case event.Sequence > b.writer.Next():
+			return false, nil
+		}
+		if err := b.add([]byte(event.Data)); err != nil {
+			return false, err
+		}
+	}
+	return false, nil
+}
+
+func (b *chunkBatch) add(data []byte) error {
+	sequence := b.writer.Add(data)
+	if len(b.chunks) == 0 {
+		b.first = sequence
+	}
+	b.chunks = append(b.chunks, data)
+	b.bytes += len(data)
+	if b.bytes < batchBytes {
+		return nil
+	}
+	return b.flush()
+}
+
+// flush sends what has been collected. After a failure nothing more is sent.
+func (b *chunkBatch) flush() error {
+	if b.err != nil || len(b.chunks) == 0 {
+		return b.err
+	}
+	chunk := &pb.Chunk{Sequence: b.first, Data: b.chunks[0], More: b.chunks[1:]}
+	b.err = b.call.send(&pb.ServeEvent{Event: &pb.ServeEvent_Chunk{Chunk: chunk}})
+	b.chunks = b.chunks[:0]
+	b.bytes = 0
+	return b.err
+}
+
+// flushingReader sends the batch before each read of the source, which may block.
+type flushingReader struct {
+	source io.Reader
+	batch  *chunkBatch
+}
+
+func (r *flushingReader) Read(p []byte) (int, error) {
+	if err := r.batch.flush(); err != nil {
+		return 0, err
+	}
+	return r.source.Read(p)
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -249,24 +249,12 @@
 	}
 }
 
-// copyEvents relays events until the end marker (true) or a break in the numbering or the connection (false).
+// copyEvents relays events until the end marker (true) or a break in the numbering or the connection (false). Events
+// that the target has sent by the time they are read go into one message.
 func (c *call) copyEvents(body io.Reader, writer *stream.Writer) (bool, error) {
-	for event, err := range target.Events(body) {
-		switch {
-		case err != nil:
-			return false, err
-		case event.Done:
-			return true, nil
-		case event.Sequence < writer.Next():
-			continue
-		case event.Sequence > writer.Next():
-			return false, nil
-		}
-		if err := c.sendChunk(writer, []byte(event.Data)); err != nil {
-			return false, err
-		}
-	}
-	return false, nil
+	batch := &chunkBatch{call: c, writer: writer}
+	done, err := batch.copy(body)
+	return done, errors.Join(batch.flush(), err)
 }
 
 // relayBody relays an answer that is not an event stream.
