--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -264,38 +264,11 @@
 }
 
 // copyEvents relays events in the order of their numbers until the end marker (true), or until the connection breaks
-// or an event is missing (false).
+// or an event is missing (false). Events that the target has sent by the time they are read go into one message.
 func (c *call) copyEvents(body io.Reader, writer *stream.Writer) (bool, error) {
-	var early stream.Window
-	for event, err := range target.Events(body) {
-		switch {
-		case err != nil:
-			return false, err
-		case event.Done:
-			return early.Empty(), nil
-		case event.Sequence < writer.Next():
-			continue
-		case event.Sequence > writer.Next():
-			if !early.Hold(event.Sequence, []byte(event.Data)) {
-				return false, nil
-			}
-			continue
-		}
-		if err := c.sendInOrder(writer, []byte(event.Data), &early); err != nil {
-			return false, err
-		}
-	}
-	return false, nil
-}
-
-// sendInOrder sends the next chunk and those held for which it was missing.
-func (c *call) sendInOrder(writer *stream.Writer, data []byte, early *stream.Window) error {
-	for ok := true; ok; data, ok = early.Take(writer.Next()) {
-		if err := c.sendChunk(writer, data); err != nil {
-			return err
-		}
-	}
-	return nil
+	batch := &chunkBatch{call: c, writer: writer}
+	done, err := batch.copy(body)
+	return done, errors.Join(batch.flush(), err)
 }
 
 // relayBody relays an answer that is not an event stream.
