--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -120,6 +120,32 @@
 	}
 }
 
+// PoolLoads returns this gate's own digests of a pool, one for each zone.
+func (c *Controller) PoolLoads(pool string) []PoolDigest {
+	var s Snapshot
+	for _, t := range c.order {
+		if t.pool.settings.Name == pool {
+			s.addLoad(c.gate, t)
+		}
+	}
+	return s.Digests
+}
+
+// AcceptLoads takes over loads of other gates that came with a request, and starts the waiting requests that the
+// higher limit permits.
+func (c *Controller) AcceptLoads(now time.Duration, pool string, digests []PoolDigest, out []Outcome) []Outcome {
+	for _, digest := range digests {
+		digest.Pool = pool
+		c.SetPoolDigest(now, digest)
+	}
+	for _, t := range c.order {
+		if t.queue.length > 0 && t.pool.settings.Name == pool {
+			out = c.dispatch(now, t, out)
+		}
+	}
+	return out
+}
+
 // ForgetGate drops the digests of a gate whose targets have other owners now.
 func (c *Controller) ForgetGate(gate string) {
 	for _, p := range c.pools {
@@ -155,14 +181,14 @@
 	t.attach(p)
 	t.zone = zone
 	if t.lost {
-		t.lost = false
+		t.lost, t.unloaded = false, false
 		t.cap = None(reason.NotOwner)
 		p.owned++
 	}
 	return true
 }
 
-// SetCap sets the permission for a target. It refuses the waiting requests of a target that gets no new work, and
+// SetCap sets the permission for a target. With reason.ModelNotLoaded the target also leaves the pool's mean. It refuses the waiting requests of a target that gets no new work, and
 // starts those that a raised cap permits.
 func (c *Controller) SetCap(now time.Duration, name string, limit Cap, out []Outcome) []Outcome {
 	t, ok := c.targets[name]
@@ -170,6 +196,7 @@
 		return out
 	}
 	t.cap = limit
+	t.setUnloaded(limit.Reason == reason.ModelNotLoaded)
 	if limit.Max == 0 {
 		return c.refuseAll(now, t, limit.reason(), out)
 	}
@@ -184,9 +211,11 @@
 		return out
 	}
 	out = c.refuseAll(now, t, r, out)
+	if t.counts() {
+		t.pool.owned--
+	}
 	t.lost = true
 	t.takenOver = takenOver{}
-	t.pool.owned--
 	if r == reason.TargetLeaving {
 		t.detach()
 	}
--- a/internal/atmostonce/executor.go
+++ b/internal/atmostonce/executor.go
@@ -219,6 +219,14 @@
 	e.conclude(ev.ID, event, result)
 }
 
+// caller returns a call that holds the request's body: one that waits, or else the first.
+func (r *record) caller() Call {
+	if len(r.calls) > 0 {
+		return r.calls[0]
+	}
+	return r.first
+}
+
 func (e *Executor) callerGone(ev CallerGone) {
 	rec := e.records[ev.ID]
 	if rec == nil {
@@ -308,7 +316,7 @@
 		e.emit(SendIntent{To: rec.witness, Ticket: rec.ticket, Executor: e.self})
 	case "execute":
 		rec.attempt++
-		e.emit(Execute{ID: id, Call: rec.first, Attempt: rec.attempt})
+		e.emit(Execute{ID: id, Call: rec.caller(), Attempt: rec.attempt})
 	case "write":
 		e.emit(Write{ID: id})
 	case "abort":
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -26,6 +26,7 @@
 		return
 	}
 	record := g.loadRecord()
+	g.refreshUse(now, record)
 	unchanged := g.state.lastLoad != nil && proto.Equal(record, g.state.lastLoad)
 	if unchanged && now-g.state.lastLoadAt < loadRefresh {
 		return
@@ -41,39 +42,27 @@
 		for _, t := range c.Snapshot(now).Targets {
 			if !t.Lost || t.InFlight > t.TakenOver {
 				load := &pb.TargetLoad{Target: t.Target, Load: int32(t.InFlight)}
-				if g.reports.down(t.Target) {
+				switch {
+				case g.reports.down(t.Target):
 					load.State = stateDown
+				case !t.Lost && g.unloaded(t.Target):
+					load.State = stateUnloaded
 				}
 				record.Targets = append(record.Targets, load)
 			}
 		}
-		for _, use := range c.Uses() {
-			record.Uses = append(record.Uses, &pb.CustomerUse{
-				Customer: use.Customer,
-				Rate:     share(use.Rate),
-				InFlight: share(use.InFlight),
-			})
-		}
 		return out
 	})
 	slices.SortFunc(record.Targets, func(a, b *pb.TargetLoad) int { return strings.Compare(a.Target, b.Target) })
-	slices.SortFunc(record.Uses, func(a, b *pb.CustomerUse) int { return strings.Compare(a.Customer, b.Customer) })
 	return record
 }
 
-func share(s admission.Share) *pb.Share {
-	return &pb.Share{Demand: s.Demand, Fraction: s.Fraction, Known: s.Known}
-}
-
-func shareFrom(s *pb.Share) admission.Share {
-	return admission.Share{Demand: s.GetDemand(), Fraction: s.GetFraction(), Known: s.GetKnown()}
-}
-
 // acceptLoads gives the loads of other gates to admission.
-func (g *Gate) acceptLoads(now time.Duration, records []gossip.Record[*pb.LoadRecord]) {
+func (g *Gate) acceptLoads(now time.Duration, peer string, records []gossip.Record[*pb.LoadRecord]) {
 	if len(records) == 0 {
 		return
 	}
+	records = append(records, g.renewUses(now, peer, records)...)
 	g.admission.update(func(c *admission.Controller, _ time.Duration, out []admission.Outcome) []admission.Outcome {
 		for _, record := range records {
 			g.acceptLoad(c, now, record)
@@ -102,7 +91,9 @@
 			sums[k] = &admission.PoolDigest{Pool: k.pool, Zone: k.zone, Gate: gate, Age: record.Age}
 		}
 		sums[k].Load += int(load.Load)
-		sums[k].Targets++
+		if load.State != stateUnloaded {
+			sums[k].Targets++
+		}
 	}
 	for _, digest := range sums {
 		c.SetPoolDigest(now, *digest)
@@ -124,3 +115,21 @@
 		return c.Tick(now, out)
 	})
 }
+
+// acceptNews gives admission the loads of other gates that came with a request.
+func (g *Gate) acceptNews(request *pb.ServeRequest) {
+	if len(request.Loads) == 0 {
+		return
+	}
+	digests := wire.PoolLoadsFrom(request.Pool, request.Loads)
+	g.admission.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
+		return c.AcceptLoads(now, request.Pool, digests, out)
+	})
+}
+
+// news returns this gate's loads of a pool, for the entry that asks.
+func (g *Gate) news(pool string) []*pb.PoolLoad {
+	g.admission.mu.Lock()
+	defer g.admission.mu.Unlock()
+	return wire.PoolLoads(g.admission.controller.PoolLoads(pool))
+}
--- a/internal/gate/publish.go
+++ b/internal/gate/publish.go
@@ -18,9 +18,11 @@
 	}
 	view := g.state.members.View()
 	snapshot := &Snapshot{Catalogue: current, View: view, Owned: g.ownedTargets(current, view)}
+	g.markUnloaded(now, snapshot)
 	g.snapshot.Store(snapshot)
 	g.configureAdmission(snapshot)
 	g.stepOwners(now, ownership.ViewChanged{View: view, Targets: ownershipTargets(current)})
+	g.updateOrders(now)
 	g.publishUpdates(now)
 }
 
@@ -59,6 +61,9 @@
 	case snapshot.View.Target(t.Name) != membership.Live:
 		c.SetTarget(t.Name, t.Zone, t.Pool().Name)
 		return c.SetCap(now, t.Name, admission.None(reason.TargetLeaving), out)
+	case snapshot.Unloaded[t.Name]:
+		c.SetTarget(t.Name, t.Zone, t.Pool().Name)
+		return c.SetCap(now, t.Name, admission.None(reason.ModelNotLoaded), out)
 	}
 	c.SetTarget(t.Name, t.Zone, t.Pool().Name)
 	return c.SetCap(now, t.Name, targetCap(g.permission(t.Name)), out)
@@ -95,7 +100,8 @@
 		pool := &snapshot.Catalogue.Pools[i]
 		targets := 0
 		for j := range pool.Targets {
-			if snapshot.View.Target(pool.Targets[j].Name) != membership.Gone {
+			name := pool.Targets[j].Name
+			if snapshot.View.Target(name) != membership.Gone && !snapshot.Unloaded[name] {
 				targets++
 			}
 		}
--- a/test/e2e/main_test.go
+++ b/test/e2e/main_test.go
@@ -55,10 +55,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(f.Close)
+	t.Cleanup(func() {
+		f.Close()
+		checkPanics(t, f)
+	})
 	return f
 }
 
+// checkPanics fails the test when a daemon died of a fault of its own.
+func checkPanics(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	const excerptBytes = 3000
+	for _, name := range append(f.Names("gate"), f.Names("entry")...) {
+		log := f.Log(name)
+		for _, mark := range []string{"panic: ", "fatal error: "} {
+			if at := strings.Index(log, mark); at >= 0 {
+				t.Errorf("%s: %s", name, log[at:min(len(log), at+excerptBytes)])
+			}
+		}
+	}
+}
+
 // reply is what a caller got.
 type reply struct {
 	status int
