--- a/internal/gate/ordercalls.go
+++ b/internal/gate/ordercalls.go
@@ -37,7 +37,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(g.lifetime, engineReadTimeout)
 		defer cancel()
-		status, err := g.askStatus(ctx, t)
+		status, err := g.targets.Status(ctx, t.Address)
 		g.loop.Post(func(now time.Duration) {
 			if err != nil {
 				g.meters.ControlCall("status", "failed")
