--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,7 @@
 	suspects *suspects
 	codec    *ticket.Codec
 	heirs    *heirs
+	news     *news
 
 	// lifetime ends when the entry has drained; it bounds the calls that the control goroutine starts.
 	lifetime context.Context
@@ -96,6 +97,7 @@
 		suspects: newSuspects(clock),
 		codec:    codec,
 		heirs:    newHeirs(),
+		news:     newNews(clock),
 		state:    newControlState(s.Name, s.Zone),
 	}, nil
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -51,6 +51,7 @@
 	// redirected says that a gate has pointed the request to the targets in next.
 	redirected bool
 	next       []string
+	started    time.Time
 }
 
 // useHolder makes the target of a placement token the first choice.
@@ -65,6 +66,7 @@
 func (e *Entry) serve(c *caller, request *request) error {
 	ctx, cancel := context.WithDeadline(c.Request().Context(), request.deadline)
 	defer cancel()
+	request.started = time.Now()
 	e.retries.request()
 	request.digest = crashguard.DigestOf(request.customer.Name, request.path, request.body)
 	answer := newAnswer(e, c, request)
@@ -86,9 +88,13 @@
 			e.meters.Event("redirected_over_limit")
 			continue
 		}
-		if !e.mayRetry(ctx, request, answer, refusal, attempt) {
+		if e.mayRetry(ctx, request, answer, refusal, attempt) {
+			continue
+		}
+		if !e.awaitOwner(ctx, request, answer, refusal) {
 			return e.fail(c.Request().Context(), request, answer, refusal)
 		}
+		tried = routing.Tried{}
 	}
 }
 
@@ -104,6 +110,37 @@
 	return true
 }
 
+const (
+	// ownerPatience bounds the time for which a request waits while ownership of targets moves: the suspicion time
+	// of a killed gate and the handover.
+	ownerPatience = 4 * time.Second
+	ownerPause    = 100 * time.Millisecond
+)
+
+// awaitOwner lets a request wait while its target has no gate that admits, and reports whether to try again. The
+// retry budget does not apply: such a try costs a gate little and a target nothing.
+func (e *Entry) awaitOwner(ctx context.Context, request *request, answer *answer, refusal *Refusal) bool {
+	if !request.repeatable || answer.started || !ownerMissing(refusal.Reason) {
+		return false
+	}
+	if time.Since(request.started) > ownerPatience || ctx.Err() != nil {
+		return false
+	}
+	e.meters.Retried(refusal.Reason)
+	answer.reset()
+	sleep(ctx, ownerPause)
+	return ctx.Err() == nil
+}
+
+// ownerMissing reports whether a refusal means that ownership of the target is moving.
+func ownerMissing(r reason.Reason) bool {
+	switch r {
+	case reason.NotOwner, reason.Draining, reason.NotReady, reason.LeaseLost, reason.Probation, reason.NoGate, reason.GateUnreachable:
+		return true
+	}
+	return false
+}
+
 // mayRetry asks the retry policy and waits for as long as it says.
 func (e *Entry) mayRetry(ctx context.Context, request *request, answer *answer, refusal *Refusal, attempt int) bool {
 	permit, ok := e.retries.allow(retry.Try{
@@ -141,7 +178,7 @@
 	if err := e.checkSuspect(request); err != nil {
 		return err
 	}
-	position, room, ok := e.pick(routes, request, tried)
+	position, ok := e.pick(routes, request, tried)
 	if !ok {
 		return &Refusal{Reason: reason.NoTarget, Ran: reason.No, Message: "no target of " + request.pool.Name + " is open", RetryAfter: time.Second}
 	}
@@ -159,8 +196,11 @@
 	if request.holder != position {
 		call.PreviousTarget = request.holderName
 	}
-	if room && !request.redirected {
+	if !request.redirected {
 		call.Candidates = candidates(routes, tried)
+		if position == request.holder {
+			call.PatienceMs = uint32(routes.Patience().Milliseconds())
+		}
 	}
 	err := e.callOwner(ctx, owner, call, answer)
 	if refusal, ok := refusalIn(err); ok {
@@ -181,18 +221,17 @@
 }
 
 // choose picks a target: the one that a gate named, else by policy, else the least loaded, at which the request has
-// to wait. It reports whether the target has room as far as the entry knows.
-func choose(request *request, routes *routing.Pool, tried *routing.Tried) (position int, room, ok bool) {
+// to wait unless its gate knows of one with room.
+func choose(request *request, routes *routing.Pool, tried *routing.Tried) (position int, ok bool) {
 	for _, name := range request.next {
 		if position, ok := routes.Index(name); ok && routes.Open(position, tried) {
-			return position, true, true
+			return position, true
 		}
 	}
 	if position, ok := routes.Pick(request.chatHash, request.holder, tried); ok {
-		return position, true, true
+		return position, true
 	}
-	position, ok = routes.LeastLoaded(request.chatHash, tried)
-	return position, false, ok
+	return routes.LeastLoaded(request.chatHash, tried)
 }
 
 // candidates names targets to which the gate may point the request; without any, the request waits at its target.
@@ -236,6 +275,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	client := pb.NewDRPCTrafficClient(e.traffic.Conn(ctx, gate.Address))
+	call.Loads = e.news.loadsFor(call.Pool, gate.Name)
 	events, err := client.Serve(ctx, call)
 	if err != nil {
 		return gateError(ctx, err)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
@@ -47,6 +48,7 @@
 	}{
 		{"holder below limit", []int32{3, 2, 2}, nil, 0, nil, nil, func(p int, ok bool) bool { return ok && p == 0 }},
 		{"holder at limit", []int32{9, 1, 1}, nil, 0, nil, nil, func(p int, ok bool) bool { return ok && p != 0 }},
+		{"holder at limit, reuse worth a wait", []int32{5, 1, 1}, func(p *catalogue.Pool) { p.ReuseWeight = 2 }, 0, nil, nil, func(p int, ok bool) bool { return ok && p == 0 }},
 		{"holder tried", []int32{3, 2, 2}, nil, 0, []int{0}, nil, func(p int, ok bool) bool { return ok && p != 0 }},
 		{"holder closed", []int32{0, 0, 0}, nil, 0, nil, []int{0}, func(p int, ok bool) bool { return ok && p != 0 }},
 		{"all tried", []int32{0, 0, 0}, nil, NoHolder, []int{0, 1, 2}, nil, func(_ int, ok bool) bool { return !ok }},
@@ -75,6 +77,19 @@
 	}
 }
 
+// Guards against chats that wait at a holder although reuse counts for nothing, or for as long as the queue permits, so
+// that nothing is left for another target.
+func TestPatience(t *testing.T) {
+	for weight, want := range map[float64]time.Duration{0: 0, 1: time.Second, 5: time.Second} {
+		pool := testPool(t, 2, func(p *catalogue.Pool) {
+			p.ReuseWeight, p.QueueWait = weight, catalogue.Duration(1500*time.Millisecond)
+		})
+		if got := pool.Patience(); got != want {
+			t.Errorf("reuse weight %v: patience %v, want %v", weight, got, want)
+		}
+	}
+}
+
 // Guards against traffic that crosses zones although near targets have room.
 func TestNearTargetsArePreferred(t *testing.T) {
 	pool := testPool(t, 10, func(p *catalogue.Pool) { p.ZoneWeight = 8 })
