--- a/test/e2e/once_failure_test.go
+++ b/test/e2e/once_failure_test.go
@@ -75,9 +75,15 @@
 	return spec
 }
 
+// onceFleets bounds the fleets of checkOnce that run at the same time. They wait most of the time.
+var onceFleets = make(chan struct{}, 3)
+
 // checkOnce brings about the failure at each step and checks every order against the services' logs.
 func checkOnce(t *testing.T, failure onceFailure) {
 	t.Helper()
+	t.Parallel()
+	onceFleets <- struct{}{}
+	t.Cleanup(func() { <-onceFleets })
 	f := start(t, onceSpec())
 	for i, step := range onceSteps() {
 		checkOnceAt(t, f, failure, step, fmt.Sprintf("step%d", i))
