--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -75,6 +75,30 @@
 	}
 }
 
+// Guards against a headroom that raises the limit over the multiple, that stops loads from growing, or that has no
+// effect where only old news of the other gates is known.
+func TestHeadroom(t *testing.T) {
+	const targets = 10
+	for _, multiple := range []float64{1, 1.05, 1.25, 2} {
+		for load := range 300 {
+			c := newController(func(p *Pool) { p.LoadMultiple, p.MaxInFlight, p.Targets = multiple, 1000, targets }, "a")
+			c.SetPoolDigest(0, PoolDigest{Pool: "p", Gate: "x", Load: load, Targets: targets - 1})
+			limit, _ := c.Limit(0, "a")
+			if bound := int(math.Ceil(multiple*float64(load+1)/targets - 1e-9)); limit > bound {
+				t.Fatalf("multiple %v, load %d: limit %d, bound %d", multiple, load, limit, bound)
+			}
+			if limit*targets <= load {
+				t.Fatalf("multiple %v, load %d: limit %d leaves no room", multiple, load, limit)
+			}
+		}
+	}
+	c := newController(func(p *Pool) { p.MaxInFlight, p.Targets = 1000, targets }, "a")
+	c.SetPoolDigest(0, PoolDigest{Pool: "p", Gate: "x", Load: 200, Targets: targets - 1})
+	if limit, _ := c.Limit(0, "a"); limit != 23 {
+		t.Fatalf("limit %d, want 23 of the 26 that the multiple permits", limit)
+	}
+}
+
 // Guards against a digest that keeps its load after it has become stale without further news.
 func TestLimitFallsWhenDigestBecomesStale(t *testing.T) {
 	c := newController(nil, "a")
@@ -158,6 +182,45 @@
 	}
 }
 
+// Guards against a returning chat that loses its cached prefix although its target frees a place soon, waits longer
+// than the prefix is worth, or is then refused without the targets that have room.
+func TestPatience(t *testing.T) {
+	const patience = 500 * time.Millisecond
+	cases := []struct {
+		name     string
+		service  time.Duration
+		patience time.Duration
+		want     Verdict
+	}{
+		{"place is free soon", 400 * time.Millisecond, patience, Wait},
+		{"place is free too late", 600 * time.Millisecond, patience, Refuse},
+		{"without patience", 400 * time.Millisecond, 0, Refuse},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController(single(1), "a", "b")
+			first := submit(c, 0, Request{Target: "a"})
+			c.Release(tc.service, first.ID, true, nil)
+			now := tc.service
+			submit(c, now, Request{Target: "a"})
+			req := Request{Target: "a", Candidates: []string{"b"}, Patience: tc.patience}
+			if d := submit(c, now, req); d.Verdict != tc.want {
+				t.Fatalf("%+v, want verdict %d", d, tc.want)
+			}
+			if tc.want == Refuse {
+				return
+			}
+			out := c.Tick(now+patience, nil)
+			if len(out) != 1 || out[0].Started || out[0].Reason != reason.OverLimit {
+				t.Fatalf("outcomes %+v after the patience", out)
+			}
+			if d := c.Elsewhere(now+patience, &req); !slices.Equal(d.Next(), []string{"b"}) {
+				t.Fatalf("next is %v, want b", d.Next())
+			}
+		})
+	}
+}
+
 // Guards against a request that waits although it can't meet its deadline, and against an estimate that refuses
 // short requests, or refuses for ever.
 func TestDeadline(t *testing.T) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -178,7 +178,7 @@
 	if err := e.checkSuspect(request); err != nil {
 		return err
 	}
-	position, room, ok := e.pick(routes, request, tried)
+	position, ok := e.pick(routes, request, tried)
 	if !ok {
 		return &Refusal{Reason: reason.NoTarget, Ran: reason.No, Message: "no target of " + request.pool.Name + " is open", RetryAfter: time.Second}
 	}
@@ -196,8 +196,11 @@
 	if request.holder != position {
 		call.PreviousTarget = request.holderName
 	}
-	if room && !request.redirected {
+	if !request.redirected {
 		call.Candidates = candidates(routes, tried)
+		if position == request.holder {
+			call.PatienceMs = uint32(routes.Patience().Milliseconds())
+		}
 	}
 	err := e.callOwner(ctx, owner, call, answer)
 	if refusal, ok := refusalIn(err); ok {
@@ -218,18 +221,17 @@
 }
 
 // choose picks a target: the one that a gate named, else by policy, else the least loaded, at which the request has
-// to wait. It reports whether the target has room as far as the entry knows.
-func choose(request *request, routes *routing.Pool, tried *routing.Tried) (position int, room, ok bool) {
+// to wait unless its gate knows of one with room.
+func choose(request *request, routes *routing.Pool, tried *routing.Tried) (position int, ok bool) {
 	for _, name := range request.next {
 		if position, ok := routes.Index(name); ok && routes.Open(position, tried) {
-			return position, true, true
+			return position, true
 		}
 	}
 	if position, ok := routes.Pick(request.chatHash, request.holder, tried); ok {
-		return position, true, true
+		return position, true
 	}
-	position, ok = routes.LeastLoaded(request.chatHash, tried)
-	return position, false, ok
+	return routes.LeastLoaded(request.chatHash, tried)
 }
 
 // candidates names targets to which the gate may point the request; without any, the request waits at its target.
@@ -273,6 +275,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	client := pb.NewDRPCTrafficClient(e.traffic.Conn(ctx, gate.Address))
+	call.Loads = e.news.loadsFor(call.Pool, gate.Name)
 	events, err := client.Serve(ctx, call)
 	if err != nil {
 		return gateError(ctx, err)
--- a/internal/gate/orders_test.go
+++ b/internal/gate/orders_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"maps"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +17,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/orders"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/settings"
+	"github.com/amaranthlb/amaranthlb/internal/target"
 )
 
 // newTestGate returns a gate that is not started and a snapshot in which it owns all engines of a pool.
@@ -44,23 +48,25 @@
 // Guards against requests to an engine with another model or version, and against a new version that closes most
 // engines of a pool at once.
 func TestEnginesWithoutTheModelAreClosed(t *testing.T) {
-	at := func(version string) orders.Status { return orders.Status{Model: "rose", Version: version} }
+	at := func(version string) target.Status { return target.Status{Model: "rose", Version: version} }
 	cases := []struct {
 		name    string
-		reports map[string]orders.Status
+		reports map[string]target.Status
 		closed  []string
 	}{
 		{"no reports", nil, nil},
-		{"other model", map[string]orders.Status{"e0": {Model: "lily", Version: "v2"}}, []string{"e0"}},
-		{"no model", map[string]orders.Status{"e0": {}}, []string{"e0"}},
-		{"one outdated", map[string]orders.Status{"e0": at("v1"), "e1": at("v2")}, []string{"e0"}},
-		{"half outdated", map[string]orders.Status{"e0": at("v1"), "e1": at("v1")}, []string{"e0", "e1"}},
-		{"most outdated", map[string]orders.Status{"e0": at("v1"), "e1": at("v1"), "e2": at("v1")}, nil},
-		{"not owned", map[string]orders.Status{"e9": {}}, nil},
+		{"other model", map[string]target.Status{"e0": {Model: "lily", Version: "v2"}}, []string{"e0"}},
+		{"no model", map[string]target.Status{"e0": {}}, []string{"e0"}},
+		{"one outdated", map[string]target.Status{"e0": at("v1"), "e1": at("v2")}, []string{"e0"}},
+		{"half outdated", map[string]target.Status{"e0": at("v1"), "e1": at("v1")}, []string{"e0", "e1"}},
+		{"most outdated", map[string]target.Status{"e0": at("v1"), "e1": at("v1"), "e2": at("v1")}, nil},
+		{"not owned", map[string]target.Status{"e9": {}}, nil},
 	}
 	for _, test := range cases {
 		g, snapshot := newTestGate(t, 4)
-		maps.Copy(g.state.orders.reports, test.reports)
+		for name, status := range test.reports {
+			g.reports.answered(name, status, 0, 0)
+		}
 		g.markUnloaded(0, snapshot)
 		if closed := slices.Sorted(maps.Keys(snapshot.Unloaded)); !slices.Equal(closed, test.closed) {
 			t.Errorf("%s: closed %v, want %v", test.name, closed, test.closed)
@@ -91,3 +97,32 @@
 		}
 	}
 }
+
+// Guards against an order that counts as refused or not sent although the engine may have taken it: the next one would
+// then follow too early.
+func TestOrderResults(t *testing.T) {
+	cases := []struct {
+		status int
+		guard  bool
+		want   orders.OrderResult
+	}{
+		{http.StatusOK, true, orders.Accepted},
+		{http.StatusAccepted, true, orders.Accepted},
+		{http.StatusConflict, true, orders.Fenced},
+		{http.StatusBadRequest, true, orders.Rejected},
+		{http.StatusServiceUnavailable, true, orders.Unanswered},
+		{http.StatusOK, false, orders.NotSent},
+	}
+	for _, test := range cases {
+		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(test.status) }))
+		address := strings.TrimPrefix(engine.URL, "http://")
+		err := target.NewClient().SendOrder(t.Context(), address, target.Order{}, func() bool { return test.guard })
+		if got := orderResult(err); got != test.want {
+			t.Errorf("status %d, write permitted %v: %s, want %s", test.status, test.guard, got, test.want)
+		}
+		engine.Close()
+	}
+	if got := orderResult(target.NewClient().SendOrder(t.Context(), "127.0.0.1:1", target.Order{}, nil)); got != orders.NotSent {
+		t.Errorf("engine without a listener: %s, want %s", got, orders.NotSent)
+	}
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -87,6 +87,8 @@
 	out     pb.DRPCTraffic_ServeStream
 	// sent says that an event was sent since the last look of reportProgress.
 	sent atomic.Bool
+	// admitted is set while the request counts as in flight at its target.
+	admitted admission.ID
 }
 
 func (c *call) run(ctx context.Context) error {
@@ -111,6 +113,7 @@
 	if !snapshot.Owned[t.Name] {
 		return c.redirect(snapshot, t, reason.NotOwner, "the gate does not own "+t.Name)
 	}
+	c.gate.acceptNews(c.request)
 	if err := c.checkSuspect(ctx, snapshot, t); err != nil {
 		return err
 	}
@@ -120,10 +123,12 @@
 		Class:      catalogue.Class(c.request.Class),
 		Deadline:   c.deadline(ctx),
 		Candidates: c.request.Candidates,
+		Patience:   time.Duration(c.request.PatienceMs) * time.Millisecond,
 	})
 	if err != nil {
 		return err
 	}
+	c.admitted = id
 	c.transferCache(ctx, snapshot, t)
 	err = c.runGuarded(ctx, t, func() error { return c.forward(ctx, t) })
 	c.gate.admission.release(id, err == nil)
@@ -156,13 +161,9 @@
 	attempt := &target.Attempt{Guard: func() bool { return c.gate.mayWrite(t) }}
 	response, err := c.gate.targets.Do(ctx, t.Address, c.targetRequest(), attempt)
 	if err != nil {
-		c.gate.doubt(t)
 		return c.targetError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.Status == http.StatusNotFound {
-		c.gate.doubt(t)
-	}
 	if t.Pool().Kind == catalogue.Model && response.Status >= http.StatusInternalServerError {
 		return refuse(reason.TargetRefused, reason.Unknown, t.Name+" answered with "+http.StatusText(response.Status))
 	}
@@ -249,7 +250,6 @@
 		if !t.Pool().Resumable || attempt >= resumeAttempts {
 			return refuse(reason.TargetFailed, reason.Unknown, t.Name+" broke off its answer")
 		}
-		c.gate.doubt(t)
 		again, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, writer.Next())
 		if err != nil {
 			return ranAlready(c.targetError(ctx, err))
@@ -264,38 +264,11 @@
 }
 
 // copyEvents relays events in the order of their numbers until the end marker (true), or until the connection breaks
-// or an event is missing (false).
+// or an event is missing (false). Events that the target has sent by the time they are read go into one message.
 func (c *call) copyEvents(body io.Reader, writer *stream.Writer) (bool, error) {
-	var early stream.Window
-	for event, err := range target.Events(body) {
-		switch {
-		case err != nil:
-			return false, err
-		case event.Done:
-			return early.Empty(), nil
-		case event.Sequence < writer.Next():
-			continue
-		case event.Sequence > writer.Next():
-			if !early.Hold(event.Sequence, []byte(event.Data)) {
-				return false, nil
-			}
-			continue
-		}
-		if err := c.sendInOrder(writer, []byte(event.Data), &early); err != nil {
-			return false, err
-		}
-	}
-	return false, nil
-}
-
-// sendInOrder sends the next chunk and those held for which it was missing.
-func (c *call) sendInOrder(writer *stream.Writer, data []byte, early *stream.Window) error {
-	for ok := true; ok; data, ok = early.Take(writer.Next()) {
-		if err := c.sendChunk(writer, data); err != nil {
-			return err
-		}
-	}
-	return nil
+	batch := &chunkBatch{call: c, writer: writer}
+	done, err := batch.copy(body)
+	return done, errors.Join(batch.flush(), err)
 }
 
 // relayBody relays an answer that is not an event stream.
@@ -324,6 +297,7 @@
 		Status:       int32(response.Status),
 		ContentType:  response.ContentType,
 		ModelVersion: c.gate.modelVersion(t),
+		Loads:        c.gate.news(c.request.Pool),
 	}}})
 }
 
@@ -334,11 +308,14 @@
 
 func (c *call) sendEnd(writer *stream.Writer, response *target.Response) error {
 	count, checksum := writer.End()
+	// The target has finished, so its place is free before the caller's next request can arrive.
+	c.gate.admission.release(c.admitted, true)
 	return c.send(&pb.ServeEvent{Event: &pb.ServeEvent_End{End: &pb.End{
 		Count:       count,
 		Checksum:    checksum,
 		Status:      int32(response.Status),
 		ContentType: response.ContentType,
+		Loads:       c.gate.news(c.request.Pool),
 	}}})
 }
 
@@ -352,6 +329,7 @@
 		Owner:        owner(r.owner),
 		Elsewhere:    r.elsewhere,
 		Heir:         wire.TicketGate(r.heir),
+		Loads:        c.gate.news(c.request.Pool),
 		Charges:      wire.Charges(r.charges),
 	}}})
 }
--- a/internal/orders/event.go
+++ b/internal/orders/event.go
@@ -33,8 +33,8 @@
 // Lost says that this gate no longer owns a target.
 type Lost struct{ Target string }
 
-// Doubted says that a call to an engine failed, so that the engine may have restarted without its model.
-type Doubted struct{ Target string }
+// Restarted says that an engine runs in another process, which may have lost the model.
+type Restarted struct{ Target string }
 
 // StatusRead answers a ReadStatus.
 type StatusRead struct {
@@ -90,7 +90,7 @@
 func (LeaseRenewed) isEvent()     {}
 func (Acquired) isEvent()         {}
 func (Lost) isEvent()             {}
-func (Doubted) isEvent()          {}
+func (Restarted) isEvent()        {}
 func (StatusRead) isEvent()       {}
 func (StatusFailed) isEvent()     {}
 func (OrderAnswered) isEvent()    {}
--- a/internal/replay/client_test.go
+++ b/internal/replay/client_test.go
@@ -126,7 +126,7 @@
 			t.Fatal(err)
 		}
 		parsed, err := catalogue.Parse(document)
-		if err != nil || parsed.Revision != 7 || len(parsed.Customers) != 10 {
+		if err != nil || parsed.Revision != 7 || len(parsed.Customers) != len(generated.Deployment.Customers) {
 			t.Fatalf("%s: %v: %+v", name, err, parsed)
 		}
 		service, _ := parsed.Pool(generated.Deployment.Pools[1].Name)
