--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -116,8 +116,9 @@
 
 // Machine decides the permissions of one gate. It is not safe for concurrent use.
 type Machine struct {
-	config   Config
-	self     membership.Gate
+	config Config
+	self   membership.Gate
+	// started is the start of the process or the end of its last freeze, since its list is as old as either.
 	started  time.Duration
 	view     *membership.View
 	targets  map[string]*target
@@ -182,6 +183,7 @@
 	case RoundConfirmed:
 		m.lease = max(m.lease, e.Started)
 	case ClockGap:
+		m.started = now
 		for _, t := range m.targets {
 			m.interrupt(t, now)
 		}
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -152,13 +152,12 @@
 // stoppedBy returns the time from which a gate that isn't heard is contested or stopped (I3, with a margin of L
 // for the difference between what both gates heard last).
 func (m *Machine) stoppedBy(member membership.Member) time.Duration {
-	cautious := m.started + m.config.JoinGrace + m.config.settle()
 	switch {
 	case member.State == membership.Joining:
-		return max(cautious, member.Since+m.config.JoinGrace+m.config.settle())
+		return max(m.matureAt(), member.Since+m.config.JoinGrace+m.config.settle())
 	case !member.Met:
 		// It may never have heard this process, and then counts it as joining.
-		return max(cautious, member.Since+m.config.SuspectAfter+m.config.settle())
+		return max(m.matureAt(), member.Since+m.config.SuspectAfter+m.config.settle())
 	}
 	return member.Since + m.config.SuspectAfter + m.config.settle()
 }
@@ -215,9 +214,14 @@
 	return true
 }
 
+// matureAt returns the time from which gates that were up before know of this process.
+func (m *Machine) matureAt() time.Duration {
+	return m.started + m.config.JoinGrace + m.config.settle()
+}
+
 // young says whether gates that were up before may not have learned of this process yet.
 func (m *Machine) young(now time.Duration) bool {
-	return now < m.started+m.config.JoinGrace+m.config.settle()
+	return now < m.matureAt()
 }
 
 // blockers returns the gates that this gate doesn't hear and that may admit to the target.
@@ -229,7 +233,9 @@
 		case m.self.Zone == t.Zone && member.Zone != t.Zone && !m.young(now):
 			return true
 		}
-		return member.State == membership.Joining && !m.young(now) && now < member.Since+m.config.JoinGrace
+		// Gates that were listed before this process had been up for long may be older than it.
+		starting := member.State == membership.Joining && member.Since >= m.matureAt()
+		return starting && now < member.Since+m.config.JoinGrace
 	})
 }
 
