--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -51,6 +51,7 @@
 	// redirected says that a gate has pointed the request to the targets in next.
 	redirected bool
 	next       []string
+	started    time.Time
 }
 
 // useHolder makes the target of a placement token the first choice.
@@ -65,6 +66,7 @@
 func (e *Entry) serve(c *caller, request *request) error {
 	ctx, cancel := context.WithDeadline(c.Request().Context(), request.deadline)
 	defer cancel()
+	request.started = time.Now()
 	e.retries.request()
 	request.digest = crashguard.DigestOf(request.customer.Name, request.path, request.body)
 	answer := newAnswer(e, c, request)
@@ -86,9 +88,13 @@
 			e.meters.Event("redirected_over_limit")
 			continue
 		}
-		if !e.mayRetry(ctx, request, answer, refusal, attempt) {
+		if e.mayRetry(ctx, request, answer, refusal, attempt) {
+			continue
+		}
+		if !e.awaitOwner(ctx, request, answer, refusal) {
 			return e.fail(c.Request().Context(), request, answer, refusal)
 		}
+		tried = routing.Tried{}
 	}
 }
 
@@ -104,6 +110,37 @@
 	return true
 }
 
+const (
+	// ownerPatience bounds the time for which a request waits while ownership of targets moves: the suspicion time
+	// of a killed gate and the handover.
+	ownerPatience = 4 * time.Second
+	ownerPause    = 100 * time.Millisecond
+)
+
+// awaitOwner lets a request wait while its target has no gate that admits, and reports whether to try again. The
+// retry budget does not apply: such a try costs a gate little and a target nothing.
+func (e *Entry) awaitOwner(ctx context.Context, request *request, answer *answer, refusal *Refusal) bool {
+	if !request.repeatable || answer.started || !ownerMissing(refusal.Reason) {
+		return false
+	}
+	if time.Since(request.started) > ownerPatience || ctx.Err() != nil {
+		return false
+	}
+	e.meters.Retried(refusal.Reason)
+	answer.reset()
+	sleep(ctx, ownerPause)
+	return ctx.Err() == nil
+}
+
+// ownerMissing reports whether a refusal means that ownership of the target is moving.
+func ownerMissing(r reason.Reason) bool {
+	switch r {
+	case reason.NotOwner, reason.Draining, reason.NotReady, reason.LeaseLost, reason.Probation, reason.NoGate, reason.GateUnreachable:
+		return true
+	}
+	return false
+}
+
 // mayRetry asks the retry policy and waits for as long as it says.
 func (e *Entry) mayRetry(ctx context.Context, request *request, answer *answer, refusal *Refusal, attempt int) bool {
 	permit, ok := e.retries.allow(retry.Try{
--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -42,6 +42,9 @@
 	loadVersion uint64
 	lastLoad    *pb.LoadRecord
 	lastLoadAt  time.Duration
+	// useVersion counts this gate's records of use.
+	useVersion uint64
+	lastUse    *pb.LoadRecord
 	// transit is the longest recent round trip to each peer, an upper bound of the age that a message gains.
 	transit map[string]time.Duration
 	// reads are the cancel functions of the reads of the platform under way.
@@ -49,6 +52,7 @@
 	// subscribers get the updates that entries follow.
 	subscribers map[*subscriber]struct{}
 	deskTicked  time.Duration
+	orders      orderState
 }
 
 func newControlState(g *Gate) controlState {
@@ -68,6 +72,7 @@
 		reads:       make(map[uint64]context.CancelFunc),
 		subscribers: make(map[*subscriber]struct{}),
 		owners:      g.newOwners(),
+		orders:      newOrderState(g),
 
 		introductions: newIntroductions(),
 	}
@@ -93,6 +98,7 @@
 	g.state.loads.Expire(now)
 	g.state.notices.Expire(now)
 	g.tickAdmission()
+	g.tickOrders(now)
 	if now-g.state.deskTicked >= deskTick {
 		g.state.deskTicked = now
 		g.desk.tick()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -8,7 +8,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +22,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/orders"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/platform"
@@ -75,6 +78,10 @@
 	View      *membership.View
 	// Owned lists the targets that this gate owns.
 	Owned map[string]bool
+	// Unloaded lists the engines that can't serve their pool now.
+	Unloaded map[string]bool
+	// Outdated holds the reported version of owned engines that serve with another one than the catalogue's.
+	Outdated map[string]string
 }
 
 // New returns a gate that has not started yet.
@@ -92,7 +99,7 @@
 		platform: platform.NewClient(s.Platform.Address),
 		self: membership.Gate{
 			Name:        s.Name,
-			Address:     s.Listen,
+			Address:     s.Advertise,
 			Zone:        s.Zone,
 			Region:      s.Region,
 			Incarnation: control.NewIncarnation(),
@@ -194,6 +201,9 @@
 	// CrashSuspects and CrashRefused count the requests that are charged with one crash and with two.
 	CrashSuspects int `json:"crash_suspects"`
 	CrashRefused  int `json:"crash_refused"`
+	// Orders describes the owned engines, Unloaded names the engines that get no requests until they are loaded.
+	Orders   []orders.EngineStatus `json:"orders"`
+	Unloaded []string              `json:"unloaded"`
 }
 
 func (g *Gate) status() any {
@@ -206,11 +216,13 @@
 		InFlight:    g.inFlight.count(),
 		OpenTickets: g.desk.openTickets(),
 		Reports:     g.reportStatuses(),
+		Orders:      g.orderStatus(),
 	}
 	status.CrashSuspects, status.CrashRefused = g.crashes.suspects()
 	if snapshot := g.snapshot.Load(); snapshot != nil {
 		status.Revision = snapshot.Catalogue.Revision
 		status.View = snapshot.View
+		status.Unloaded = slices.Sorted(maps.Keys(snapshot.Unloaded))
 	}
 	return status
 }
--- a/internal/gate/ownership.go
+++ b/internal/gate/ownership.go
@@ -76,6 +76,7 @@
 		}
 		return out
 	})
+	g.updateOrders(g.clock.Now())
 }
 
 // permission returns what this gate may admit to a target now.
@@ -141,6 +142,8 @@
 			Stopped:  handover.Stopped,
 			Clean:    handover.Clean,
 			External: int32(handover.External),
+
+			OrderInFlight: g.state.orders.machine.OrderInFlight(now, handover.Target),
 		}
 		for _, count := range g.admission.inFlight(handover.Target) {
 			target.InFlight = append(target.InFlight, &pb.CustomerInFlight{
@@ -173,6 +176,7 @@
 			Clean:    target.Clean,
 			External: int(target.External),
 		}
+		g.noteRelease(target)
 		for _, count := range target.InFlight {
 			handover.InFlight = append(handover.InFlight, ownership.InFlight{
 				Customer: count.Customer,
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/admission"
@@ -66,6 +67,7 @@
 		defer cancel()
 	}
 	call := &call{gate: g, request: request, out: out}
+	defer call.reportProgress()()
 	err := call.run(ctx)
 	var refused *refusal
 	if errors.As(err, &refused) {
@@ -83,18 +85,21 @@
 	gate    *Gate
 	request *pb.ServeRequest
 	out     pb.DRPCTraffic_ServeStream
+	// sent says that an event was sent since the last look of reportProgress.
+	sent atomic.Bool
 	// admitted is set while the request counts as in flight at its target.
 	admitted admission.ID
 }
 
 func (c *call) run(ctx context.Context) error {
+	// A ticket comes before readiness: a process that replaced the ticket's executor can't know that it did not run.
+	if len(c.request.Ticket) > 0 {
+		return c.runTicket(ctx)
+	}
 	snapshot := c.gate.snapshot.Load()
 	if snapshot == nil {
 		return refuse(reason.NotReady, reason.No, "the gate has no catalogue yet")
 	}
-	if len(c.request.Ticket) > 0 {
-		return c.runTicket(ctx)
-	}
 	t, ok := snapshot.Catalogue.Target(c.request.Target)
 	if !ok {
 		return refuse(reason.NoTarget, reason.No, "the catalogue has no target "+c.request.Target)
@@ -214,7 +219,7 @@
 func (c *call) resume(ctx context.Context, t *catalogue.Target, from int64) error {
 	response, err := c.gate.targets.Resume(ctx, t.Address, c.request.RequestId, from)
 	if err != nil {
-		return c.targetError(ctx, err)
+		return ranAlready(c.targetError(ctx, err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	if !strings.HasPrefix(response.ContentType, eventStream) {
@@ -231,7 +236,11 @@
 	writer := stream.NewWriter(from)
 	body := response.Body
 	for attempt := 0; ; attempt++ {
+		before := writer.Next()
 		done, err := c.copyEvents(body, writer)
+		if writer.Next() > before {
+			attempt = 0
+		}
 		if done {
 			return c.sendEnd(writer, response)
 		}
@@ -254,24 +263,12 @@
 	}
 }
 
-// copyEvents relays events until the end marker (true) or a break in the numbering or the connection (false).
+// copyEvents relays events in the order of their numbers until the end marker (true), or until the connection breaks
+// or an event is missing (false). Events that the target has sent by the time they are read go into one message.
 func (c *call) copyEvents(body io.Reader, writer *stream.Writer) (bool, error) {
-	for event, err := range target.Events(body) {
-		switch {
-		case err != nil:
-			return false, err
-		case event.Done:
-			return true, nil
-		case event.Sequence < writer.Next():
-			continue
-		case event.Sequence > writer.Next():
-			return false, nil
-		}
-		if err := c.sendChunk(writer, []byte(event.Data)); err != nil {
-			return false, err
-		}
-	}
-	return false, nil
+	batch := &chunkBatch{call: c, writer: writer}
+	done, err := batch.copy(body)
+	return done, errors.Join(batch.flush(), err)
 }
 
 // relayBody relays an answer that is not an event stream.
@@ -299,7 +296,7 @@
 		Target:       t.Name,
 		Status:       int32(response.Status),
 		ContentType:  response.ContentType,
-		ModelVersion: t.Pool().Version,
+		ModelVersion: c.gate.modelVersion(t),
 		Loads:        c.gate.news(c.request.Pool),
 	}}})
 }
@@ -345,6 +342,7 @@
 }
 
 func (c *call) send(event *pb.ServeEvent) error {
+	c.sent.Store(true)
 	event.RequestId = c.request.RequestId
 	return c.out.Send(event)
 }
--- a/internal/orders/event.go
+++ b/internal/orders/event.go
@@ -33,6 +33,9 @@
 // Lost says that this gate no longer owns a target.
 type Lost struct{ Target string }
 
+// Restarted says that an engine runs in another process, which may have lost the model.
+type Restarted struct{ Target string }
+
 // StatusRead answers a ReadStatus.
 type StatusRead struct {
 	Read   uint64
@@ -87,6 +90,7 @@
 func (LeaseRenewed) isEvent()     {}
 func (Acquired) isEvent()         {}
 func (Lost) isEvent()             {}
+func (Restarted) isEvent()        {}
 func (StatusRead) isEvent()       {}
 func (StatusFailed) isEvent()     {}
 func (OrderAnswered) isEvent()    {}
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -105,6 +105,8 @@
 	Adapters        []string `json:"adapters"`
 	Role            string   `json:"role"`
 	Incarnation     uint64   `json:"incarnation"`
+	// Busy is true while the engine carries out an order.
+	Busy bool `json:"busy"`
 }
 
 // Age returns the age of the figures.
@@ -130,7 +132,7 @@
 // ErrStaleFence is an order whose fencing number the engine refused.
 var ErrStaleFence = errors.New("the engine has seen a higher fencing number")
 
-// SendOrder gives an order to an engine.
+// SendOrder gives an order to an engine. After a server error the engine may have taken it.
 func (c *Client) SendOrder(ctx context.Context, address string, order Order, guard func() bool) error {
 	body, err := json.Marshal(order)
 	if err != nil {
@@ -143,12 +145,16 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	switch response.Status {
-	case http.StatusOK:
+	case http.StatusOK, http.StatusAccepted:
 		return nil
 	case http.StatusConflict:
 		return ErrStaleFence
 	}
-	return fmt.Errorf("the engine answered the order with status %d", response.Status)
+	err = fmt.Errorf("the engine answered the order with status %d", response.Status)
+	if response.Status >= http.StatusInternalServerError {
+		return &Error{Kind: Failed, Address: address, Cause: err}
+	}
+	return err
 }
 
 // ExportKV reads the KV cache of a chat's prefix.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -26,6 +27,7 @@
 	pollPause  = 50 * time.Millisecond
 	platformID = "platform"
 	linkID     = "link"
+	fleetKey   = "demo-fleet-key-demo-fleet-key-demo-fleet-key-"
 )
 
 // Fleet is a running system.
@@ -65,8 +67,7 @@
 	if err := f.assignAddresses(); err != nil {
 		return err
 	}
-	key := strings.Repeat("demo-fleet-key-", 3)
-	if err := f.write("fleet.key", []byte(key)); err != nil {
+	if err := f.write("fleet.key", []byte(fleetKey)); err != nil {
 		return err
 	}
 	if err := f.firstCatalogue(); err != nil {
@@ -92,6 +93,9 @@
 	fields := []*string{&f.platform, &f.Balancer, &f.link}
 	for _, n := range f.order {
 		f.nodes[n.name] = n
+		if n.external {
+			continue
+		}
 		fields = append(fields, &n.address, &n.admin)
 		if f.spec.ThroughLinks && n.role == roleGate {
 			fields = append(fields, &n.linked)
@@ -250,9 +254,12 @@
 // StartNode starts the process of a node.
 func (f *Fleet) StartNode(name string) error {
 	n := f.nodes[name]
+	if n.external {
+		return nil
+	}
 	switch n.role {
 	case roleEngine:
-		return f.run(name, "standin-engine", f.targetFlags(n, f.spec.EngineFlags)...)
+		return f.run(name, "standin-engine", f.targetFlags(n, f.engineFlags())...)
 	case roleService:
 		return f.run(name, "standin-service", f.targetFlags(n, f.spec.ServiceFlags)...)
 	}
@@ -262,11 +269,29 @@
 	return f.run(name, "amaranth-"+n.role, "--settings", f.path(name+".yaml"))
 }
 
+// engineFlags are those of every engine. Targets of the spec bring their own.
+func (f *Fleet) engineFlags() []string {
+	if len(f.spec.Targets) > 0 {
+		return f.spec.EngineFlags
+	}
+	var flags []string
+	if !f.spec.EmptyEngines {
+		flags = append(flags, "--model", f.spec.Model.Name, "--version-loaded", f.spec.Model.Version)
+	}
+	if !f.spec.Model.ChecksFencing {
+		flags = append(flags, "--ignore-fencing")
+	}
+	return append(flags, f.spec.EngineFlags...)
+}
+
 func (f *Fleet) targetFlags(n *node, flags []string) []string {
-	all := append([]string{"--listen", n.address, "--name", n.name}, flags...)
+	all := append([]string{"--listen", n.address, "--name", n.name, "--log-file", f.RunLog(n.name)}, flags...)
 	return append(all, n.flags...)
 }
 
+// RunLog returns the file to which a target logs its runs; it outlives the target's process.
+func (f *Fleet) RunLog(name string) string { return f.path(name + ".runs") }
+
 func (f *Fleet) settings(n *node) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "name: %s\nzone: %s\nregion: %s\n", n.name, f.spec.Zones[n.zone], f.spec.region(n.zone))
@@ -285,6 +310,14 @@
 			b.WriteString("  " + line + "\n")
 		}
 	}
+	if n.linked != "" {
+		fmt.Fprintf(&b, "advertise: %s\n", n.linked)
+	}
+	if n.role == roleEntry {
+		for _, line := range f.spec.EntrySettings {
+			b.WriteString(line + "\n")
+		}
+	}
 	return b.String()
 }
 
@@ -378,9 +411,17 @@
 
 // Stop asks a process to end gracefully and returns its exit code.
 func (f *Fleet) Stop(name string, limit time.Duration) (int, error) {
-	if err := f.processes[name].signal(syscall.SIGTERM); err != nil {
+	if err := f.Terminate(name); err != nil {
 		return 0, err
 	}
+	return f.Await(name, limit)
+}
+
+// Terminate asks a process to end gracefully; Await waits for its end and returns its exit code.
+func (f *Fleet) Terminate(name string) error { return f.processes[name].signal(syscall.SIGTERM) }
+
+// Await waits for the end of a process and returns its exit code.
+func (f *Fleet) Await(name string, limit time.Duration) (int, error) {
 	return f.processes[name].wait(limit)
 }
 
@@ -422,6 +463,9 @@
 // AdminAddress returns the address of a daemon's admin endpoint.
 func (f *Fleet) AdminAddress(name string) string { return f.nodes[name].admin }
 
+// PID returns the process id of a node.
+func (f *Fleet) PID(name string) int { return f.processes[name].command.Process.Pid }
+
 // Platform returns the address of the platform's stand-in.
 func (f *Fleet) Platform() string { return f.platform }
 
@@ -451,6 +495,16 @@
 	return f.catalogue.Revision, f.PublishDocument(document)
 }
 
+// Document returns the catalogue with a change and a revision, without publishing or keeping it.
+func (f *Fleet) Document(revision uint64, change func(c *catalogue.Catalogue)) ([]byte, error) {
+	changed := f.catalogue
+	changed.Customers = slices.Clone(changed.Customers)
+	changed.Pools = slices.Clone(changed.Pools)
+	changed.Revision = revision
+	change(&changed)
+	return yaml.Marshal(&changed)
+}
+
 // PublishDocument publishes a catalogue document as it is.
 func (f *Fleet) PublishDocument(document []byte) error {
 	return f.call(http.MethodPut, "http://"+f.platform+"/standin/config/catalogue", document)
@@ -475,6 +529,15 @@
 	return f.call(http.MethodPost, f.URL(name)+"/standin/faults", []byte(faults))
 }
 
+// FleetKey returns the key that authenticates the fleet's tickets.
+func (f *Fleet) FleetKey() []byte { return []byte(fleetKey) }
+
+// SetLink changes the condition of the link before a gate; see the stand-in for its fields.
+func (f *Fleet) SetLink(gate, fields string) error {
+	body := fmt.Sprintf(`{"route":%q,%s}`, gate, fields)
+	return f.call(http.MethodPost, f.LinkControl()+"/standin/link", []byte(body))
+}
+
 // LinkControl returns the base URL of the control of the links.
 func (f *Fleet) LinkControl() string { return "http://" + f.link }
 
