--- a/test/e2e/ramp_test.go
+++ b/test/e2e/ramp_test.go
@@ -20,6 +20,8 @@
 	// rampLimit is the longest time from idle to nine tenths of the capacity at twice the demand: three heartbeat
 	// rounds, where a limit that rises by the multiple in each round needs five.
 	rampLimit = 1500 * time.Millisecond
+	// rampHalfLimit is the same for half of the capacity: two heartbeat rounds, where the multiple alone needs four.
+	rampHalfLimit = time.Second
 )
 
 // Guards against a load limit that stays low after an idle time because it follows the admitted load too slowly.
@@ -39,6 +41,9 @@
 			half, full := rampTimes(t, f, began)
 			l.finish(t)
 			t.Logf("%s: %.1f answers/s, half of the capacity after %v, nine tenths after %v", name, float64(whole)/rampDuration.Seconds(), half, full)
+			if factor > 1 && (half == 0 || half > rampHalfLimit) {
+				t.Errorf("half of the capacity was in use after %v, want at most %v", half, rampHalfLimit)
+			}
 			if factor > 1 && (full == 0 || full > rampLimit) {
 				t.Errorf("nine tenths of the capacity were in use after %v, want at most %v", full, rampLimit)
 			}
