Don't count own requests as work of others, and note when handed-over work ends

The handover itself was ruled out: it took 55 ms. The new owner's limit was reduced by external work that was not there. Two causes: handed-over requests counted until their deadline, since nobody told the machine that they had ended; and a full owner took the last report's external load, in which its own requests that began or ended around the measurement count as work of others.

The former owner's load records now end handed-over work, and a full owner takes the least external load since the other gates stopped, which bounds all later work of others. The bound tests of the machine pass unchanged.

Permission modes are in /status.

--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -32,6 +32,8 @@
 	members *membership.Machine
 	config  *configsync.Machine
 	owners  *ownership.Machine
+	// handedOver is the work of former owners that is still in flight, by target.
+	handedOver map[string]handedOverWork
 	// claims are the targets that the next heartbeats name as taken.
 	claims  []string
 	loads   *gossip.Table[*pb.LoadRecord]
@@ -75,6 +77,7 @@
 		orders:      newOrderState(g),
 
 		introductions: newIntroductions(),
+		handedOver:    make(map[string]handedOverWork),
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -194,6 +194,8 @@
 	Draining    bool               `json:"draining"`
 	Revision    uint64             `json:"catalogue_revision"`
 	View        *membership.View   `json:"view"`
+	// Permissions says how much this gate may admit to each of its targets.
+	Permissions map[string]string  `json:"permissions"`
 	Admission   admission.Snapshot `json:"admission"`
 	InFlight    int                `json:"in_flight"`
 	OpenTickets int                `json:"open_tickets"`
@@ -221,6 +223,7 @@
 	status.CrashSuspects, status.CrashRefused = g.crashes.suspects()
 	if snapshot := g.snapshot.Load(); snapshot != nil {
 		status.Revision = snapshot.Catalogue.Revision
+		status.Permissions = g.permissionModes(snapshot)
 		status.View = snapshot.View
 		status.Unloaded = slices.Sorted(maps.Keys(snapshot.Unloaded))
 	}
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -69,6 +69,9 @@
 		}
 		return out
 	})
+	for _, record := range records {
+		g.noteWorkDone(now, record)
+	}
 }
 
 // acceptLoad gives one gate's loads to admission, summed by pool and zone.
--- a/internal/gate/ownership.go
+++ b/internal/gate/ownership.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/gossip"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
@@ -88,6 +90,16 @@
 	return permissions.Permission(target)
 }
 
+// permissionModes names the mode of each owned target, for operators.
+func (g *Gate) permissionModes(snapshot *Snapshot) map[string]string {
+	modes := make(map[string]string, len(snapshot.Owned))
+	for name := range snapshot.Owned {
+		p := g.permission(name)
+		modes[name] = fmt.Sprintf("%s, external %d, leftover %d", p.Mode, p.External, p.Leftover)
+	}
+	return modes
+}
+
 // targetCap turns a permission into a cap of admission.
 func targetCap(p ownership.Permission) admission.Cap {
 	if p.Mode == ownership.None {
@@ -177,14 +189,59 @@
 			External: int(target.External),
 		}
 		g.noteRelease(target)
-		for _, count := range target.InFlight {
-			handover.InFlight = append(handover.InFlight, ownership.InFlight{
-				Customer: count.Customer,
-				Count:    int(count.Count),
-				Ends:     now + time.Duration(count.EndsMs)*time.Millisecond,
-			})
+		if work, ok := handedOver(now, target); ok {
+			handover.InFlight = append(handover.InFlight, work)
+			g.state.handedOver[target.Target] = handedOverWork{from: event.From, asked: asked, answered: now, count: work.Count}
 		}
 		event.Handovers = append(event.Handovers, handover)
 	}
 	return event
 }
+
+// handedOver sums the work of all customers: the load records that tell how much is left don't name them.
+func handedOver(now time.Duration, target *pb.TargetHandover) (ownership.InFlight, bool) {
+	var work ownership.InFlight
+	for _, count := range target.InFlight {
+		work.Count += int(count.Count)
+		work.Ends = max(work.Ends, now+time.Duration(count.EndsMs)*time.Millisecond)
+	}
+	return work, work.Count > 0
+}
+
+// handedOverWork is what a former owner still had in flight at a target when it answered a handover.
+type handedOverWork struct {
+	from     membership.Gate
+	asked    time.Duration
+	answered time.Duration
+	count    int
+}
+
+// noteWorkDone compares a former owner's load record with the work that it handed over.
+func (g *Gate) noteWorkDone(now time.Duration, record gossip.Record[*pb.LoadRecord]) {
+	for name, work := range g.state.handedOver {
+		same := work.from.Name == record.Payload.Gate && work.from.Incarnation == record.Payload.Incarnation
+		if !same || now-record.Age <= work.answered {
+			continue
+		}
+		left := loadOf(record.Payload, name)
+		if left >= work.count {
+			continue
+		}
+		g.stepOwners(now, ownership.WorkDone{Target: name, From: work.from, Asked: work.asked, Count: work.count - left})
+		work.count = left
+		g.state.handedOver[name] = work
+		if left == 0 {
+			delete(g.state.handedOver, name)
+		}
+	}
+}
+
+// loadOf returns the requests at a target that a gate has admitted; a target that its record leaves out has none.
+func loadOf(record *pb.LoadRecord, target string) int {
+	for _, load := range record.Targets {
+		if load.Target == target {
+			return int(load.Load)
+		}
+	}
+	return 0
+}
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -486,10 +486,12 @@
 	return p
 }
 
-// fullExternal bounds the work of others while this gate is full.
+// fullExternal bounds the work of others while this gate is full. No other gate adds work then, so that the least
+// external work in a report bounds all later work. A single report counts own requests that began or ended around its
+// measurement as external.
 func (t *target) fullExternal() int {
 	if t.measured != never && t.measured >= t.stoppedAt {
-		return max(t.handedOver(), t.external)
+		return max(t.handedOver(), t.least)
 	}
 	return min(unknown, t.handedOver()+t.orphans)
 }
--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -216,3 +216,18 @@
 		t.Fatalf("stopped: %v; exactly the gate that ranks second has to stop", stopped)
 	}
 }
+
+// Guards against a full owner that admits less whenever a report counts its own requests, which began or ended around
+// the measurement, as work of others.
+func TestFullOwnerIgnoresNoiseInReports(t *testing.T) {
+	f := healthy(1)
+	d := f.daemons[owner(f)]
+	before := d.snapshot.Permission(engineName)
+	now := d.clock(f.now)
+	d.owner.Step(now, ownership.EngineReport{Target: engineName, Load: 3, Measured: now})
+	d.owner.Step(now, ownership.Tick{})
+	after := d.owner.Snapshot().Permission(engineName)
+	if before.Mode != ownership.Full || after.Mode != ownership.Full || after.External != before.External {
+		t.Fatalf("permission was %+v, is %+v", before, after)
+	}
+}
