--- a/standin/cmd/control-cost/main.go
+++ b/standin/cmd/control-cost/main.go
@@ -22,7 +22,7 @@
 	Plain     int           `arg:"--plain-customers" help:"further customers without limits, which enlarge the catalogue"`
 	Changes   int           `arg:"--changes" help:"catalogue changes in a minute"`
 	Requests  int           `arg:"--requests" help:"requests in a second; 0 measures an idle fleet"`
-	Settle    time.Duration `arg:"--settle" default:"6s" help:"time before the window"`
+	Settle    time.Duration `arg:"--settle" default:"30s" help:"time before the window; shares of customers take about 20s to settle"`
 	Window    time.Duration `arg:"--window" default:"10s"`
 	Binaries  string        `arg:"--binaries" default:"bin" help:"folder with the built binaries"`
 	Series    []string      `arg:"--series" help:"run the series of sizes with these names (daemons, targets, customers, changes) and fit slopes"`
