--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -188,12 +188,12 @@
 
 // Status is the gate's state for operators.
 type Status struct {
-	Name        string             `json:"name"`
-	Zone        string             `json:"zone"`
-	Incarnation uint64             `json:"incarnation"`
-	Draining    bool               `json:"draining"`
-	Revision    uint64             `json:"catalogue_revision"`
-	View        *membership.View   `json:"view"`
+	Name        string           `json:"name"`
+	Zone        string           `json:"zone"`
+	Incarnation uint64           `json:"incarnation"`
+	Draining    bool             `json:"draining"`
+	Revision    uint64           `json:"catalogue_revision"`
+	View        *membership.View `json:"view"`
 	// Permissions says how much this gate may admit to each of its targets.
 	Permissions map[string]string  `json:"permissions"`
 	Admission   admission.Snapshot `json:"admission"`
