--- /dev/null
+++ b/internal/daemon/lifecycle_test.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"io"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthlb/amaranthlb/internal/statechart"
+)
+
+func newTestLifecycle() (*Lifecycle, *int) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	l := NewLifecycle(logrus.NewEntry(logger))
+	handOvers := new(int)
+	l.OnHandOver(func() { *handOvers++ })
+	return l, handOvers
+}
+
+// Guards against a daemon that becomes ready again while it drains, or hands over twice.
+func TestLifecycle(t *testing.T) {
+	cases := []struct {
+		name      string
+		events    []func(*Lifecycle)
+		state     statechart.DaemonState
+		ready     bool
+		handOvers int
+	}{
+		{"starting", nil, statechart.DaemonStarting, false, 0},
+		{"ready", []func(*Lifecycle){(*Lifecycle).Prepared}, statechart.DaemonReady, true, 0},
+		{"terminated at the start", []func(*Lifecycle){(*Lifecycle).Terminate}, statechart.DaemonDraining, false, 1},
+		{"prepared late", []func(*Lifecycle){(*Lifecycle).Terminate, (*Lifecycle).Prepared}, statechart.DaemonDraining, false, 1},
+		{"stopped", []func(*Lifecycle){(*Lifecycle).Prepared, (*Lifecycle).Terminate, (*Lifecycle).Finished}, statechart.DaemonStopped, false, 1},
+		{"too slow", []func(*Lifecycle){(*Lifecycle).Prepared, (*Lifecycle).Terminate, (*Lifecycle).LimitReached}, statechart.DaemonAborted, false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l, handOvers := newTestLifecycle()
+			for _, event := range c.events {
+				event(l)
+			}
+			if l.State() != c.state || l.Ready() != c.ready || *handOvers != c.handOvers {
+				t.Fatalf("state %s, ready %v, %d hand-overs", l.State(), l.Ready(), *handOvers)
+			}
+		})
+	}
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -162,6 +162,7 @@
 		pools = append(pools, e.poolSnapshot(now, &current.Pools[i]))
 	}
 	e.snapshot.Store(&Snapshot{Catalogue: current, View: e.state.view, Routes: routing.NewTable(pools)})
+	e.life.Prepared()
 }
 
 func (e *Entry) poolSnapshot(now time.Duration, pool *catalogue.Pool) *routing.Pool {
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -52,7 +52,7 @@
 	return func(c echo.Context) error {
 		e.activity.begin()
 		defer e.activity.end()
-		if e.draining.Load() {
+		if e.life.Draining() {
 			c.Response().Header().Set("Connection", "close")
 		}
 		return next(c)
@@ -64,8 +64,7 @@
 // A stream that began before the drain leaves a connection on which its caller may send the next request at any moment.
 // Closing such a connection would cut that request, so the listener closes only after a quiet period.
 func (e *Entry) drain(server *http.Server) error {
-	e.draining.Store(true)
-	e.log.Info("entry is draining")
+	e.life.Terminate()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Timing.DrainLimit))
 	defer cancel()
 	sleep(ctx, unreadyDelay)
@@ -73,8 +72,9 @@
 		sleep(ctx, drainPoll)
 	}
 	if err := server.Shutdown(ctx); err != nil {
+		e.life.LimitReached()
 		return trace.LimitExceeded("requests were still running after the drain limit of %s", time.Duration(e.settings.Timing.DrainLimit))
 	}
-	e.log.Info("entry has finished its work")
+	e.life.Finished()
 	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/daemon"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/placement"
 	"github.com/amaranthlb/amaranthlb/internal/platform"
@@ -54,7 +55,7 @@
 	// state belongs to the control goroutine.
 	state    controlState
 	snapshot atomic.Pointer[Snapshot]
-	draining atomic.Bool
+	life     *daemon.Lifecycle
 	activity activity
 }
 
@@ -87,6 +88,7 @@
 		settings: s,
 		log:      log,
 		meters:   meters,
+		life:     daemon.NewLifecycle(log),
 		clock:    clock,
 		loop:     control.NewLoop(clock),
 		platform: platform.NewClient(s.Platform.Address),
@@ -137,13 +139,7 @@
 }
 
 func (e *Entry) ready() (bool, string) {
-	if e.draining.Load() {
-		return false, "draining"
-	}
-	if e.snapshot.Load() == nil {
-		return false, "no catalogue and view yet"
-	}
-	return true, ""
+	return e.life.Ready(), string(e.life.State())
 }
 
 // Status is the entry's state for operators.
@@ -156,7 +152,7 @@
 }
 
 func (e *Entry) status() any {
-	status := Status{Name: e.settings.Name, Zone: e.settings.Zone, Draining: e.draining.Load()}
+	status := Status{Name: e.settings.Name, Zone: e.settings.Zone, Draining: e.life.Draining()}
 	if snapshot := e.snapshot.Load(); snapshot != nil {
 		status.Revision = snapshot.Catalogue.Revision
 		status.View = snapshot.View
--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -109,6 +109,9 @@
 	g.tickCrashes(now)
 	g.pollTargets(now)
 	g.publishUpdates(now)
+	if g.snapshot.Load() != nil && g.state.members.Ready() {
+		g.life.Prepared()
+	}
 }
 
 // clockGap handles a pause of the process.
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -24,20 +24,25 @@
 func (g *Gate) drain() error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(g.settings.Timing.DrainLimit))
 	defer cancel()
-	g.draining.Store(true)
-	g.log.WithField("in_flight", g.inFlight.count()).Info("gate is draining")
-	heir, found := g.announceDrain(ctx)
-	if found {
-		g.desk.feedBoth(atmostonce.Drain{Heir: heir})
-	}
+	var heir ticket.Gate
+	var found bool
+	g.life.OnHandOver(func() {
+		heir, found = g.announceDrain(ctx)
+		if found {
+			g.desk.feedBoth(atmostonce.Drain{Heir: heir})
+		}
+	})
+	g.life.Terminate()
 	if !g.inFlight.wait(ctx.Done()) {
 		g.desk.feed(atmostonce.HandOver{})
+		g.life.LimitReached()
 		return trace.LimitExceeded("%d requests were still running after the drain limit", g.inFlight.count())
 	}
 	if found && !g.awaitHandOver(ctx) {
+		g.life.LimitReached()
 		return trace.LimitExceeded("heir %s has not taken the ticket records within the drain limit", heir.Name)
 	}
-	g.log.Info("gate has finished its work")
+	g.life.Finished()
 	return nil
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/daemon"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/orders"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
@@ -55,7 +56,7 @@
 	snapshot atomic.Pointer[Snapshot]
 	// permissions is what this gate may admit, by the ownership machine.
 	permissions atomic.Pointer[ownership.Snapshot]
-	draining    atomic.Bool
+	life        *daemon.Lifecycle
 
 	admission *admitter
 	codec     *ticket.Codec
@@ -94,6 +95,7 @@
 		settings: s,
 		log:      log,
 		meters:   meters,
+		life:     daemon.NewLifecycle(log),
 		clock:    control.NewClock(),
 		targets:  target.NewClient(),
 		platform: platform.NewClient(s.Platform.Address),
@@ -177,13 +179,7 @@
 }
 
 func (g *Gate) ready() (bool, string) {
-	if g.draining.Load() {
-		return false, "draining"
-	}
-	if g.snapshot.Load() == nil {
-		return false, "no catalogue and view yet"
-	}
-	return true, ""
+	return g.life.Ready(), string(g.life.State())
 }
 
 // Status is the gate's state for operators.
@@ -213,7 +209,7 @@
 		Name:        g.self.Name,
 		Zone:        g.self.Zone,
 		Incarnation: g.self.Incarnation,
-		Draining:    g.draining.Load(),
+		Draining:    g.life.Draining(),
 		Admission:   g.admission.snapshot(),
 		InFlight:    g.inFlight.count(),
 		OpenTickets: g.desk.openTickets(),
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -107,7 +107,7 @@
 	if c.request.Resume {
 		return c.resumeGuarded(ctx, t, func() error { return c.resume(ctx, t, c.request.ResumeFrom) })
 	}
-	if c.gate.draining.Load() {
+	if c.gate.life.Draining() {
 		return c.redirect(snapshot, t, reason.Draining, "the gate is stopping")
 	}
 	if !snapshot.Owned[t.Name] {
--- a/internal/gate/tickets.go
+++ b/internal/gate/tickets.go
@@ -176,7 +176,7 @@
 // Plan names this process and the gates that it reaches, for a new ticket.
 func (s *ticketServer) Plan(ctx context.Context, _ *pb.PlanRequest) (*pb.PlanReply, error) {
 	g := s.gate
-	reply := &pb.PlanReply{Self: wire.Gate(g.self), Draining: g.draining.Load()}
+	reply := &pb.PlanReply{Self: wire.Gate(g.self), Draining: g.life.Draining()}
 	if snapshot := g.snapshot.Load(); snapshot != nil {
 		for _, member := range snapshot.View.Gates {
 			if member.State == membership.Live && member.Direct && member.Incarnation != 0 && member.Name != g.self.Name {
