Let the request chart decide what a refusal may say

The request chart described queue, chunks and actions that other packages carry out, and nothing interpreted it. It now holds what no other part guarantees: once a byte may have reached the target, a refusal says ran: unknown, whatever the code that refuses believes. The counter refusal_corrected shows when it had to step in.

--- /dev/null
+++ b/internal/gate/request.go
@@ -0,0 +1,42 @@
+package gate
+
+import (
+	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/statechart"
+)
+
+var requestChart = statechart.MustLoad(statechart.RequestVocabulary())
+
+// requestState follows one request by the request chart.
+type requestState struct {
+	chart statechart.Instance[statechart.RequestState, statechart.RequestEvent, statechart.RequestAction]
+}
+
+func newRequestState() requestState { return requestState{chart: requestChart.New()} }
+
+// note fires an event. Calls that the chart does not describe, such as those with a ticket, whose own charts decide,
+// stay as they are.
+func (s *requestState) note(event statechart.RequestEvent) []statechart.RequestAction {
+	if !s.chart.Lists(event) {
+		return nil
+	}
+	actions, _ := s.chart.Fire(event)
+	return actions
+}
+
+// mayClaim returns what a refusal may say of whether the request ran.
+func (s *requestState) mayClaim(ran reason.Ran) reason.Ran {
+	event := statechart.RequestOnFail
+	if ran == reason.No {
+		event = statechart.RequestOnRefuse
+	}
+	for _, action := range s.note(event) {
+		switch action {
+		case statechart.RequestDoSayNotRun:
+			return reason.No
+		case statechart.RequestDoSayUnknown:
+			return reason.Unknown
+		}
+	}
+	return ran
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -16,6 +16,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/statechart"
 	"github.com/amaranthlb/amaranthlb/internal/stream"
 	"github.com/amaranthlb/amaranthlb/internal/target"
 	"github.com/amaranthlb/amaranthlb/internal/ticket"
@@ -66,11 +67,15 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(request.DeadlineMs)*time.Millisecond)
 		defer cancel()
 	}
-	call := &call{gate: g, request: request, out: out}
+	call := &call{gate: g, request: request, out: out, state: newRequestState()}
 	defer call.reportProgress()()
 	err := call.run(ctx)
 	var refused *refusal
 	if errors.As(err, &refused) {
+		if ran := call.state.mayClaim(refused.ran); ran != refused.ran {
+			g.meters.Event("refusal_corrected")
+			refused.ran = ran
+		}
 		g.meters.Refused(refused.reason, refused.ran)
 		return call.sendRefusal(refused)
 	}
@@ -89,6 +94,7 @@
 	sent atomic.Bool
 	// admitted is set while the request counts as in flight at its target.
 	admitted admission.ID
+	state    requestState
 }
 
 func (c *call) run(ctx context.Context) error {
@@ -105,6 +111,7 @@
 		return refuse(reason.NoTarget, reason.No, "the catalogue has no target "+c.request.Target)
 	}
 	if c.request.Resume {
+		c.state.note(statechart.RequestOnResume)
 		return c.resumeGuarded(ctx, t, func() error { return c.resume(ctx, t, c.request.ResumeFrom) })
 	}
 	if c.gate.life.Draining() {
@@ -129,6 +136,7 @@
 		return err
 	}
 	c.admitted = id
+	c.state.note(statechart.RequestOnAdmit)
 	c.transferCache(ctx, snapshot, t)
 	err = c.runGuarded(ctx, t, func() error { return c.forward(ctx, t) })
 	c.gate.admission.release(id, err == nil)
@@ -160,6 +168,9 @@
 func (c *call) forward(ctx context.Context, t *catalogue.Target) error {
 	attempt := &target.Attempt{Guard: func() bool { return c.gate.mayWrite(t) }}
 	response, err := c.gate.targets.Do(ctx, t.Address, c.targetRequest(), attempt)
+	if attempt.Started() {
+		c.state.note(statechart.RequestOnWrite)
+	}
 	if err != nil {
 		return c.targetError(ctx, err)
 	}
@@ -307,6 +318,7 @@
 }
 
 func (c *call) sendEnd(writer *stream.Writer, response *target.Response) error {
+	c.state.note(statechart.RequestOnEnd)
 	count, checksum := writer.End()
 	// The target has finished, so its place is free before the caller's next request can arrive.
 	c.gate.admission.release(c.admitted, true)
--- a/internal/statechart/statechart_test.go
+++ b/internal/statechart/statechart_test.go
@@ -92,12 +92,12 @@
 	}
 }
 
-// Guards against allocation on the traffic path, which fires the request chart for every chunk.
+// Guards against allocation on the traffic path, which fires the request chart for every request.
 func TestFireAllocatesNothing(t *testing.T) {
 	chart := MustLoad(RequestVocabulary())
 	allocations := testing.AllocsPerRun(100, func() {
 		instance := chart.New()
-		for _, event := range []RequestEvent{RequestOnAdmit, RequestOnWrite, RequestOnAnswer, RequestOnChunk, RequestOnEnd} {
+		for _, event := range []RequestEvent{RequestOnAdmit, RequestOnWrite, RequestOnEnd} {
 			if _, err := instance.Fire(event); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/statechart/vocabulary.go
+++ b/internal/statechart/vocabulary.go
@@ -15,42 +15,28 @@
 
 // States of the request chart.
 const (
-	RequestReceived  RequestState = "received"
-	RequestQueued    RequestState = "queued"
-	RequestAdmitted  RequestState = "admitted"
-	RequestWritten   RequestState = "written"
-	RequestStreaming RequestState = "streaming"
-	RequestDone      RequestState = "done"
-	RequestRefused   RequestState = "refused"
-	RequestFailed    RequestState = "failed"
-	RequestCancelled RequestState = "cancelled"
+	RequestReceived RequestState = "received"
+	RequestAdmitted RequestState = "admitted"
+	RequestWritten  RequestState = "written"
+	RequestDone     RequestState = "done"
+	RequestRefused  RequestState = "refused"
+	RequestFailed   RequestState = "failed"
 )
 
 // Events of the request chart.
 const (
-	RequestOnAdmit    RequestEvent = "admit"
-	RequestOnEnqueue  RequestEvent = "enqueue"
-	RequestOnRefuse   RequestEvent = "refuse"
-	RequestOnCancel   RequestEvent = "cancel"
-	RequestOnDeadline RequestEvent = "deadline"
-	RequestOnWrite    RequestEvent = "write"
-	RequestOnAnswer   RequestEvent = "answer"
-	RequestOnFail     RequestEvent = "fail"
-	RequestOnChunk    RequestEvent = "chunk"
-	RequestOnEnd      RequestEvent = "end"
+	RequestOnAdmit  RequestEvent = "admit"
+	RequestOnResume RequestEvent = "resume"
+	RequestOnWrite  RequestEvent = "write"
+	RequestOnEnd    RequestEvent = "end"
+	RequestOnRefuse RequestEvent = "refuse"
+	RequestOnFail   RequestEvent = "fail"
 )
 
 // Actions of the request chart.
 const (
-	RequestDoReserve      RequestAction = "reserve"
-	RequestDoStartWait    RequestAction = "start_wait"
-	RequestDoSendRefusal  RequestAction = "send_refusal"
-	RequestDoRelease      RequestAction = "release"
-	RequestDoSendAdmitted RequestAction = "send_admitted"
-	RequestDoSendUnknown  RequestAction = "send_unknown"
-	RequestDoCancelTarget RequestAction = "cancel_target"
-	RequestDoSendChunk    RequestAction = "send_chunk"
-	RequestDoSendEnd      RequestAction = "send_end"
+	RequestDoSayNotRun  RequestAction = "say_not_run"
+	RequestDoSayUnknown RequestAction = "say_unknown"
 )
 
 // RequestVocabulary returns what the code knows of the request chart.
@@ -58,39 +44,12 @@
 	return Vocabulary[RequestState, RequestEvent, RequestAction]{
 		Chart: "request",
 		States: []RequestState{
-			RequestReceived,
-			RequestQueued,
-			RequestAdmitted,
-			RequestWritten,
-			RequestStreaming,
-			RequestDone,
-			RequestRefused,
-			RequestFailed,
-			RequestCancelled,
+			RequestReceived, RequestAdmitted, RequestWritten, RequestDone, RequestRefused, RequestFailed,
 		},
 		Events: []RequestEvent{
-			RequestOnAdmit,
-			RequestOnEnqueue,
-			RequestOnRefuse,
-			RequestOnCancel,
-			RequestOnDeadline,
-			RequestOnWrite,
-			RequestOnAnswer,
-			RequestOnFail,
-			RequestOnChunk,
-			RequestOnEnd,
-		},
-		Actions: []RequestAction{
-			RequestDoReserve,
-			RequestDoStartWait,
-			RequestDoSendRefusal,
-			RequestDoRelease,
-			RequestDoSendAdmitted,
-			RequestDoSendUnknown,
-			RequestDoCancelTarget,
-			RequestDoSendChunk,
-			RequestDoSendEnd,
+			RequestOnAdmit, RequestOnResume, RequestOnWrite, RequestOnEnd, RequestOnRefuse, RequestOnFail,
 		},
+		Actions: []RequestAction{RequestDoSayNotRun, RequestDoSayUnknown},
 	}
 }
 
