--- a/standin/cmd/demo/harness.go
+++ b/standin/cmd/demo/harness.go
@@ -57,8 +57,13 @@
 	}
 }
 
-// apply kills a process, or starts it again. A target that left is replaced by an empty one.
+// apply kills a process, or starts it again. A target that left is replaced by an empty one. A fault of a VM that is
+// only numbered, such as vm-2, replaces that gate and entry at once.
 func (h *harness) apply(name string, call faultCall) error {
+	var number int
+	if _, err := fmt.Sscanf(name, "vm-%d", &number); err == nil {
+		return h.replaceVM(number)
+	}
 	if !h.fleet.Has(name) {
 		return fmt.Errorf("the fleet has no process %q", name)
 	}
@@ -73,3 +78,19 @@
 	fmt.Println("starting", name)
 	return h.fleet.StartNode(name)
 }
+
+func (h *harness) replaceVM(number int) error {
+	for _, role := range []string{"gate", "entry"} {
+		names := h.fleet.Names(role)
+		if number < 1 || number > len(names) {
+			return fmt.Errorf("the fleet has no VM %d", number)
+		}
+		name := names[number-1]
+		fmt.Println("replacing", name)
+		h.fleet.Kill(name)
+		if err := h.fleet.StartNode(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -26,6 +26,8 @@
 	Output   string `arg:"--output" default:"demo-output" help:"folder for settings and logs"`
 	Gates    int    `arg:"--gates" default:"2" help:"gates in each zone"`
 	Entries  int    `arg:"--entries" default:"2" help:"entries in each zone"`
+	// Baselines are needed by outcomes that compare with other policies.
+	Baselines bool `arg:"--baselines" help:"also simulate the baseline policies"`
 }
 
 func main() {
@@ -72,7 +74,7 @@
 	if err != nil {
 		return false, err
 	}
-	return finish(recorded, outcomes, measures)
+	return a.finish(recorded, outcomes, measures)
 }
 
 func (a *arguments) read() (*replay.Trace, *replay.Outcomes, error) {
@@ -104,8 +106,15 @@
 	return measures, ctx.Err()
 }
 
-func finish(recorded *replay.Trace, outcomes *replay.Outcomes, measures *replay.Measures) (bool, error) {
+func (a *arguments) finish(recorded *replay.Trace, outcomes *replay.Outcomes, measures *replay.Measures) (bool, error) {
 	result := &replay.Result{Trace: recorded.Deployment.Name, Seed: recorded.Deployment.Seed, Policy: "live", Measures: measures}
+	if a.Baselines {
+		baselines, err := replay.Baselines(recorded, "", recorded.Deployment.Seed)
+		if err != nil {
+			return false, err
+		}
+		result.Baselines = baselines
+	}
 	if err := outcomes.Check(result); err != nil {
 		return false, err
 	}
--- a/standin/cost/targets.go
+++ b/standin/cost/targets.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/amaranthlb/amaranthlb/standin/fleet"
 )
 
 // Targets serves many stand-in engines in one process, each at an address of its own.
@@ -63,7 +65,8 @@
 func (e *fastEngine) status(w http.ResponseWriter, _ *http.Request) {
 	load := e.load.Load()
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, `{"load":%d,"running":%d,"incarnation":%d,"role":"serve"}`, load, load, e.incarnation)
+	_, _ = fmt.Fprintf(w, `{"load":%d,"running":%d,"incarnation":%d,"role":"serve","model":%q,"version":%q}`,
+		load, load, e.incarnation, fleet.ModelPool, fleet.ModelVersion)
 }
 
 // streamRequest holds the fields of a request that set the form of the stream.
--- a/standin/fleet/spec.go
+++ b/standin/fleet/spec.go
@@ -27,8 +27,10 @@
 
 // Names of the pools in the fleet's catalogue.
 const (
-	ModelPool   = "assistant"
-	ServicePool = "orders"
+	ModelPool = "assistant"
+	// ModelVersion is the version that the model pool's engines serve.
+	ModelVersion = "v1"
+	ServicePool  = "orders"
 )
 
 // Spec says what to start.
@@ -83,7 +85,7 @@
 
 func modelPool() catalogue.Pool {
 	pool := basicPool(ModelPool, catalogue.Model)
-	pool.Version = "v1"
+	pool.Version = ModelVersion
 	pool.Resumable = true
 	pool.FateQuery = true
 	pool.KVTransfer = true
