Send callers to an heir only after it has the records

The machines were ruled out: their search covers a late note. The daemon was the cause: the stopping gate named its heir in answers and spread the note while the records were still on their way, so that the heir did not know the ticket, and the witness, asked next, knew an intent without an outcome.

--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	// replies holds the channels of open calls. Each channel has room for its one reply.
 	replies map[atmostonce.Call]chan atmostonce.Effect
 	drained map[atmostonce.Role]bool
+	// heldNotes wait for the heir to accept the records.
+	heldNotes []atmostonce.SpreadNote
 }
 
 // perform are the effects that need the network or the rest of the gate. They return at once.
@@ -124,8 +127,7 @@
 		case atmostonce.SendRecords:
 			d.sendRecords(e)
 		case atmostonce.SpreadNote:
-			d.addNote(e.Note)
-			d.spreadNote(e)
+			d.holdNote(e)
 		case atmostonce.Drained:
 			d.setDrained(e.Role)
 		}
@@ -154,10 +156,47 @@
 	return d.notes.Resolve(d.clock.Now(), gate)
 }
 
+// holdNote keeps a note until the heir has the records of both roles. A note that spreads earlier leads callers to an
+// heir that does not know the ticket yet, so that they would get "unknown".
+func (d *desk) holdNote(note atmostonce.SpreadNote) {
+	d.mu.Lock()
+	d.heldNotes = append(d.heldNotes, note)
+	d.mu.Unlock()
+	d.releaseNotes()
+}
+
+// releaseNotes spreads the held notes once the heir has all records.
+func (d *desk) releaseNotes() {
+	if !d.finished() {
+		return
+	}
+	d.mu.Lock()
+	notes := d.heldNotes
+	d.heldNotes = nil
+	d.mu.Unlock()
+	for _, note := range notes {
+		d.addNote(note.Note)
+		d.spreadNote(note)
+	}
+}
+
 func (d *desk) setDrained(role atmostonce.Role) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.drained[role] = true
+	d.mu.Unlock()
+	d.releaseNotes()
+}
+
+// awaitHeir waits until the heir has the records of both roles, before a caller is sent to it.
+func (d *desk) awaitHeir(ctx context.Context, heir ticket.Gate) {
+	if heir == (ticket.Gate{}) {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, heirPatience)
+	defer cancel()
+	for !d.finished() && limit.Err() == nil {
+		sleep(limit, drainPoll)
+	}
 }
 
 // finished reports whether the heir has the records of both roles.
@@ -194,4 +233,8 @@
 	}
 }
 
-const deskTick = time.Second
+const (
+	deskTick = time.Second
+	// heirPatience bounds the wait for an heir's acceptance; it covers a lost message, which is sent again at a tick.
+	heirPatience = 3 * time.Second
+)
--- a/internal/gate/tickets.go
+++ b/internal/gate/tickets.go
@@ -137,6 +137,7 @@
 		g.desk.feed(atmostonce.CallerGone{ID: t.ID, Call: id})
 		return refuse(reason.DeadlineExceeded, reason.Unknown, "the deadline passed before the request's outcome was known")
 	}
+	g.desk.awaitHeir(ctx, answer.Result.Heir)
 	return c.sendResult(answer.Result)
 }
 
@@ -201,6 +202,7 @@
 	if !ok {
 		return nil, errNoReply
 	}
+	d.awaitHeir(ctx, answer.Heir)
 	return &pb.IntentReply{Verdict: wire.Verdict(answer.Verdict), Heir: wire.TicketGate(answer.Heir)}, nil
 }
 
@@ -218,6 +220,7 @@
 	if !ok {
 		return nil, errNoReply
 	}
+	d.awaitHeir(ctx, answer.Heir)
 	settled := &pb.SettleReply{
 		Verdict: pb.SettleVerdict(answer.Verdict),
 		Answer:  wire.Result(answer.Result),
