--- a/internal/gate/tickets.go
+++ b/internal/gate/tickets.go
@@ -188,63 +188,71 @@
 	return reply, nil
 }
 
-// Intent records that an executor is about to run a ticket.
-func (s *ticketServer) Intent(ctx context.Context, request *pb.IntentRequest) (*pb.IntentReply, error) {
-	d := s.gate.desk
-	t, err := s.gate.codec.Decode(request.Ticket)
+// witnessCall is one call about a ticket to this gate as its witness.
+type witnessCall struct {
+	ticket ticket.Ticket
+	left   time.Duration
+	id     atmostonce.Call
+}
+
+// asWitness feeds the event of a call to the witness and returns its reply.
+func asWitness[E atmostonce.Effect](ctx context.Context, g *Gate, encoded []byte, event func(witnessCall) atmostonce.Event) (E, error) {
+	var none E
+	t, err := g.codec.Decode(encoded)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return none, trace.Wrap(err)
 	}
-	id, reply := d.open()
-	defer d.close(id)
-	d.feedWitness(atmostonce.Intent{Ticket: t, Left: t.Left(time.Now()), Executor: wire.TicketGateFrom(request.Executor), Call: id})
-	answer, ok := await[atmostonce.IntentReply](ctx.Done(), reply)
+	id, reply := g.desk.open()
+	defer g.desk.close(id)
+	g.desk.feedWitness(event(witnessCall{ticket: t, left: t.Left(time.Now()), id: id}))
+	answer, ok := await[E](ctx.Done(), reply)
 	if !ok {
-		return nil, errNoReply
+		return none, errNoReply
+	}
+	return answer, nil
+}
+
+// Intent records that an executor is about to run a ticket.
+func (s *ticketServer) Intent(ctx context.Context, request *pb.IntentRequest) (*pb.IntentReply, error) {
+	answer, err := asWitness[atmostonce.IntentReply](ctx, s.gate, request.Ticket, func(c witnessCall) atmostonce.Event {
+		return atmostonce.Intent{Ticket: c.ticket, Left: c.left, Executor: wire.TicketGateFrom(request.Executor), Call: c.id}
+	})
+	if err != nil {
+		return nil, err
 	}
-	d.awaitHeir(ctx, answer.Heir)
+	s.gate.desk.awaitHeir(ctx, answer.Heir)
 	return &pb.IntentReply{Verdict: wire.Verdict(answer.Verdict), Heir: wire.TicketGate(answer.Heir)}, nil
 }
 
 // Settle decides a ticket whose executor can't be reached.
 func (s *ticketServer) Settle(ctx context.Context, request *pb.SettleRequest) (*pb.SettleReply, error) {
-	d := s.gate.desk
-	t, err := s.gate.codec.Decode(request.Ticket)
+	var asked ticket.Ticket
+	answer, err := asWitness[atmostonce.SettleReply](ctx, s.gate, request.Ticket, func(c witnessCall) atmostonce.Event {
+		asked = c.ticket
+		return atmostonce.Settle{Ticket: c.ticket, Left: c.left, Call: c.id}
+	})
 	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	id, reply := d.open()
-	defer d.close(id)
-	d.feedWitness(atmostonce.Settle{Ticket: t, Left: t.Left(time.Now()), Call: id})
-	answer, ok := await[atmostonce.SettleReply](ctx.Done(), reply)
-	if !ok {
-		return nil, errNoReply
+		return nil, err
 	}
-	d.awaitHeir(ctx, answer.Heir)
+	s.gate.desk.awaitHeir(ctx, answer.Heir)
 	settled := &pb.SettleReply{
 		Verdict: pb.SettleVerdict(answer.Verdict),
 		Answer:  wire.Result(answer.Result),
 		Heir:    wire.TicketGate(answer.Heir),
 	}
 	if answer.Verdict == atmostonce.SettleUnknown {
-		s.gate.askTargets(ctx, t, settled)
+		s.gate.askTargets(ctx, asked, settled)
 	}
 	return settled, nil
 }
 
 // Outcome stores the answer of a ticket.
 func (s *ticketServer) Outcome(ctx context.Context, request *pb.OutcomeRequest) (*pb.OutcomeReply, error) {
-	d := s.gate.desk
-	t, err := s.gate.codec.Decode(request.Ticket)
+	answer, err := asWitness[atmostonce.OutcomeReply](ctx, s.gate, request.Ticket, func(c witnessCall) atmostonce.Event {
+		return atmostonce.Outcome{Ticket: c.ticket, Left: c.left, Result: wire.ResultFrom(request.Answer), Call: c.id}
+	})
 	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	id, reply := d.open()
-	defer d.close(id)
-	d.feedWitness(atmostonce.Outcome{Ticket: t, Left: t.Left(time.Now()), Result: wire.ResultFrom(request.Answer), Call: id})
-	answer, ok := await[atmostonce.OutcomeReply](ctx.Done(), reply)
-	if !ok {
-		return nil, errNoReply
+		return nil, err
 	}
 	return &pb.OutcomeReply{Stored: answer.Stored}, nil
 }
