Revert the single source of loads at entries; a gate is ready without a VM list

With one live gate an entry could follow it in the slot without loads and never became ready (TestDrainLeavesNoGoroutine; TestOnceWhenTargetIsKilled saw no open target): reverted. A gate that started while the platform is down waited for a VM list (TestRestartWhilePlatformIsDown): it is ready with catalogue and view, as before.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -24,7 +24,7 @@
 	gapLimit     = time.Second
 	pullTimeout  = 2 * time.Second
 	roleGate     = "gate"
-	// loadDecay is the time without an update after which the last loads are ignored.
+	// loadDecay is the age from which the loads of a gate that stopped telling them are ignored.
 	loadDecay = 5 * time.Second
 )
 
@@ -37,8 +37,6 @@
 	// followed are the gates that this entry follows, by slot.
 	followed [followedGates]followed
 	loads    map[string]reportedLoad
-	// loadsAt is the time of the last update of the gate that tells the loads.
-	loadsAt  time.Duration
 	inFlight map[string]*atomic.Int32
 }
 
@@ -46,6 +44,7 @@
 type reportedLoad struct {
 	load  int32
 	state membership.State
+	at    time.Duration
 	// avoidUntil is set when a try found the target unreachable.
 	avoidUntil time.Duration
 }
@@ -155,7 +154,7 @@
 // publish gives traffic a new snapshot.
 func (e *Entry) publish(now time.Duration) {
 	current := e.state.config.Current()
-	if current == nil || e.state.view == nil || e.state.loadsAt == 0 || !e.state.config.Ready() {
+	if current == nil || e.state.view == nil || !e.state.config.Ready() {
 		return
 	}
 	pools := make([]*routing.Pool, 0, len(current.Pools))
@@ -178,7 +177,7 @@
 			Open:     known.state == membership.Live && known.avoidUntil <= now,
 			InFlight: e.inFlightOf(t.Name),
 		}
-		if now-e.state.loadsAt < loadDecay {
+		if now-known.at < loadDecay {
 			candidates[i].Reported = known.load
 		}
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -17,9 +17,7 @@
 const (
 	// followedGates is the number of gates that an entry follows, so that one may fail without a delay.
 	followedGates = 2
-	// loadsSlot is the slot whose gate tells the loads. When it fails another gate takes the slot within a moment.
-	loadsSlot   = 0
-	followPause = 250 * time.Millisecond
+	followPause   = 250 * time.Millisecond
 	// followSilence is the time without an update after which an entry follows another gate. Gates send one at
 	// least every second.
 	followSilence = 3 * time.Second
@@ -29,8 +27,6 @@
 type followed struct {
 	gate membership.Gate
 	live bool
-	// version is the gate's catalogue version; updates leave it out while it is unchanged.
-	version catalogue.Version
 }
 
 // follow keeps a stream of updates from one gate open, and takes another gate when it ends.
@@ -116,7 +112,7 @@
 	silence := time.AfterFunc(followSilence, cancel)
 	defer silence.Stop()
 	client := pb.NewDRPCControlClient(e.control.Conn(ctx, gate.Address))
-	updates, err := client.Follow(ctx, &pb.FollowRequest{Entry: e.settings.Name, Zone: e.settings.Zone, Loads: slot == loadsSlot})
+	updates, err := client.Follow(ctx, &pb.FollowRequest{Entry: e.settings.Name, Zone: e.settings.Zone})
 	if err != nil {
 		e.meters.ControlCall("follow", "failed")
 		return
@@ -139,17 +135,8 @@
 
 // acceptUpdate takes over what a followed gate tells.
 func (e *Entry) acceptUpdate(now time.Duration, slot int, update *pb.FollowUpdate) {
-	source := &e.state.followed[slot]
-	source.live = true
-	if update.Self != nil {
-		source.gate = wire.GateFrom(update.Self)
-	}
-	if update.ConfigRevision > 0 {
-		source.version = catalogue.Version{Revision: update.ConfigRevision, Digest: update.ConfigDigest}
-	}
-	if slot == loadsSlot {
-		e.state.loadsAt = now
-	}
+	gate := wire.GateFrom(update.Self)
+	e.state.followed[slot] = followed{gate: gate, live: true}
 	if update.ViewVersion > 0 {
 		e.state.view = e.viewFrom(update)
 		e.stepConfig(now, configsync.ViewChanged{View: e.state.view})
@@ -158,11 +145,13 @@
 		e.state.loads[load.Target] = reportedLoad{
 			load:       load.Load,
 			state:      wire.TargetStateFrom(load.State),
+			at:         now,
 			avoidUntil: e.state.loads[load.Target].avoidUntil,
 		}
 	}
 	e.acceptNotices(now, update.Notices)
-	e.stepConfig(now, configsync.Announced{Peer: source.gate.Name, Version: source.version})
+	version := catalogue.Version{Revision: update.ConfigRevision, Digest: update.ConfigDigest}
+	e.stepConfig(now, configsync.Announced{Peer: gate.Name, Version: version})
 	e.publish(now)
 }
 
--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -109,7 +109,7 @@
 	g.tickCrashes(now)
 	g.pollTargets(now)
 	g.publishUpdates(now)
-	if g.snapshot.Load() != nil && g.state.members.Ready() {
+	if g.snapshot.Load() != nil {
 		g.life.Prepared()
 	}
 }
--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/admission"
-	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/wire"
@@ -26,23 +25,18 @@
 	// sent is what the entry has.
 	sentAt      time.Duration
 	viewVersion uint64
-	version     catalogue.Version
-	// wantsLoads says that the entry takes the loads from this gate.
-	wantsLoads bool
-	loads      map[string]*pb.TargetLoad
-	notices    map[string]uint64
+	loads       map[string]*pb.TargetLoad
+	notices     map[string]uint64
 }
 
 // Follow sends an entry the view, the loads and the catalogue version, and again what changes.
-func (s *controlServer) Follow(request *pb.FollowRequest, out pb.DRPCControl_FollowStream) error {
+func (s *controlServer) Follow(_ *pb.FollowRequest, out pb.DRPCControl_FollowStream) error {
 	g := s.gate
 	sub := &subscriber{
 		updates: make(chan *pb.FollowUpdate, 1),
 		loads:   make(map[string]*pb.TargetLoad),
 		notices: make(map[string]uint64),
 		sentAt:  -followRefresh,
-
-		wantsLoads: request.Loads,
 	}
 	ctx := out.Context()
 	if err := g.loop.Call(ctx, func(now time.Duration) {
@@ -77,7 +71,7 @@
 	}
 	var loads map[string]*pb.TargetLoad
 	for sub := range g.state.subscribers {
-		viewNews := sub.viewVersion != snapshot.View.Version || sub.version != snapshot.Catalogue.Version()
+		viewNews := sub.viewVersion != snapshot.View.Version
 		if len(sub.updates) > 0 || (!viewNews && now-sub.sentAt < followInterval) {
 			continue
 		}
@@ -94,21 +88,19 @@
 }
 
 func (g *Gate) updateFor(now time.Duration, sub *subscriber, snapshot *Snapshot, loads map[string]*pb.TargetLoad) *pb.FollowUpdate {
-	update := &pb.FollowUpdate{Draining: g.life.Draining()}
-	if version := snapshot.Catalogue.Version(); sub.version != version {
-		sub.version = version
-		update.ConfigRevision, update.ConfigDigest = version.Revision, version.Digest
+	version := snapshot.Catalogue.Version()
+	update := &pb.FollowUpdate{
+		Self:           wire.Gate(g.self),
+		ConfigRevision: version.Revision,
+		ConfigDigest:   version.Digest,
+		Draining:       g.life.Draining(),
 	}
 	if sub.viewVersion != snapshot.View.Version {
 		sub.viewVersion = snapshot.View.Version
-		update.Self = wire.Gate(g.self)
 		update.ViewVersion = snapshot.View.Version
 		update.Gates = gateStates(snapshot.View)
 	}
 	for name, load := range loads {
-		if !sub.wantsLoads {
-			break
-		}
 		if last, ok := sub.loads[name]; !ok || last.Load != load.Load || last.State != load.State {
 			sub.loads[name] = load
 			update.Targets = append(update.Targets, load)
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -18,7 +18,7 @@
 
 // loadInterval is the shortest time between two load records. Without it each of the four messages that two gates
 // exchange in one heartbeat interval would carry a new record.
-const loadInterval = 550 * time.Millisecond
+const loadInterval = 400 * time.Millisecond
 
 // refreshLoads makes a new record of this gate's loads when they have changed or the last one grows old.
 func (g *Gate) refreshLoads(now time.Duration) {
