Share what gate and entry had twice

Both daemons had the same loop around the VM list, the same call for catalogue entries and the same sleep; routing had a copy of the weighted rendezvous score. They are platform.WatchVMs, daemon.PullCatalogue, control.Sleep and rendezvous.Weighted now.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -33,6 +33,14 @@
 	return binary.LittleEndian.Uint64(b[:]) | 1
 }
 
+// Sleep waits unless the context ends first.
+func Sleep(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
 // Loop runs functions on the control goroutine.
 type Loop struct {
 	clock Clock
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand"
 	"sync/atomic"
 	"time"
@@ -10,19 +9,16 @@
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/configsync"
 	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/daemon"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
-	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/platform"
 	"github.com/amaranthlb/amaranthlb/internal/routing"
 	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
 const (
-	listWait     = 20 * time.Second
-	listPause    = 500 * time.Millisecond
 	tickInterval = 50 * time.Millisecond
 	gapLimit     = time.Second
-	pullTimeout  = 2 * time.Second
 	roleGate     = "gate"
 	// loadDecay is the age from which the loads of a gate that stopped telling them are ignored.
 	loadDecay = 5 * time.Second
@@ -78,20 +74,10 @@
 
 // watchVMs learns which gates there are to follow.
 func (e *Entry) watchVMs(ctx context.Context) {
-	var revision uint64
-	for ctx.Err() == nil {
-		list, err := e.platform.VMs(ctx, revision, listWait)
-		if errors.Is(err, platform.ErrUnchanged) {
-			continue
-		}
-		if err != nil {
-			e.meters.ControlCall("vms", "failed")
-			sleep(ctx, listPause)
-			continue
-		}
-		revision = list.Revision
+	accept := func(list platform.VMList) {
 		e.loop.Post(func(time.Duration) { e.acceptVMs(list) })
 	}
+	e.platform.WatchVMs(ctx, accept, func() { e.meters.ControlCall("vms", "failed") })
 }
 
 func (e *Entry) acceptVMs(list platform.VMList) {
@@ -104,14 +90,6 @@
 	}
 }
 
-// sleep waits unless the context ends first.
-func sleep(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
-}
-
 // stepConfig applies an event to the configuration machine and carries out the effects.
 func (e *Entry) stepConfig(now time.Duration, event configsync.Event) {
 	for _, effect := range e.state.config.Step(now, event) {
@@ -135,22 +113,11 @@
 	address := e.followedAddress(pull.Peer)
 	request := wire.Pull(pull.Base)
 	go func() {
-		event := e.pullOnce(address, pull.Pull, request)
+		event := daemon.PullCatalogue(e.lifetime, e.control, e.meters, address, pull.Pull, request)
 		e.loop.Post(func(now time.Duration) { e.stepConfig(now, event) })
 	}()
 }
 
-func (e *Entry) pullOnce(address string, number uint64, request *pb.CatalogueRequest) configsync.Event {
-	ctx, cancel := context.WithTimeout(e.lifetime, pullTimeout)
-	defer cancel()
-	reply, err := pb.NewDRPCControlClient(e.control.Conn(ctx, address)).Catalogue(ctx, request)
-	if err != nil {
-		e.meters.ControlCall("catalogue", "failed")
-		return configsync.PullFailed{Pull: number}
-	}
-	return configsync.Pulled{Pull: number, Difference: wire.DifferenceFrom(reply)}
-}
-
 // publish gives traffic a new snapshot.
 func (e *Entry) publish(now time.Duration) {
 	current := e.state.config.Current()
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -8,6 +8,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/labstack/echo/v4"
+
+	"github.com/amaranthlb/amaranthlb/internal/control"
 )
 
 const (
@@ -67,9 +69,9 @@
 	e.life.Terminate()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Timing.DrainLimit))
 	defer cancel()
-	sleep(ctx, unreadyDelay)
+	control.Sleep(ctx, unreadyDelay)
 	for !e.activity.quiet() && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		control.Sleep(ctx, drainPoll)
 	}
 	if err := server.Shutdown(ctx); err != nil {
 		e.life.LimitReached()
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/configsync"
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
@@ -35,7 +36,7 @@
 		if gate, ok := e.chooseGate(ctx, slot, attempt); ok {
 			e.followGate(ctx, slot, gate)
 		}
-		sleep(ctx, followPause)
+		control.Sleep(ctx, followPause)
 	}
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
@@ -128,7 +129,7 @@
 	}
 	e.meters.Retried(refusal.Reason)
 	answer.reset()
-	sleep(ctx, ownerPause)
+	control.Sleep(ctx, ownerPause)
 	return ctx.Err() == nil
 }
 
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -122,7 +122,7 @@
 		return
 	}
 	e.meters.Event("crash_failure_held")
-	sleep(ctx, request.chargedAt+crashguard.SpreadTime-e.clock.Now())
+	control.Sleep(ctx, request.chargedAt+crashguard.SpreadTime-e.clock.Now())
 }
 
 // noteRan corrects the refusal of a request of which an earlier try may have run.
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
@@ -26,6 +27,7 @@
 	// planAttempts bounds the executors that are asked for one ticket.
 	planAttempts  = 3
 	settleTimeout = 3 * time.Second
+	settlePause   = 500 * time.Millisecond
 	// settleAttempts bounds the calls to the witness, or its heirs, for one caller's request.
 	settleAttempts = 3
 	// maximumHeirs bounds the chain of heirs that is followed for one caller's request.
@@ -249,7 +251,7 @@
 	for range settleAttempts {
 		reply, err := e.askWitness(ctx, gate, encoded)
 		if err != nil {
-			sleep(ctx, listPause)
+			control.Sleep(ctx, settlePause)
 			gate = e.heirs.resolve(e.clock.Now(), gate)
 			continue
 		}
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -7,15 +7,13 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/configsync"
+	"github.com/amaranthlb/amaranthlb/internal/daemon"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/platform"
 	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
-// pullTimeout bounds one pull of catalogue entries.
-const pullTimeout = 2 * time.Second
-
 // stepConfig applies an event to the configuration machine and carries out the effects.
 func (g *Gate) stepConfig(now time.Duration, event configsync.Event) {
 	for _, effect := range g.state.config.Step(now, event) {
@@ -104,23 +102,12 @@
 	go func() {
 		event := configsync.Event(configsync.PullFailed{Pull: pull.Pull})
 		if ok {
-			event = g.pullOnce(g.lifetime, peer.Address, pull.Pull, request)
+			event = daemon.PullCatalogue(g.lifetime, g.control, g.meters, peer.Address, pull.Pull, request)
 		}
 		g.loop.Post(func(now time.Duration) { g.stepConfig(now, event) })
 	}()
 }
 
-func (g *Gate) pullOnce(ctx context.Context, address string, number uint64, request *pb.CatalogueRequest) configsync.Event {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	reply, err := pb.NewDRPCControlClient(g.control.Conn(ctx, address)).Catalogue(ctx, request)
-	if err != nil {
-		g.meters.ControlCall("catalogue", "failed")
-		return configsync.PullFailed{Pull: number}
-	}
-	return configsync.Pulled{Pull: number, Difference: wire.DifferenceFrom(reply)}
-}
-
 // Catalogue answers a daemon that lacks catalogue entries.
 func (s *controlServer) Catalogue(ctx context.Context, request *pb.CatalogueRequest) (*pb.CatalogueReply, error) {
 	var current *catalogue.Catalogue
--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand"
 	"time"
 
@@ -18,8 +17,6 @@
 const (
 	tickInterval = 50 * time.Millisecond
 	gapLimit     = time.Second
-	listWait     = 20 * time.Second
-	listPause    = 500 * time.Millisecond
 	// loadLifetime is how long the loads of a silent gate are kept; they count as zero long before.
 	loadLifetime = 10 * time.Second
 	roleGate     = "gate"
@@ -122,20 +119,10 @@
 
 // watchVMs feeds VM lists to the control goroutine.
 func (g *Gate) watchVMs(ctx context.Context) {
-	var revision uint64
-	for ctx.Err() == nil {
-		list, err := g.platform.VMs(ctx, revision, listWait)
-		if errors.Is(err, platform.ErrUnchanged) {
-			continue
-		}
-		if err != nil {
-			g.meters.ControlCall("vms", "failed")
-			sleep(ctx, listPause)
-			continue
-		}
-		revision = list.Revision
+	accept := func(list platform.VMList) {
 		g.loop.Post(func(now time.Duration) { g.stepMembers(now, listUpdate(list)) })
 	}
+	g.platform.WatchVMs(ctx, accept, func() { g.meters.ControlCall("vms", "failed") })
 }
 
 // listUpdate converts a VM list.
@@ -156,11 +143,3 @@
 	}
 	return update
 }
-
-// sleep waits unless the context ends first.
-func sleep(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
-}
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -195,7 +195,7 @@
 	limit, cancel := context.WithTimeout(ctx, heirPatience)
 	defer cancel()
 	for !d.finished() && limit.Err() == nil {
-		sleep(limit, drainPoll)
+		control.Sleep(limit, drainPoll)
 	}
 }
 
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
@@ -87,8 +88,8 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		sleep(ctx, drainPoll)
+		control.Sleep(ctx, drainPoll)
 	}
-	sleep(ctx, noteSpread)
+	control.Sleep(ctx, noteSpread)
 	return true
 }
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/admission"
 	"github.com/amaranthlb/amaranthlb/internal/atmostonce"
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
@@ -226,7 +227,7 @@
 		case err != nil || fate.State != fateRunning || ctx.Err() != nil:
 			return unknown
 		}
-		sleep(ctx, fatePause)
+		control.Sleep(ctx, fatePause)
 	}
 }
 
--- a/internal/gate/guarded.go
+++ b/internal/gate/guarded.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/wire"
@@ -139,7 +140,7 @@
 			charges = g.crashes.brokeAtRefusal(r)
 			break
 		}
-		sleep(ctx, probePause)
+		control.Sleep(ctx, probePause)
 		if ctx.Err() != nil {
 			g.meters.Event("crash_unresolved")
 			g.crashes.unresolved(r)
--- a/internal/gate/once_guard.go
+++ b/internal/gate/once_guard.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 )
@@ -32,6 +33,6 @@
 // the caller may send the request again, with another ticket, through any entry.
 func (r *onceRun) examine(t *catalogue.Target) {
 	if charges := r.gate.examine(t, r.tracked); len(charges) > 0 {
-		sleep(r.gate.lifetime, crashguard.SpreadTime)
+		control.Sleep(r.gate.lifetime, crashguard.SpreadTime)
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/amaranthlb/amaranthlb/internal/control"
 )
 
 // Errors of the client.
@@ -94,6 +96,29 @@
 	return list, nil
 }
 
+const (
+	watchWait  = 20 * time.Second
+	watchPause = 500 * time.Millisecond
+)
+
+// WatchVMs calls accept with each newer VM list until the context ends, and failed for each read that got no answer.
+func (c *Client) WatchVMs(ctx context.Context, accept func(VMList), failed func()) {
+	var revision uint64
+	for ctx.Err() == nil {
+		list, err := c.VMs(ctx, revision, watchWait)
+		if errors.Is(err, ErrUnchanged) {
+			continue
+		}
+		if err != nil {
+			failed()
+			control.Sleep(ctx, watchPause)
+			continue
+		}
+		revision = list.Revision
+		accept(list)
+	}
+}
+
 func (c *Client) get(ctx context.Context, path string, after uint64, wait time.Duration) ([]byte, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -30,7 +30,12 @@
 
 // WeightedScore returns a score whose chance of being the highest is proportional to weight.
 func WeightedScore(key, node uint64, weight float64) float64 {
-	unit := (float64(Score(key, node)>>11) + 0.5) / (1 << 53)
+	return Weighted(Score(key, node), weight)
+}
+
+// Weighted turns a score into one of weighted rendezvous hashing.
+func Weighted(score uint64, weight float64) float64 {
+	unit := (float64(score>>11) + 0.5) / (1 << 53)
 	return -weight / math.Log(unit)
 }
 
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -18,7 +18,7 @@
 	for i := range p.Candidates {
 		candidate := &p.Candidates[i]
 		positions[i] = i
-		scores[i] = weighted(rendezvous.Score(chat, candidate.Hash), p.weights[candidate.Distance])
+		scores[i] = rendezvous.WeightedScore(chat, candidate.Hash, p.weights[candidate.Distance])
 	}
 	slices.SortFunc(positions, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
 	return positions
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -263,7 +263,7 @@
 			if entrant.score == 0 {
 				continue
 			}
-			score := weighted(entrant.score, p.weights[distance])
+			score := rendezvous.Weighted(entrant.score, p.weights[distance])
 			switch {
 			case first < 0 || score > firstScore:
 				second, secondScore = first, firstScore
@@ -281,9 +281,3 @@
 	}
 	return first, true
 }
-
-// weighted turns a score into a rank value for weighted rendezvous hashing.
-func weighted(score uint64, weight float64) float64 {
-	unit := (float64(score>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(unit)
-}
