Open the targets of a pool that is wholly down as a last resort; keep unchanged loads

Cause: a target that refuses connections is closed at the entries until the news of its return has passed its owner's poll (0.5 s), the load record (0.4 s), a heartbeat (0.5 s) and the update to the entry (0.4 s). When all targets of a pool were down, every request of these two seconds was refused.

Change: when no target of a pool is open, the entry's routes hold those that are live and down or avoided. Leaving, gone, joining and unloaded targets stay closed. A try costs a refused connection, which is what the caller got anyhow.

Found on the way: an entry took the load of a target for zero when it had not changed for 5 s, since the age was that of the last change while updates carry changes only. The age is now that of the last update from any followed gate.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -20,7 +20,7 @@
 	tickInterval = 50 * time.Millisecond
 	gapLimit     = time.Second
 	roleGate     = "gate"
-	// loadDecay is the age from which the loads of a gate that stopped telling them are ignored.
+	// loadDecay is the time without any update from a followed gate after which the known loads are ignored.
 	loadDecay = 5 * time.Second
 )
 
@@ -33,6 +33,8 @@
 	// followed are the gates that this entry follows, by slot.
 	followed [followedGates]followed
 	loads    map[string]reportedLoad
+	// heardAt is when a followed gate last sent an update, which carries only the loads that changed.
+	heardAt  time.Duration
 	inFlight map[string]*atomic.Int32
 }
 
@@ -40,7 +42,6 @@
 type reportedLoad struct {
 	load  int32
 	state membership.State
-	at    time.Duration
 	// avoidUntil is set when a try found the target unreachable.
 	avoidUntil time.Duration
 }
@@ -134,6 +135,7 @@
 
 func (e *Entry) poolSnapshot(now time.Duration, pool *catalogue.Pool) *routing.Pool {
 	candidates := make([]routing.Candidate, len(pool.Targets))
+	open := false
 	for i := range pool.Targets {
 		t := &pool.Targets[i]
 		known := e.state.loads[t.Name]
@@ -144,13 +146,27 @@
 			Open:     known.state == membership.Live && known.avoidUntil <= now,
 			InFlight: e.inFlightOf(t.Name),
 		}
-		if now-known.at < loadDecay {
+		open = open || candidates[i].Open
+		if now-e.state.heardAt < loadDecay {
 			candidates[i].Reported = known.load
 		}
 	}
+	if !open {
+		e.state.openLastResort(candidates)
+	}
 	return routing.NewPool(pool, candidates)
 }
 
+// openLastResort opens the targets that don't accept connections, as far as is known, for a pool that has no other. The
+// news that a target is back takes up to two seconds, in which all requests would be refused. A try that fails
+// costs no more than that refusal.
+func (s *controlState) openLastResort(candidates []routing.Candidate) {
+	for i := range candidates {
+		state := s.loads[candidates[i].Target.Name].state
+		candidates[i].Open = state == membership.Live || state == wire.TargetDown
+	}
+}
+
 func (e *Entry) distance(t *catalogue.Target) routing.Distance {
 	switch {
 	case t.Zone == e.settings.Zone:
--- /dev/null
+++ b/internal/entry/control_test.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/routing"
+	"github.com/amaranthlb/amaranthlb/internal/settings"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+// routesAfter returns what an entry knows at a time about the targets e0 and e1 after updates with their loads.
+func routesAfter(t *testing.T, now time.Duration, updates map[time.Duration][]*pb.TargetLoad, avoided ...string) map[string]routing.Candidate {
+	t.Helper()
+	c, err := catalogue.Parse([]byte("revision: 1\npools:\n- {name: rose, owner: o, kind: model, max_in_flight: 4, targets: [" +
+		"{name: e0, address: '127.0.0.1:1', zone: a}, {name: e1, address: '127.0.0.1:2', zone: a}]}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &Entry{settings: new(settings.Entry), state: newControlState("entry", "a")}
+	for at := time.Duration(0); at <= now; at += time.Second {
+		if loads, ok := updates[at]; ok {
+			e.state.acceptLoads(at, loads)
+		}
+	}
+	for _, name := range avoided {
+		known := e.state.loads[name]
+		known.avoidUntil = now + avoidTime
+		e.state.loads[name] = known
+	}
+	candidates := make(map[string]routing.Candidate)
+	for _, candidate := range e.poolSnapshot(now, &c.Pools[0]).Candidates {
+		candidate.InFlight = new(atomic.Int32)
+		candidates[candidate.Target.Name] = candidate
+	}
+	return candidates
+}
+
+func load(target, state string, figure int32) *pb.TargetLoad {
+	return &pb.TargetLoad{Target: target, State: state, Load: figure}
+}
+
+// Guards against a busy target that looks idle because its load has not changed for some seconds: updates carry only
+// the loads that changed.
+func TestUnchangedLoadDoesNotExpire(t *testing.T) {
+	updates := map[time.Duration][]*pb.TargetLoad{0: {load("e0", "", 7), load("e1", "", 3)}}
+	if got := routesAfter(t, loadDecay, updates)["e0"].Reported; got != 0 {
+		t.Errorf("load %d after a silence of %s, want 0", got, loadDecay)
+	}
+	for second := time.Second; second <= 3*loadDecay; second += time.Second {
+		updates[second] = []*pb.TargetLoad{load("e1", "", int32(second/time.Second))}
+	}
+	if got := routesAfter(t, 3*loadDecay, updates)["e0"].Reported; got != 7 {
+		t.Errorf("load %d after updates without a change, want 7", got)
+	}
+}
+
+// Guards against requests that are refused for seconds after all targets of a pool were down at the same time and are
+// back, until the news arrives that they are.
+func TestDownTargetsAreTheLastResort(t *testing.T) {
+	cases := []struct {
+		name         string
+		e0, e1       string
+		avoided      []string
+		open0, open1 bool
+	}{
+		{"both live", "", "", nil, true, true},
+		{"one down", wire.TargetDown, "", nil, false, true},
+		{"one avoided", "", "", []string{"e0"}, false, true},
+		{"both down", wire.TargetDown, wire.TargetDown, nil, true, true},
+		{"one down, one avoided", wire.TargetDown, "", []string{"e1"}, true, true},
+		{"one down, one leaving", wire.TargetDown, "leaving", nil, true, false},
+		{"both leaving", "leaving", "leaving", nil, false, false},
+		{"one unloaded, one gone", "unloaded", "gone", nil, false, false},
+	}
+	for _, test := range cases {
+		updates := map[time.Duration][]*pb.TargetLoad{0: {load("e0", test.e0, 0), load("e1", test.e1, 0)}}
+		got := routesAfter(t, 0, updates, test.avoided...)
+		if got["e0"].Open != test.open0 || got["e1"].Open != test.open1 {
+			t.Errorf("%s: open %t and %t, want %t and %t", test.name, got["e0"].Open, got["e1"].Open, test.open0, test.open1)
+		}
+	}
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -142,20 +142,25 @@
 		e.state.view = e.viewFrom(update)
 		e.stepConfig(now, configsync.ViewChanged{View: e.state.view})
 	}
-	for _, load := range update.Targets {
-		e.state.loads[load.Target] = reportedLoad{
-			load:       load.Load,
-			state:      wire.TargetStateFrom(load.State),
-			at:         now,
-			avoidUntil: e.state.loads[load.Target].avoidUntil,
-		}
-	}
+	e.state.acceptLoads(now, update.Targets)
 	e.acceptNotices(now, update.Notices)
 	version := catalogue.Version{Revision: update.ConfigRevision, Digest: update.ConfigDigest}
 	e.stepConfig(now, configsync.Announced{Peer: gate.Name, Version: version})
 	e.publish(now)
 }
 
+// acceptLoads takes over the loads of an update. Those that it lacks are unchanged.
+func (s *controlState) acceptLoads(now time.Duration, loads []*pb.TargetLoad) {
+	s.heardAt = now
+	for _, load := range loads {
+		s.loads[load.Target] = reportedLoad{
+			load:       load.Load,
+			state:      wire.TargetStateFrom(load.State),
+			avoidUntil: s.loads[load.Target].avoidUntil,
+		}
+	}
+}
+
 func (e *Entry) followedAddress(name string) string {
 	for _, f := range e.state.followed {
 		if f.gate.Name == name {
--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -16,8 +16,9 @@
 // followRefresh is the longest time between two updates, by which an entry knows that its gate is alive.
 const followRefresh = time.Second
 
-// stateDown is the state of a live target that refuses connections. Entries send it no work.
-const stateDown = "down"
+// stateDown is the state of a live target that refuses connections. Entries send it work only while no other target
+// of the pool is open.
+const stateDown = wire.TargetDown
 
 // subscriber is one entry that follows this gate. It is owned by the control goroutine, except for the channel.
 type subscriber struct {
--- a/internal/gate/unloaded.go
+++ b/internal/gate/unloaded.go
@@ -6,10 +6,11 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
 // stateUnloaded is the state of a live target that can't serve its pool, in load records and updates to entries.
-const stateUnloaded = "unloaded"
+const stateUnloaded = wire.TargetUnloaded
 
 // refreshUnloaded publishes a new snapshot when other engines than before can't serve their pools.
 func (g *Gate) refreshUnloaded(now time.Duration) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -214,6 +214,14 @@
 	return string(state)
 }
 
+// States of a live target beyond those of the view, as gates tell them to entries.
+const (
+	// TargetDown is the state of a target that refuses connections.
+	TargetDown = "down"
+	// TargetUnloaded is the state of a target that doesn't have the catalogue's model version.
+	TargetUnloaded = "unloaded"
+)
+
 // TargetStateFrom converts the state of a target.
 func TargetStateFrom(state string) membership.State {
 	if state == "" {
