Let a request wait for an owner after it has tried every target

When a gate was killed, 26 to 47 requests were refused with no_target within 70 to 350 ms, although requests are meant to wait up to 4 s for the owner of their target.

Cause, from a trace of each try: the other gates' leases lapse for a moment too, so all targets refuse with lease_lost, the tries exhaust the targets, and the last refusal, no_target, is not one that waits. Ruled out: the retry budget (the tries were allowed), closed targets (all were open).

Change: when every target was tried and one of them lacked a gate that admits, the request waits for an owner as it does after any single such refusal.

That the leases of all peers of a killed gate lapse stays open.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -72,6 +72,8 @@
 	request.digest = crashguard.DigestOf(request.customer.Name, request.path, request.body)
 	answer := newAnswer(e, c, request)
 	var tried routing.Tried
+	// moving is the last refusal of this pass over the targets for want of a gate that admits.
+	var moving *Refusal
 	for attempt := 1; ; attempt++ {
 		err := e.tryOnce(ctx, request, answer, &tried)
 		if err != nil && answer.resumable() {
@@ -89,13 +91,19 @@
 			e.meters.Event("redirected_over_limit")
 			continue
 		}
-		if e.mayRetry(ctx, request, answer, refusal, attempt) {
+		if ownerMissing(refusal.Reason) {
+			moving = refusal
+		}
+		if refusal.Reason == reason.NoTarget && moving != nil {
+			// Every target was tried. It is worth waiting for the owner of one of them.
+			refusal = moving
+		} else if e.mayRetry(ctx, request, answer, refusal, attempt) {
 			continue
 		}
 		if !e.awaitOwner(ctx, request, answer, refusal) {
 			return e.fail(c.Request().Context(), request, answer, refusal)
 		}
-		tried = routing.Tried{}
+		tried, moving = routing.Tried{}, nil
 	}
 }
 
