Remove the counts of taken-over work from admission

Cause: admission.Controller.TakeOver has had no caller since package ownership counts handed-over work and lowers a target's cap by it. The code, its status field and its test described a path that the product doesn't have. Ruled out: a use by the gate (grep), by amaranthctl (the field was always 0).

Change: TakeOver, Handover and takenOver are removed. TestTakeOver goes with them; what it checked of InFlight stays as TestInFlightByCustomer, and the step of the random schedules that called TakeOver now sets a cap. Handed-over work is tested in internal/ownership (leftover).

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -356,36 +356,16 @@
 	}
 }
 
-// Guards against counts of a previous owner that are lost, doubled by late reports, or never end.
-func TestTakeOver(t *testing.T) {
-	c := newController(single(5), "a")
-	count := func(n int) []CustomerCount { return []CustomerCount{{"x", n, time.Minute}} }
-	reports := []struct {
-		name string
-		now  time.Duration
-		h    Handover
-		want int
-	}{
-		{"first", 0, Handover{"a", "g1", 1, count(4)}, 4},
-		{"repeated", 1, Handover{"a", "g1", 1, count(4)}, 4},
-		{"progress", 2, Handover{"a", "g1", 1, count(1)}, 1},
-		{"late report", 3, Handover{"a", "g1", 1, count(3)}, 1},
-		{"second predecessor", 4, Handover{"a", "g2", 1, count(2)}, 3},
-		{"new handover from the first", 5, Handover{"a", "g1", 2, count(3)}, 5},
-		{"late report of the old handover", 6, Handover{"a", "g1", 1, nil}, 5},
-		{"done", 7, Handover{"a", "g1", 2, nil}, 2},
-		{"late report after done", 8, Handover{"a", "g1", 2, count(3)}, 2},
-		{"deadline", time.Minute, Handover{"a", "g1", 2, count(3)}, 0},
-	}
-	for _, r := range reports {
-		c.TakeOver(r.now, r.h, nil)
-		if got := c.Snapshot(r.now).Targets[0]; got.InFlight != r.want || got.TakenOver != r.want {
-			t.Fatalf("%s: %+v, want %d", r.name, got, r.want)
-		}
-	}
-	submit(c, 0, Request{Target: "a", Customer: "x", Deadline: time.Hour})
-	c.TakeOver(0, Handover{"a", "g3", 1, []CustomerCount{{"x", 1, time.Minute}, {"", 2, time.Minute}}}, nil)
-	want := []CustomerCount{{"", 3, time.Hour}, {"x", 1, time.Minute}}
+// Guards against handed-over work that lacks requests, or that ends before the last of them.
+func TestInFlightByCustomer(t *testing.T) {
+	c := newController(single(6), "a")
+	c.SetCustomers([]Customer{{Name: "x", Weight: 1}, {Name: "y", Weight: 1}})
+	for _, deadline := range []time.Duration{time.Hour, time.Minute, 2 * time.Hour} {
+		submit(c, 0, Request{Target: "a", Customer: "x", Deadline: deadline})
+	}
+	submit(c, 0, Request{Target: "a", Customer: "y", Deadline: time.Minute})
+	submit(c, 0, Request{Target: "a", Customer: "y"})
+	want := []CustomerCount{{"x", 3, 2 * time.Hour}, {"y", 2, 0}}
 	if got := c.InFlight("a"); !slices.Equal(got, want) {
 		t.Fatalf("in flight %+v, want %+v", got, want)
 	}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -215,7 +215,6 @@
 		t.pool.owned--
 	}
 	t.lost = true
-	t.takenOver = takenOver{}
 	if r == reason.TargetLeaving {
 		t.detach()
 	}
@@ -232,18 +231,6 @@
 	c.order = slices.DeleteFunc(c.order, func(other *target) bool { return other == t })
 }
 
-// TakeOver counts the requests that a previous owner has in flight at a target of this gate. Each further report of
-// the same handover lowers the counts.
-func (c *Controller) TakeOver(now time.Duration, h Handover, out []Outcome) []Outcome {
-	t, ok := c.targets[h.Target]
-	if !ok || t.lost {
-		return out
-	}
-	t.takenOver.merge(h)
-	t.takenOver.expire(now)
-	return c.dispatch(now, t, out)
-}
-
 // customer returns the record of a customer.
 func (c *Controller) customer(now time.Duration, name string) *customer {
 	known, ok := c.customers[name]
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -7,6 +7,6 @@
 // Every request that the Controller refuses, at once or after a wait, has certainly not run (reason.No).
 //
 // The sum of a pool's load counts each request once: at the gate that admitted it, also after the target has moved
-// to another owner. Requests taken over from a previous owner count against the limit of their target only, so an
-// error can make limits too low but not too high.
+// to another owner. Requests that a previous owner left at a target don't count here: they lower the cap that
+// package ownership sets for the target (SetCap).
 package admission
--- a/internal/admission/schedule_test.go
+++ b/internal/admission/schedule_test.go
@@ -25,7 +25,6 @@
 	running   map[ID]string
 	ended     []ID
 	remote    map[string]PoolDigest // by gate
-	taken     map[string]int
 	caps      map[string]Cap
 	started   map[string]bool // targets with a start in this step
 	submitted int
@@ -37,7 +36,7 @@
 	s := &schedule{
 		t: t, seed: seed, rng: rand.New(rand.NewSource(seed)), names: []string{"a", "b", "c", "d"},
 		waiting: make(map[ID]string), expiry: make(map[ID]time.Duration), running: make(map[ID]string),
-		remote: make(map[string]PoolDigest), taken: make(map[string]int), caps: make(map[string]Cap),
+		remote: make(map[string]PoolDigest), caps: make(map[string]Cap),
 	}
 	s.c = newController(func(p *Pool) { p.Targets = 6 }, s.names...)
 	s.c.SetCustomers([]Customer{{Name: "x", Weight: 1}, {Name: "y", Weight: 3}, {Name: "z", Weight: 1, Concurrent: 10}})
@@ -160,13 +159,6 @@
 	s.outcomes(s.c.SetCap(s.now, name, limit, nil))
 }
 
-func (s *schedule) takeOver(number int) {
-	name := s.pick()
-	s.taken[name] = s.rng.Intn(3)
-	counts := []CustomerCount{{"x", s.taken[name], time.Hour}}
-	s.outcomes(s.c.TakeOver(s.now, Handover{name, "old", uint64(number), counts}, nil))
-}
-
 // limit computes the load limit anew, with the last start counted.
 func (s *schedule) limit() int {
 	sum := len(s.running)
@@ -181,7 +173,7 @@
 // checkLimits checks each target at which a request has just started.
 func (s *schedule) checkLimits() {
 	for target := range s.started {
-		load := s.taken[target]
+		load := 0
 		for _, t := range s.running {
 			if t == target {
 				load++
@@ -221,7 +213,7 @@
 	}
 }
 
-func (s *schedule) step(number int) {
+func (s *schedule) step() {
 	s.now += time.Duration(s.rng.Intn(20)) * time.Millisecond
 	s.started = make(map[string]bool)
 	switch n := s.rng.Intn(100); {
@@ -233,10 +225,8 @@
 		s.tick()
 	case n < 95:
 		s.digest()
-	case n < 98:
-		s.setCap()
 	default:
-		s.takeOver(number)
+		s.setCap()
 	}
 	s.checkLimits()
 	s.checkCounts()
@@ -269,8 +259,8 @@
 	starts, refused, submitted := 0, 0, 0
 	for seed := range int64(150) {
 		s := newSchedule(t, seed)
-		for number := range 1500 {
-			s.step(number + 1)
+		for range 1500 {
+			s.step()
 		}
 		s.drain()
 		starts += s.starts
--- a/internal/admission/snapshot.go
+++ b/internal/admission/snapshot.go
@@ -8,13 +8,12 @@
 
 // TargetStatus describes one target.
 type TargetStatus struct {
-	Target    string
-	Pool      string
-	InFlight  int
-	TakenOver int // part of InFlight
-	Waiting   int
-	Limit     int // load limit
-	Bound     int // load limit and cap
+	Target   string
+	Pool     string
+	InFlight int
+	Waiting  int
+	Limit    int // load limit
+	Bound    int // load limit and cap
 	// Lost says that the gate no longer owns the target, but has requests in flight there.
 	Lost bool
 }
@@ -58,14 +57,13 @@
 func (t *target) status(now time.Duration) TargetStatus {
 	bound, _ := t.bound(now)
 	return TargetStatus{
-		Target:    t.name,
-		Pool:      t.pool.settings.Name,
-		InFlight:  t.inFlight(),
-		TakenOver: t.takenOver.total,
-		Waiting:   t.queue.length,
-		Limit:     t.pool.limit(now),
-		Bound:     bound,
-		Lost:      t.lost,
+		Target:   t.name,
+		Pool:     t.pool.settings.Name,
+		InFlight: t.running,
+		Waiting:  t.queue.length,
+		Limit:    t.pool.limit(now),
+		Bound:    bound,
+		Lost:     t.lost,
 	}
 }
 
@@ -105,7 +103,15 @@
 	return t.pool.limit(now), true
 }
 
-// InFlight returns the requests in flight at a target by customer, those taken over included, for a handover.
+// CustomerCount counts the requests in flight of one customer at one target.
+type CustomerCount struct {
+	Customer string
+	Count    int
+	// Deadline is when the last of them ends at the latest; 0 means that it is not known.
+	Deadline time.Duration
+}
+
+// InFlight returns the requests in flight at a target by customer, for a handover.
 func (c *Controller) InFlight(name string) []CustomerCount {
 	t, ok := c.targets[name]
 	if !ok {
@@ -128,13 +134,6 @@
 			add(r.customer.settings.Name, 1, r.deadline)
 		}
 	}
-	for _, b := range t.takenOver.batches {
-		for _, count := range b.counts {
-			if count.Count > 0 {
-				add(count.Customer, count.Count, count.Deadline)
-			}
-		}
-	}
 	list := make([]CustomerCount, 0, len(counts))
 	for _, count := range counts {
 		list = append(list, count)
--- a/internal/admission/submit.go
+++ b/internal/admission/submit.go
@@ -147,7 +147,7 @@
 // is known may have room, but comes after the others.
 func (c *Controller) loadOf(now time.Duration, name string, limit int) (int, bool) {
 	if t, ok := c.targets[name]; ok && !t.lost {
-		return t.inFlight(), t.queue.length == 0 && t.hasRoom(now)
+		return t.running, t.queue.length == 0 && t.hasRoom(now)
 	}
 	known, ok := c.loads[name]
 	if !ok || now-known.measured >= StaleAfter {
@@ -272,14 +272,10 @@
 	return append(out, outcome)
 }
 
-// Tick does what time requires: it refuses requests that have waited too long, ends counts that were taken over,
-// moves the customers' shares, and starts requests whose target's limit has risen with the load of its pool. Call it
+// Tick does what time requires: it refuses requests that have waited too long, moves the customers' shares, and starts requests whose target's limit has risen with the load of its pool. Call it
 // at least every 100 ms; no request waits longer than its bound plus that interval.
 func (c *Controller) Tick(now time.Duration, out []Outcome) []Outcome {
 	for _, t := range c.order {
-		if len(t.takenOver.batches) > 0 {
-			t.takenOver.expire(now)
-		}
 		out = c.dispatch(now, t, out)
 	}
 	if elapsed := now - c.sharesAt; elapsed >= shareInterval {
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -19,15 +19,11 @@
 	// unloaded says that the target can't serve its pool now, so that it is left out of the pool's mean.
 	unloaded bool
 
-	running   int
-	takenOver takenOver
-	queue     queue
-	service   serviceTime
+	running int
+	queue   queue
+	service serviceTime
 }
 
-// inFlight counts the requests that load the target.
-func (t *target) inFlight() int { return t.running + t.takenOver.total }
-
 // addRunning counts requests that this gate admitted, at the target and in the load of its pool.
 func (t *target) addRunning(n int) {
 	t.running += n
@@ -96,7 +92,7 @@
 		return false
 	}
 	bound, _ := t.bound(now)
-	return t.inFlight() < bound
+	return t.running < bound
 }
 
 // waitBehind estimates the wait of a request that starts after the given number of others.
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -40,7 +40,7 @@
 	record := &pb.LoadRecord{Gate: g.self.Name, Incarnation: g.self.Incarnation}
 	g.admission.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
 		for _, t := range c.Snapshot(now).Targets {
-			if !t.Lost || t.InFlight > t.TakenOver {
+			if !t.Lost || t.InFlight > 0 {
 				load := &pb.TargetLoad{Target: t.Target, Load: int32(t.InFlight)}
 				switch {
 				case g.reports.down(t.Target):
