Let a full owner rest on the confirmations of its next gate

Cause: a gate's lease ended 1.5 s after the last round that all reachable peers answered. A peer that dies is reachable for 2 s, so each kill suspended the owners of all targets of all peers, up to 12 gates, until the dead gate was suspected and the others had answered a poll.

Change: for a full owner a confirmation of the gate ranked next for the target is enough, until 3.5 s after the last complete round. Other gates take over D + L after they stopped hearing it, and the owner is contested for them after D. Suspended, contested and new owners still need complete rounds, and so do orders to engines.

--- a/internal/gate/heartbeat.go
+++ b/internal/gate/heartbeat.go
@@ -42,6 +42,8 @@
 		case membership.RoundConfirmed:
 			g.stepOwners(now, ownership.RoundConfirmed{Started: e.Started})
 			g.renewOrderLease(now, e.Started)
+		case membership.PeerConfirmed:
+			g.stepOwners(now, ownership.PeerConfirmed{Peer: e.Peer, Started: e.Started})
 		case membership.ClockGap:
 			g.stepOwners(now, ownership.ClockGap{})
 		}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -151,8 +151,13 @@
 	if m.refresh(now) {
 		effects = append(effects, ViewChanged{View: m.view})
 	}
-	if _, ok := event.(Tick); ok {
+	switch e := event.(type) {
+	case Tick:
 		effects = append(effects, m.heartbeats(now)...)
+	case HeartbeatAnswered:
+		if m.confirms(e) {
+			effects = append(effects, PeerConfirmed{Peer: e.Message.From, Started: e.Sent})
+		}
 	}
 	return append(effects, m.round(now)...)
 }
@@ -437,6 +442,12 @@
 	return effects
 }
 
+// confirms says whether an answer that was applied is the latest confirmation of its sender.
+func (m *Machine) confirms(answer HeartbeatAnswered) bool {
+	g := m.gates[answer.Message.From.Name]
+	return g != nil && g.Incarnation == answer.Message.From.Incarnation && g.answeredAt == answer.Sent
+}
+
 // round reports a confirmed round that started later than the last one. Without reachable peers the round is
 // complete by itself: ownership then limits the work because it can't hear the gates that may take over.
 func (m *Machine) round(now time.Duration) []Effect {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -100,9 +100,16 @@
 // RoundConfirmed says that every reachable peer confirmed a heartbeat sent at Started or later.
 type RoundConfirmed struct{ Started time.Duration }
 
+// PeerConfirmed says that one peer confirmed a heartbeat sent at Started.
+type PeerConfirmed struct {
+	Peer    Gate
+	Started time.Duration
+}
+
 // ClockGap says that the process did not run for longer than the configured gap.
 type ClockGap struct{ Length time.Duration }
 
+func (PeerConfirmed) membershipEffect()  {}
 func (SendHeartbeat) membershipEffect()  {}
 func (ViewChanged) membershipEffect()    {}
 func (RoundConfirmed) membershipEffect() {}
--- a/internal/ownership/events.go
+++ b/internal/ownership/events.go
@@ -66,6 +66,12 @@
 // RoundConfirmed is a confirmed heartbeat round.
 type RoundConfirmed struct{ Started time.Duration }
 
+// PeerConfirmed is a heartbeat sent at Started that one peer confirmed.
+type PeerConfirmed struct {
+	Peer    membership.Gate
+	Started time.Duration
+}
+
 // ClockGap says that the process did not run for a while.
 type ClockGap struct{}
 
@@ -106,6 +112,7 @@
 func (HandoverFailed) ownershipEvent() {}
 func (HandoverAsked) ownershipEvent()  {}
 func (RoundConfirmed) ownershipEvent() {}
+func (PeerConfirmed) ownershipEvent()  {}
 func (ClockGap) ownershipEvent()       {}
 func (PeerClaim) ownershipEvent()      {}
 func (EngineReport) ownershipEvent()   {}
--- a/internal/ownership/fleet_test.go
+++ b/internal/ownership/fleet_test.go
@@ -200,6 +200,8 @@
 			f.ownerStep(d, ownership.ViewChanged{View: e.View, Targets: targets})
 		case membership.RoundConfirmed:
 			f.ownerStep(d, ownership.RoundConfirmed{Started: e.Started})
+		case membership.PeerConfirmed:
+			f.ownerStep(d, ownership.PeerConfirmed{Peer: e.Peer, Started: e.Started})
 		case membership.ClockGap:
 			f.ownerStep(d, ownership.ClockGap{})
 		}
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -119,28 +119,31 @@
 	config Config
 	self   membership.Gate
 	// started is the start of the process or the end of its last freeze, since its list is as old as either.
-	started  time.Duration
-	view     *membership.View
-	targets  map[string]*target
-	lease    time.Duration // start of the last confirmed round
-	draining bool
-	snapshot *Snapshot
-	watched  []string
-	asks     map[membership.Gate][]string
-	claims   []string
+	started time.Duration
+	view    *membership.View
+	targets map[string]*target
+	lease   time.Duration // start of the last confirmed round
+	// confirmed holds the last confirmation of each gate by name.
+	confirmed map[string]PeerConfirmed
+	draining  bool
+	snapshot  *Snapshot
+	watched   []string
+	asks      map[membership.Gate][]string
+	claims    []string
 }
 
 // New returns a machine without targets.
 func New(config Config, self membership.Gate, now time.Duration) *Machine {
 	return &Machine{
-		config:   config,
-		self:     self,
-		started:  now,
-		view:     &membership.View{},
-		targets:  map[string]*target{},
-		lease:    never,
-		snapshot: &Snapshot{},
-		asks:     map[membership.Gate][]string{},
+		config:    config,
+		self:      self,
+		started:   now,
+		view:      &membership.View{},
+		targets:   map[string]*target{},
+		lease:     never,
+		confirmed: map[string]PeerConfirmed{},
+		snapshot:  &Snapshot{},
+		asks:      map[membership.Gate][]string{},
 	}
 }
 
@@ -159,14 +162,31 @@
 	return m.effects(now, answer)
 }
 
-// lapse suspends everything when the lease ran out.
+// lapse suspends the targets whose lease ran out.
 func (m *Machine) lapse(now time.Duration) {
-	if now < m.lease+m.config.Lease {
-		return
-	}
 	for _, t := range m.targets {
-		m.interrupt(t, m.lease+m.config.Lease)
+		if end := m.leaseEnd(t); now >= end {
+			m.interrupt(t, end)
+		}
+	}
+}
+
+// leaseEnd returns the time from which a permission for the target is void (I1). Without the confirmation of its next
+// gate alone, every gate that is killed would suspend the owners of all targets of its peers.
+func (m *Machine) leaseEnd(t *target) time.Duration {
+	end := m.lease + m.config.Lease
+	if t.chart.State() != statechart.OwnershipFull {
+		return end
+	}
+	next, ok := m.next(t)
+	if !ok {
+		return end
+	}
+	confirmed, ok := m.confirmed[next.Name]
+	if !ok || confirmed.Peer.Incarnation != next.Incarnation {
+		return end
 	}
+	return max(end, min(confirmed.Started+m.config.Lease, end+m.config.SuspectAfter))
 }
 
 // apply changes the records that an event concerns and returns the answer to a successor.
@@ -180,6 +200,8 @@
 		return m.applyAsked(now, e)
 	case RoundConfirmed:
 		m.lease = max(m.lease, e.Started)
+	case PeerConfirmed:
+		m.confirmed[e.Peer.Name] = e
 	case ClockGap:
 		m.started = now
 		for _, t := range m.targets {
@@ -453,7 +475,7 @@
 
 // permission translates a target's state.
 func (m *Machine) permission(t *target) Permission {
-	p := Permission{LeaseEnd: m.lease + m.config.Lease}
+	p := Permission{LeaseEnd: m.leaseEnd(t)}
 	switch t.chart.State() {
 	case statechart.OwnershipFull:
 		p.Mode, p.Reason = Full, reason.OverLimit
--- a/internal/ownership/owner.go
+++ b/internal/ownership/owner.go
@@ -11,9 +11,12 @@
 // requests that had passed the last check when their process froze. "Work" includes requests that a dead gate
 // left behind. The bound follows from these invariants; the names are used in the code.
 //
-//   - I1 (lease). A gate's permission ends 1.5 s after the start of a round that every reachable peer answered.
-//     A peer that answered has heard the gate since then and suspects it 2 s later at the earliest. So a full
-//     owner has stopped, or hears its next gate no more, before a gate that stopped hearing it takes over.
+//   - I1 (lease). A gate's permission ends 1.5 s after the start of a round that every reachable peer answered, or
+//     for a full owner 1.5 s after the start of the last heartbeat that its next gate answered, but 3.5 s after the
+//     start of the round at the latest. A peer that answered has heard the gate since then and suspects it 2 s later at
+//     the earliest. So a full owner has stopped, or hears its next gate no more, before its next gate takes over,
+//     and it has stopped before a peer that ranks elsewhere takes over, which waits for D + L (I4). A gate that
+//     ranks next for others only is no exception: it answers as draining, or not at all, before they pass over it.
 //   - I2 (poll). A gate becomes full only after every gate that it hears and that could hold the target has
 //     stopped for it, or did not answer for D + L, in which time its view caught up. A gate that refuses is not
 //     passed over.
