Write accepted orders before a stopping gate gives up its targets

Cause: a gate that stops handed its targets over at once. An order whose intent was under way then found no target and was refused as not_owner, ran: no, although nothing had failed. Ruled out: passing the order through the new owner's admission. It needs a call that holds admission and a lease across two gates; keeping the targets for the short time needs neither. The gate admits other requests in that time too, so its load limit is the same as before the stop. Change: the executor role drains first, so that no new ticket is accepted. Targets and the witness role follow when no ticket may still start a run, at the latest after half of the drain limit. An entry that finds every owner stopping waits for the next one before it refuses a ticket, as it does for other requests. An order waits for up to 4 s while its executor has no permission to admit, since its ticket can't be used at another gate.

--- a/internal/atmostonce/executor.go
+++ b/internal/atmostonce/executor.go
@@ -60,6 +60,14 @@
 	return e.active
 }
 
+// Unwritten returns the number of tickets that may still start a run.
+func (e *Executor) Unwritten() int {
+	if e.active == 0 {
+		return 0
+	}
+	return len(e.sorted(isUnwritten))
+}
+
 func (e *Executor) dispatch(ev Event) {
 	switch ev := ev.(type) {
 	case Submit:
@@ -239,8 +247,7 @@
 	if e.life != "draining" {
 		return
 	}
-	waiting := func(r *record) bool { return r.state == "intending" || r.state == "ready" }
-	for _, rec := range e.sorted(waiting) {
+	for _, rec := range e.sorted(isUnwritten) {
 		e.conclude(rec.ticket.ID, "not_run", notRun(reason.Draining))
 	}
 	e.emit(e.advance(e.now, "idle", ticket.Gate{})...)
@@ -260,7 +267,12 @@
 
 // isActive reports whether the ticket has not ended.
 func isActive(rec *record) bool {
-	return rec.state == "intending" || rec.state == "ready" || rec.state == "running"
+	return isUnwritten(rec) || rec.state == "running"
+}
+
+// isUnwritten reports whether the ticket may still start a run.
+func isUnwritten(rec *record) bool {
+	return rec.state == "intending" || rec.state == "ready"
 }
 
 // conclude feeds an event that ends the ticket with a result.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -121,10 +121,7 @@
 // awaitOwner lets a request wait while its target has no gate that admits, and reports whether to try again. The
 // retry budget does not apply: such a try costs a gate little and a target nothing.
 func (e *Entry) awaitOwner(ctx context.Context, request *request, answer *answer, refusal *Refusal) bool {
-	if !request.repeatable || answer.started || !ownerMissing(refusal.Reason) {
-		return false
-	}
-	if time.Since(request.started) > ownerPatience || ctx.Err() != nil {
+	if !request.repeatable || answer.started || !e.ownerMayCome(ctx, request, refusal) {
 		return false
 	}
 	e.meters.Retried(refusal.Reason)
@@ -133,6 +130,11 @@
 	return ctx.Err() == nil
 }
 
+// ownerMayCome reports whether a refused request should wait for the owner of a target.
+func (e *Entry) ownerMayCome(ctx context.Context, request *request, refusal *Refusal) bool {
+	return ownerMissing(refusal.Reason) && time.Since(request.started) <= ownerPatience && ctx.Err() == nil
+}
+
 // ownerMissing reports whether a refusal means that ownership of the target is moving.
 func ownerMissing(r reason.Reason) bool {
 	switch r {
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -114,22 +114,44 @@
 
 // issueTicket refuses the request, which did not run, and gives the caller a ticket with which it may.
 func (e *Entry) issueTicket(ctx context.Context, c *caller, request *request) error {
+	request.started = time.Now()
+	for {
+		t, err := e.tryTicket(ctx, request)
+		if err == nil {
+			return e.giveTicket(c, t)
+		}
+		refusal, ok := refusalIn(err)
+		if !ok || !e.ownerMayCome(ctx, request, refusal) {
+			return err
+		}
+		e.meters.Retried(refusal.Reason)
+		control.Sleep(ctx, ownerPause)
+	}
+}
+
+// tryTicket asks the owners of some targets for a ticket.
+func (e *Entry) tryTicket(ctx context.Context, request *request) (t ticket.Ticket, err error) {
 	var tried routing.Tried
-	last := error(refuse(reason.NoTarget, "no target of %s is open", request.pool.Name))
 	for range planAttempts {
-		t, err := e.planTicket(ctx, request, &tried)
-		if err != nil {
-			last = err
-			continue
+		next, failed := e.planTicket(ctx, request, &tried)
+		if failed == nil {
+			return next, nil
 		}
-		text, err := e.codec.EncodeText(t)
-		if err != nil {
-			return err
+		// That no further target is open says less than why the earlier ones gave no ticket.
+		if refusal, ok := refusalIn(failed); err == nil || !ok || refusal.Reason != reason.NoTarget {
+			err = failed
 		}
-		c.Response().Header().Set(headerTicket, text)
-		return refuse(reason.TicketRequired, "send the request again with the header %s", headerTicket)
 	}
-	return last
+	return t, err
+}
+
+func (e *Entry) giveTicket(c *caller, t ticket.Ticket) error {
+	text, err := e.codec.EncodeText(t)
+	if err != nil {
+		return err
+	}
+	c.Response().Header().Set(headerTicket, text)
+	return refuse(reason.TicketRequired, "send the request again with the header %s", headerTicket)
 }
 
 // planTicket names the owner of a target as executor and a gate that it reaches as witness.
--- a/internal/gate/desk.go
+++ b/internal/gate/desk.go
@@ -221,6 +221,13 @@
 	return d.executor.Open()
 }
 
+// unwrittenTickets returns the number of accepted tickets whose run has not been written to a target.
+func (d *desk) unwrittenTickets() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.executor.Unwritten()
+}
+
 // await returns the reply of a call, and false when it does not come in time.
 func await[E atmostonce.Effect](done <-chan struct{}, reply <-chan atmostonce.Effect) (E, bool) {
 	var none E
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -27,12 +27,7 @@
 	defer cancel()
 	var heir ticket.Gate
 	var found bool
-	g.life.OnHandOver(func() {
-		heir, found = g.announceDrain(ctx)
-		if found {
-			g.desk.feedBoth(atmostonce.Drain{Heir: heir})
-		}
-	})
+	g.life.OnHandOver(func() { heir, found = g.handOver(ctx) })
 	g.life.Terminate()
 	if !g.inFlight.wait(ctx.Done()) {
 		g.desk.feed(atmostonce.HandOver{})
@@ -47,17 +42,38 @@
 	return nil
 }
 
-// announceDrain tells the peers and chooses the heir of the ticket records.
-func (g *Gate) announceDrain(ctx context.Context) (heir ticket.Gate, found bool) {
-	_ = g.loop.Call(ctx, func(now time.Duration) {
+// handOver hands tickets and targets over and returns the heir of the ticket records. The targets stay until the orders
+// that the gate has accepted are written, since only their owner may admit those. Meanwhile it admits other requests too.
+func (g *Gate) handOver(ctx context.Context) (heir ticket.Gate, found bool) {
+	_ = g.loop.Call(ctx, func(time.Duration) {
 		heir, found = chooseHeir(g.state.members.View(), g.self)
+	})
+	if found {
+		g.desk.feed(atmostonce.Drain{Heir: heir})
+		g.awaitOrders(ctx)
+	}
+	g.targetsLeft.Store(true)
+	_ = g.loop.Call(ctx, func(now time.Duration) {
 		g.stepMembers(now, membership.Drain{})
 		g.stepOwners(now, ownership.Drain{})
 		g.heartbeatNow(now, nil)
 	})
+	// The witness goes on until the peers know of the drain, so that they don't name it in new tickets.
+	if found {
+		g.desk.feedWitness(atmostonce.Drain{Heir: heir})
+	}
 	return heir, found
 }
 
+// awaitOrders waits until every accepted order is written or refused, for at most half of the drain limit.
+func (g *Gate) awaitOrders(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(g.settings.Timing.DrainLimit)/2)
+	defer cancel()
+	for g.desk.unwrittenTickets() > 0 && ctx.Err() == nil {
+		control.Sleep(ctx, drainPoll)
+	}
+}
+
 // chooseHeir returns the first live gate by rank, of this gate's zone where there is one.
 func chooseHeir(view *membership.View, self membership.Gate) (ticket.Gate, bool) {
 	var near, far []string
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -25,10 +25,14 @@
 	maximumOnceBody = 8 << 20
 	// maximumOnceAttempts bounds the targets that are tried before the first byte.
 	maximumOnceAttempts = 2
-	fateTimeout         = 2 * time.Second
-	fatePause           = 200 * time.Millisecond
-	fateDone            = "done"
-	fateRunning         = "running"
+	// admitPatience bounds the wait of an accepted order while this gate may not admit; an entry waits as long for
+	// other requests, which it can send again.
+	admitPatience = 4 * time.Second
+	admitPause    = 100 * time.Millisecond
+	fateTimeout   = 2 * time.Second
+	fatePause     = 200 * time.Millisecond
+	fateDone      = "done"
+	fateRunning   = "running"
 )
 
 // runs keeps the requests of open ticket calls until their runs end.
@@ -104,15 +108,29 @@
 }
 
 func (r *onceRun) run(ctx context.Context) {
-	t, why := r.chooseTarget()
-	if t == nil {
-		r.notStarted(why, false)
-		return
-	}
 	if verdict, _ := r.gate.crashes.verdict(crashguard.Digest(r.request.Digest)); verdict == crashguard.Refused {
 		r.notStarted(reason.CrashSuspect, false)
 		return
 	}
+	t, id, why := r.admit(ctx)
+	for end := time.Now().Add(admitPatience); permissionMissing(why) && time.Now().Before(end) && ctx.Err() == nil; {
+		control.Sleep(ctx, admitPause)
+		t, id, why = r.admit(ctx)
+	}
+	if why != "" {
+		r.notStarted(why, false)
+		return
+	}
+	completed := r.sendGuarded(ctx, t)
+	r.gate.admission.release(id, completed)
+}
+
+// admit chooses a target and admits the request to it, or says why not.
+func (r *onceRun) admit(ctx context.Context) (*catalogue.Target, admission.ID, reason.Reason) {
+	t, why := r.chooseTarget()
+	if t == nil {
+		return nil, 0, why
+	}
 	id, err := r.gate.admission.acquire(ctx, &admission.Request{
 		Target:   t.Name,
 		Customer: r.request.Customer,
@@ -120,11 +138,14 @@
 		Deadline: r.gate.clock.Now() + remaining(ctx),
 	})
 	if err != nil {
-		r.notStarted(reasonOf(err), false)
-		return
+		return nil, 0, reasonOf(err)
 	}
-	completed := r.sendGuarded(ctx, t)
-	r.gate.admission.release(id, completed)
+	return t, id, ""
+}
+
+// permissionMissing reports whether a refusal means that this gate has no permission to admit yet or for the moment.
+func permissionMissing(why reason.Reason) bool {
+	return why == reason.Probation || why == reason.LeaseLost
 }
 
 func remaining(ctx context.Context) time.Duration {
--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -93,7 +93,7 @@
 		Self:           wire.Gate(g.self),
 		ConfigRevision: version.Revision,
 		ConfigDigest:   version.Digest,
-		Draining:       g.life.Draining(),
+		Draining:       g.targetsLeft.Load(),
 	}
 	if sub.viewVersion != snapshot.View.Version {
 		sub.viewVersion = snapshot.View.Version
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -57,6 +57,8 @@
 	// permissions is what this gate may admit, by the ownership machine.
 	permissions atomic.Pointer[ownership.Snapshot]
 	life        *daemon.Lifecycle
+	// targetsLeft is set when a gate that is stopping gives its targets up.
+	targetsLeft atomic.Bool
 
 	admission *admitter
 	codec     *ticket.Codec
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -114,7 +114,7 @@
 		c.state.note(statechart.RequestOnResume)
 		return c.resumeGuarded(ctx, t, func() error { return c.resume(ctx, t, c.request.ResumeFrom) })
 	}
-	if c.gate.life.Draining() {
+	if c.gate.targetsLeft.Load() {
 		return c.redirect(snapshot, t, reason.Draining, "the gate is stopping")
 	}
 	if !snapshot.Owned[t.Name] {
--- a/test/e2e/notrun_test.go
+++ b/test/e2e/notrun_test.go
@@ -21,6 +21,7 @@
 // mixedLoad sends chats, service calls and orders, each with a body of its own, and keeps the refusals.
 type mixedLoad struct {
 	f       *fleet.Fleet
+	kinds   []string
 	stop    chan struct{}
 	running sync.WaitGroup
 
@@ -37,7 +38,12 @@
 var mixedKinds = []string{"stream", "chat", "call", "order"}
 
 func startMixedLoad(f *fleet.Fleet, workers int) *mixedLoad {
-	l := &mixedLoad{f: f, stop: make(chan struct{}), counts: make(map[string]int)}
+	return startMixedLoadOf(f, workers, mixedKinds...)
+}
+
+// startMixedLoadOf sends only some kinds.
+func startMixedLoadOf(f *fleet.Fleet, workers int, kinds ...string) *mixedLoad {
+	l := &mixedLoad{f: f, kinds: kinds, stop: make(chan struct{}), counts: make(map[string]int)}
 	for worker := range workers {
 		l.running.Go(func() { l.work(worker) })
 	}
@@ -53,7 +59,7 @@
 		default:
 		}
 		entry := l.f.URL(entries[(worker+turn)%len(entries)])
-		kind := mixedKinds[worker%len(mixedKinds)]
+		kind := l.kinds[worker%len(l.kinds)]
 		l.one(kind, entry, fmt.Sprintf("worker %d turn %d", worker, turn))
 	}
 }
--- a/test/e2e/once_failure_test.go
+++ b/test/e2e/once_failure_test.go
@@ -47,6 +47,8 @@
 	start, repair func(t *testing.T, f *fleet.Fleet, o *order) error
 	// unknown is the rule for a failure at a step.
 	unknown func(step onceStep) unknownRule
+	// answered says that every order has to be answered.
+	answered bool
 	// wait is the time between the last try and the repair.
 	wait time.Duration
 }
@@ -127,6 +129,9 @@
 		o.check(t, runs[o.body], failure.unknown(step), &count)
 	}
 	t.Logf("%s: %s", step.name, count)
+	if failure.answered && (count.answered < onceOrders || count.notRun > 0) {
+		t.Errorf("%s: an order was refused", step.name)
+	}
 }
 
 func must(t *testing.T, err error) {
@@ -184,9 +189,10 @@
 // Guards against an order that a graceful stop of its executor cuts, seals falsely or lets the heir run again.
 func TestOnceWhenExecutorIsStopped(t *testing.T) {
 	checkOnce(t, onceFailure{
-		start:   func(_ *testing.T, f *fleet.Fleet, o *order) error { return f.Terminate(o.ticket.Executor.Name) },
-		repair:  func(_ *testing.T, f *fleet.Fleet, o *order) error { return awaitRestart(f, o.ticket.Executor.Name) },
-		unknown: neverUnknown,
+		start:    func(_ *testing.T, f *fleet.Fleet, o *order) error { return f.Terminate(o.ticket.Executor.Name) },
+		repair:   func(_ *testing.T, f *fleet.Fleet, o *order) error { return awaitRestart(f, o.ticket.Executor.Name) },
+		unknown:  neverUnknown,
+		answered: true,
 	})
 }
 
--- a/test/e2e/order_test.go
+++ b/test/e2e/order_test.go
@@ -31,22 +31,25 @@
 	o.replies = append(o.replies, got)
 }
 
+// newOrder gets a ticket for an order from an entry.
+func newOrder(t *testing.T, f *fleet.Fleet, entry, body string) *order {
+	t.Helper()
+	codec, err := ticket.NewCodec(f.FleetKey())
+	must(t, err)
+	o := &order{body: body, header: ticketFor(t, entry, body)}
+	o.ticket, err = codec.DecodeText(o.header[ticketHeader])
+	must(t, err)
+	return o
+}
+
 // ordersOfOnePair gets tickets until enough of them name the same executor and witness, in different zones.
 func ordersOfOnePair(t *testing.T, f *fleet.Fleet, count int, label string) []*order {
 	t.Helper()
 	const ticketTries = 400
-	codec, err := ticket.NewCodec(f.FleetKey())
-	if err != nil {
-		t.Fatal(err)
-	}
 	entries := f.Names("entry")
 	pairs := make(map[string][]*order)
 	for i := range ticketTries {
-		o := &order{body: fmt.Sprintf(`{"part":"%s-%d"}`, label, i)}
-		o.header = ticketFor(t, f.URL(entries[i%len(entries)]), o.body)
-		if o.ticket, err = codec.DecodeText(o.header[ticketHeader]); err != nil {
-			t.Fatal(err)
-		}
+		o := newOrder(t, f, f.URL(entries[i%len(entries)]), fmt.Sprintf(`{"part":"%s-%d"}`, label, i))
 		if o.ticket.Executor.Zone == o.ticket.Witness.Zone {
 			continue
 		}
--- a/test/e2e/stop_test.go
+++ b/test/e2e/stop_test.go
@@ -1,6 +1,8 @@
 package e2e
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -61,3 +63,49 @@
 		})
 	}
 }
+
+// Guards against a graceful stop that refuses orders, or the tickets for them, while the gates are restarted in turn.
+func TestRollingRestartRefusesNoOrder(t *testing.T) {
+	spec := fleet.Default()
+	spec.ServiceFlags = []string{"--run-time", "100ms"}
+	f := start(t, spec)
+	l := startMixedLoadOf(f, 12, "order")
+	for _, name := range f.Names("gate") {
+		must(t, f.Restart(name, startLimit))
+	}
+	l.finish(t)
+	if len(l.counts) > 1 {
+		t.Errorf("some orders were not answered: %v", l.counts)
+	}
+	for body, runs := range countRuns(runLogs(t, f, f.Names("service"))) {
+		if runs > 1 {
+			t.Errorf("%s ran %d times", body, runs)
+		}
+	}
+}
+
+// Guards against a refused ticket while the only owner of a pool's targets stops and still has an order to write.
+func TestTicketWhileOwnerStops(t *testing.T) {
+	spec := onceSpec()
+	spec.Zones, spec.Services = []string{"a"}, 1
+	f := start(t, spec)
+	entry := f.URL(f.Names("entry")[0])
+	first := newOrder(t, f, entry, `{"part":"first"}`)
+	must(t, f.SetLink(first.ticket.Witness.Name, fmt.Sprintf(`"delay_ms":%d`, onceLinkDelay.Milliseconds())))
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		first.send(entry)
+	}()
+	time.Sleep(onceLinkDelay / 2)
+	must(t, f.Terminate(first.ticket.Executor.Name))
+	time.Sleep(onceLinkDelay / 2)
+	second := newOrder(t, f, entry, `{"part":"second"}`)
+	second.send(entry)
+	<-sent
+	for _, o := range []*order{first, second} {
+		if got := o.replies[0]; got.status != http.StatusOK {
+			t.Errorf("%s: status %d, %s", o.body, got.status, got.body)
+		}
+	}
+}
