Let the stand-in link change the traffic between two daemons, per direction

Cause: the link cut all connections to a gate, so that no test could cut one pair of gates or one direction. Ruled out: a link port per caller, since all daemons read the same addresses from the VM list; finding the caller's process by its port, which depends on the operating system. Change: daemons have the optional setting "source", the IP address from which they call other daemons; it also serves VMs with several addresses. The fleet harness gives each daemon behind links a loopback address of its own. A relay keeps a condition per caller and direction; SetTraffic of the harness sets it for what one daemon sends to another. Each daemon behind links has its own link to the platform. Conclusion: cuts between pairs, in one direction, and of a region can be brought about with real processes.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -132,8 +132,8 @@
 	if err := g.registerReportGauges(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	g.control = rpc.NewDialer(rpc.Control, g.tls, meters)
-	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters)
+	g.control = rpc.NewDialer(rpc.Control, g.tls, meters).From(s.Source)
+	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters).From(s.Source)
 	return g, nil
 }
 
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -63,6 +63,7 @@
 	class   Class
 	tls     *tls.Config
 	counter Counter
+	source  string
 	pool    *drpcpool.Pool[string, drpcpool.Conn]
 }
 
@@ -76,6 +77,12 @@
 	}
 }
 
+// From makes the dialer open connections from an IP address; empty lets the system choose.
+func (d *Dialer) From(source string) *Dialer {
+	d.source = source
+	return d
+}
+
 // Conn returns a connection to the address; it dials when a call is made and no idle connection is left.
 func (d *Dialer) Conn(ctx context.Context, address string) drpc.Conn {
 	return d.pool.Get(ctx, address, d.dial)
@@ -102,6 +109,9 @@
 
 func (d *Dialer) connect(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	if d.source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(d.source)}
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,8 @@
 	Region string `yaml:"region"`
 	// Admin is the address of health checks, metrics and status.
 	Admin string `yaml:"admin"`
+	// Source is the IP address from which connections to other daemons are opened; empty lets the system choose.
+	Source string `yaml:"source"`
 	// FleetKeyFiles hold the keys of tickets and tokens; the first signs, all verify.
 	FleetKeyFiles []string `yaml:"fleet_key_files"`
 	// Seeds are control addresses of gates to ask when no VM list is at hand.
@@ -242,6 +244,9 @@
 	k.required("name", c.Name)
 	k.required("zone", c.Zone)
 	k.address("admin", c.Admin)
+	if _, err := netip.ParseAddr(c.Source); c.Source != "" && err != nil {
+		k.fail("source", "%q is not an IP address", c.Source)
+	}
 	for i, seed := range c.Seeds {
 		k.address(fmt.Sprintf("seeds[%d]", i), seed)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,6 +48,7 @@
 		{"advertised host name", goodGate + "advertise: gate:7000\n", "advertise"},
 		{"no key file", strings.Replace(goodGate, "KEY", "absent.key", 1), "fleet_key_files[0]"},
 		{"half of tls", goodGate + "tls: {key: KEY}\n", "tls.certificate"},
+		{"source with a port", goodGate + "source: 127.0.0.1:7000\n", "source"},
 		{"wrong level", goodGate + "log: {level: loud}\n", "log.level"},
 		{"no platform", strings.Replace(goodGate, "http://127.0.0.1:6000", "x", 1), "platform.address"},
 		{"not YAML", "name: [", "settings"},
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -91,13 +92,18 @@
 
 func (f *Fleet) assignAddresses() error {
 	fields := []*string{&f.platform, &f.Balancer, &f.link}
-	for _, n := range f.order {
+	for i, n := range f.order {
 		f.nodes[n.name] = n
 		if n.external {
 			continue
 		}
 		fields = append(fields, &n.address, &n.admin)
-		if f.spec.ThroughLinks && n.role == roleGate {
+		if !f.spec.ThroughLinks || n.role != roleGate && n.role != roleEntry {
+			continue
+		}
+		n.source = fmt.Sprintf("127.0.1.%d", i+1)
+		fields = append(fields, &n.platform)
+		if n.role == roleGate {
 			fields = append(fields, &n.linked)
 		}
 	}
@@ -209,6 +215,9 @@
 		if n.linked != "" {
 			args = append(args, "--route", n.name+"="+n.linked+"="+n.address)
 		}
+		if n.platform != "" {
+			args = append(args, "--route", platformRoute(n.name)+"="+n.platform+"="+f.platform)
+		}
 	}
 	return f.run(linkID, "standin-link", args...)
 }
@@ -297,7 +306,7 @@
 	fmt.Fprintf(&b, "name: %s\nzone: %s\nregion: %s\n", n.name, f.spec.Zones[n.zone], f.spec.region(n.zone))
 	fmt.Fprintf(&b, "listen: %s\nadmin: %s\n", n.address, n.admin)
 	fmt.Fprintf(&b, "fleet_key_files: [%s]\n", f.path("fleet.key"))
-	fmt.Fprintf(&b, "platform:\n  address: http://%s\n", f.platform)
+	fmt.Fprintf(&b, "platform:\n  address: http://%s\n", cmp.Or(n.platform, f.platform))
 	b.WriteString("seeds:\n")
 	for _, other := range f.order {
 		if other.role == roleGate && other != n {
@@ -313,6 +322,9 @@
 	if n.linked != "" {
 		fmt.Fprintf(&b, "advertise: %s\n", n.linked)
 	}
+	if n.source != "" {
+		fmt.Fprintf(&b, "source: %s\n", n.source)
+	}
 	if n.role == roleEntry {
 		for _, line := range f.spec.EntrySettings {
 			b.WriteString(line + "\n")
@@ -538,6 +550,28 @@
 	return f.call(http.MethodPost, f.LinkControl()+"/standin/link", []byte(body))
 }
 
+// SetTraffic changes the condition of what one daemon sends to another, on the connections of either; see the stand-in
+// for its fields. No connections lead to entries.
+func (f *Fleet) SetTraffic(from, to, fields string) error {
+	for _, link := range []struct{ route, caller, direction string }{{to, from, "forward"}, {from, to, "back"}} {
+		if f.nodes[link.route].linked == "" {
+			continue
+		}
+		selection := fmt.Sprintf(`"from":%q,"direction":%q,`, f.nodes[link.caller].source, link.direction)
+		if err := f.SetLink(link.route, selection+fields); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// SetPlatformLink changes the condition of the link between a daemon and the platform.
+func (f *Fleet) SetPlatformLink(daemon, fields string) error {
+	return f.SetLink(platformRoute(daemon), fields)
+}
+
+func platformRoute(daemon string) string { return "platform of " + daemon }
+
 // LinkControl returns the base URL of the control of the links.
 func (f *Fleet) LinkControl() string { return "http://" + f.link }
 
--- a/standin/fleet/spec.go
+++ b/standin/fleet/spec.go
@@ -63,7 +63,8 @@
 	Timing []string
 	// EntrySettings lines are added to the settings of entries, such as "stall_timeout: 2s".
 	EntrySettings []string
-	// ThroughLinks puts a stand-in link before each gate, so that tests can cut and delay it.
+	// ThroughLinks puts a stand-in link before each gate, and between each daemon and the platform, so that tests can cut
+	// and delay them, for all callers or between two daemons.
 	ThroughLinks bool
 	// LinkFlags are passed to the link's stand-in.
 	LinkFlags []string
@@ -154,6 +155,9 @@
 	external bool
 	// linked is the address that others use when the node is behind a link.
 	linked string
+	// source is the address from which a daemon calls others through links, and platform that of its link to the platform.
+	source   string
+	platform string
 }
 
 // public returns the address that other processes use.
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -1,4 +1,5 @@
-// Package link is a stand-in for links between zones: TCP relays with delay, loss, freezes and cuts.
+// Package link is a stand-in for links between zones: TCP relays with delay, loss, freezes and cuts. A relay knows its
+// callers by their IP addresses, so that the traffic of one of them can be changed, also in one direction only.
 package link
 
 import (
@@ -29,9 +30,10 @@
 	// Loss is the probability, for each chunk, that it is lost and sent again after RetransmitMS.
 	Loss         float64 `json:"loss"`
 	RetransmitMS float64 `json:"retransmit_ms"`
-	// Freeze keeps connections open but passes no bytes.
+	// Freeze keeps connections open but passes no bytes; they follow when it ends. In one direction only it stands for
+	// a link that loses all packets of that direction.
 	Freeze bool `json:"freeze"`
-	// Cut closes all connections and refuses new ones.
+	// Cut closes all connections and refuses new ones, also when only one direction has it.
 	Cut bool `json:"cut"`
 }
 
@@ -98,12 +100,31 @@
 	return ""
 }
 
-// Set changes the condition of the named route, or of all routes if the name is empty.
-func (s *Server) Set(name string, update func(*Condition)) bool {
+// Selection says whose condition is changed.
+type Selection struct {
+	// Route is the name of one route; empty selects all.
+	Route string `json:"route"`
+	// From is the IP address of one caller, which then keeps a condition of its own; empty selects all others.
+	From string `json:"from"`
+	// Direction is Forward, Back or empty for both.
+	Direction Direction `json:"direction"`
+}
+
+// Direction is a direction of a connection.
+type Direction string
+
+// Directions of a connection: from the caller, and to it.
+const (
+	Forward Direction = "forward"
+	Back    Direction = "back"
+)
+
+// Set changes the condition of the selected traffic.
+func (s *Server) Set(selection Selection, update func(*Condition)) bool {
 	found := false
 	for _, r := range s.relays {
-		if name == "" || r.route.Name == name {
-			r.update(update)
+		if selection.Route == "" || r.route.Name == selection.Route {
+			r.update(selection, update)
 			found = true
 		}
 	}
@@ -119,16 +140,16 @@
 func (s *Server) list(c echo.Context) error {
 	states := make([]routeState, len(s.relays))
 	for i, r := range s.relays {
-		states[i] = routeState{Route: r.route, Condition: r.current()}
+		states[i] = routeState{Route: r.route, Condition: r.current(flow{direction: Forward})}
 		states[i].Listen = s.RouteAddress(r.route.Name)
 	}
 	return c.JSON(http.StatusOK, states)
 }
 
-// change sets the fields that the body has and leaves the others. The field "route" names one route.
+// change sets the fields that the body has and leaves the others. The fields of Selection say where.
 func (s *Server) change(c echo.Context) error {
 	var fields struct {
-		Route string `json:"route"`
+		Selection
 		Condition
 	}
 	raw := json.RawMessage{}
@@ -138,39 +159,38 @@
 	if err := json.Unmarshal(raw, &fields); err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
-	if !s.Set(fields.Route, func(condition *Condition) { _ = json.Unmarshal(raw, condition) }) {
+	if !s.Set(fields.Selection, func(condition *Condition) { _ = json.Unmarshal(raw, condition) }) {
 		return echo.NewHTTPError(http.StatusNotFound, "no such route")
 	}
 	return s.list(c)
 }
 
-// connections is a set of open connections.
+// connections holds the open connections with the callers to which they belong.
 type connections struct {
 	mu   sync.Mutex
-	open map[net.Conn]struct{}
+	open map[net.Conn]string
 }
 
-func (c *connections) add(conns ...net.Conn) {
+func (c *connections) add(conn net.Conn, caller string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, conn := range conns {
-		c.open[conn] = struct{}{}
-	}
+	c.open[conn] = caller
 }
 
-func (c *connections) remove(conns ...net.Conn) {
+func (c *connections) remove(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, conn := range conns {
-		delete(c.open, conn)
-		_ = conn.Close()
-	}
+	delete(c.open, conn)
+	_ = conn.Close()
 }
 
-func (c *connections) closeAll() {
+// closeOf closes the connections of the callers that match.
+func (c *connections) closeOf(match func(caller string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn := range c.open {
-		_ = conn.Close()
+	for conn, caller := range c.open {
+		if match(caller) {
+			_ = conn.Close()
+		}
 	}
 }
--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -89,6 +89,37 @@
 	return string(got[:n])
 }
 
+// Guards against a condition of one caller or direction that has no effect, or one on other traffic.
+func TestOneCallerInOneDirection(t *testing.T) {
+	for _, direction := range []Direction{Forward, Back} {
+		s := start(t, Condition{})
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP("127.0.1.7")}}
+		caller, err := dialer.Dial("tcp", s.RouteAddress("ab"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = caller.Close() }()
+		selection := Selection{From: "127.0.1.7", Direction: direction}
+		s.Set(selection, func(c *Condition) { c.Freeze = true })
+		if _, err := caller.Write([]byte("late")); err != nil {
+			t.Fatal(err)
+		}
+		if got := exchange(t, s.RouteAddress("ab"), "other"); got != "other" {
+			t.Errorf("%s: another caller got %q", direction, got)
+		}
+		_ = caller.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		got := make([]byte, 4)
+		if n, _ := caller.Read(got); n > 0 {
+			t.Errorf("%s: got %q through a frozen direction", direction, got[:n])
+		}
+		s.Set(selection, func(c *Condition) { c.Freeze = false })
+		_ = caller.SetReadDeadline(time.Now().Add(time.Second))
+		if _, err := io.ReadFull(caller, got); err != nil || string(got) != "late" {
+			t.Errorf("%s: got %q, %v after the freeze", direction, got, err)
+		}
+	}
+}
+
 // Guards against a control that resets the fields that a call does not name.
 func TestControlKeepsOtherFields(t *testing.T) {
 	s := start(t, Condition{DelayMS: 7})
@@ -98,7 +129,7 @@
 		t.Fatal(err)
 	}
 	_ = answer.Body.Close()
-	if got := s.relays[0].current(); got.DelayMS != 7 || !got.Cut {
+	if got := s.relays[0].current(flow{direction: Forward}); got.DelayMS != 7 || !got.Cut {
 		t.Errorf("condition %+v, want a delay of 7 ms and a cut", got)
 	}
 }
--- a/standin/link/relay.go
+++ b/standin/link/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,18 +26,24 @@
 	stop     chan struct{}
 	done     sync.WaitGroup
 
-	mu        sync.Mutex
-	condition Condition
-	changed   chan struct{}
+	mu         sync.Mutex
+	conditions map[flow]Condition
+	changed    chan struct{}
+}
+
+// flow is one direction of the connections of a caller, or of all callers without a condition of their own.
+type flow struct {
+	caller    string
+	direction Direction
 }
 
 func newRelay(route Route, condition Condition) *relay {
 	return &relay{
-		route:     route,
-		conns:     connections{open: make(map[net.Conn]struct{})},
-		stop:      make(chan struct{}),
-		condition: condition,
-		changed:   make(chan struct{}),
+		route:      route,
+		conns:      connections{open: make(map[net.Conn]string)},
+		stop:       make(chan struct{}),
+		conditions: map[flow]Condition{{direction: Forward}: condition, {direction: Back}: condition},
+		changed:    make(chan struct{}),
 	}
 }
 
@@ -55,26 +62,45 @@
 	if r.listener != nil {
 		_ = r.listener.Close()
 	}
-	r.conns.closeAll()
+	r.conns.closeOf(func(string) bool { return true })
 	r.done.Wait()
 }
 
-func (r *relay) current() Condition {
+// current returns the condition of a flow.
+func (r *relay) current(f flow) Condition {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.condition
+	return r.conditionOf(f)
+}
+
+// conditionOf is current with the lock held.
+func (r *relay) conditionOf(f flow) Condition {
+	if own, ok := r.conditions[f]; ok {
+		return own
+	}
+	return r.conditions[flow{direction: f.direction}]
 }
 
-func (r *relay) update(update func(*Condition)) {
+func (r *relay) update(selection Selection, update func(*Condition)) {
 	r.mu.Lock()
-	update(&r.condition)
+	for _, direction := range []Direction{Forward, Back} {
+		if selection.Direction != "" && selection.Direction != direction {
+			continue
+		}
+		f := flow{selection.From, direction}
+		condition := r.conditionOf(f)
+		update(&condition)
+		r.conditions[f] = condition
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
-	cut := r.condition.Cut
 	r.mu.Unlock()
-	if cut {
-		r.conns.closeAll()
-	}
+	r.conns.closeOf(r.isCut)
+}
+
+// isCut reports whether a caller's connections are cut.
+func (r *relay) isCut(caller string) bool {
+	return r.current(flow{caller, Forward}).Cut || r.current(flow{caller, Back}).Cut
 }
 
 func (r *relay) accept() {
@@ -87,24 +113,25 @@
 	}
 }
 
-func (r *relay) serve(caller net.Conn) {
-	r.conns.add(caller)
-	defer r.conns.remove(caller)
-	if r.current().Cut || !r.waitThawed() {
+func (r *relay) serve(from net.Conn) {
+	caller, _, _ := net.SplitHostPort(from.RemoteAddr().String())
+	r.conns.add(from, caller)
+	defer r.conns.remove(from)
+	if r.isCut(caller) || !r.waitThawed(flow{caller, Forward}, flow{caller, Back}) {
 		return
 	}
-	target, err := net.DialTimeout("tcp", r.route.To, dialTimeout)
+	to, err := net.DialTimeout("tcp", r.route.To, dialTimeout)
 	if err != nil {
 		return
 	}
-	r.conns.add(target)
-	defer r.conns.remove(target)
-	if r.current().Cut || r.stopped() {
+	r.conns.add(to, caller)
+	defer r.conns.remove(to)
+	if r.isCut(caller) || r.stopped() {
 		return
 	}
 	var directions sync.WaitGroup
-	directions.Go(func() { r.pass(target, caller) })
-	directions.Go(func() { r.pass(caller, target) })
+	directions.Go(func() { r.pass(flow{caller, Forward}, to, from) })
+	directions.Go(func() { r.pass(flow{caller, Back}, from, to) })
 	directions.Wait()
 }
 
@@ -116,22 +143,22 @@
 
 // pass carries one direction. Its end closes the other side for writing after all bytes; a drop or an
 // error closes both.
-func (r *relay) pass(to, from net.Conn) {
+func (r *relay) pass(f flow, to, from net.Conn) {
 	queue := make(chan chunk, queueChunks)
 	var writer sync.WaitGroup
-	writer.Go(func() { r.deliver(to, from, queue) })
-	r.read(to, from, queue)
+	writer.Go(func() { r.deliver(f, to, from, queue) })
+	r.read(f, to, from, queue)
 	close(queue)
 	writer.Wait()
 }
 
-func (r *relay) read(to, from net.Conn, queue chan<- chunk) {
+func (r *relay) read(f flow, to, from net.Conn, queue chan<- chunk) {
 	var last time.Time
 	for {
 		buffer := make([]byte, chunkBytes)
 		n, err := from.Read(buffer)
 		if n > 0 {
-			condition := r.current()
+			condition := r.current(f)
 			if rand.Float64() < condition.Drop {
 				_ = to.Close()
 				_ = from.Close()
@@ -167,14 +194,14 @@
 }
 
 // deliver writes chunks at their arrival. It drains the queue after an error so that the reader ends.
-func (r *relay) deliver(to, from net.Conn, queue <-chan chunk) {
+func (r *relay) deliver(f flow, to, from net.Conn, queue <-chan chunk) {
 	failed := false
 	for c := range queue {
 		if failed {
 			continue
 		}
 		time.Sleep(time.Until(c.arrive))
-		if !r.waitThawed() {
+		if !r.waitThawed(f) {
 			failed = true
 			continue
 		}
@@ -188,11 +215,12 @@
 	}
 }
 
-// waitThawed returns when the link is not frozen, or false when the relay ends.
-func (r *relay) waitThawed() bool {
+// waitThawed returns when one of the flows is not frozen, or false when the relay ends.
+func (r *relay) waitThawed(flows ...flow) bool {
+	isFrozen := func(f flow) bool { return r.conditionOf(f).Freeze }
 	for {
 		r.mu.Lock()
-		frozen, changed := r.condition.Freeze, r.changed
+		frozen, changed := !slices.ContainsFunc(flows, func(f flow) bool { return !isFrozen(f) }), r.changed
 		r.mu.Unlock()
 		if !frozen {
 			return true
