Treat a peer that does not answer as one that does not hear

Cause: (1) Messages of a peer counted as news of it although it answered nothing. With packets lost in one direction between two gates, the round of one of them was never confirmed, so its targets had no owner for as long as the cut lasted. (2) The least external load since a takeover bounded the work of dead gates, also when they died later, or were never heard. A new owner could then take the target in full beside that work. TestBound shows this with cuts in both directions too. Ruled out: dropping such a peer from the rounds only. A gate that hears nobody takes targets over; the model then exceeded the bound, since the owner still counted it as heard. Change: a peer that has left heartbeats unanswered for the suspicion time is one-way. Messages of it are no news, and ownership counts it as not heard, also when others relay news of it. The end of a gate that had not stopped resets the bounds from earlier reports, also for a gate that was never heard. Conclusion: a cut in one direction has the same effect as one in both. Gates that send without being a peer of the receiver are not covered, see docs/PROOFS.md.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -72,6 +72,8 @@
 	heardAt     time.Duration // last news, direct or relayed
 	directAt    time.Duration // last message of the gate itself
 	answeredAt  time.Duration // when the last answered heartbeat was sent
+	provenAt    time.Duration // last news by an answer or a relay, which a gate that hears nothing can't give
+	unanswered  time.Duration // when the first heartbeat since the last answer was sent; never if there is none
 	met         bool          // whether any heartbeat was answered
 	differsFrom time.Duration // since when its answers carry another view digest; never while they agree
 	old         []uint64      // incarnations that were replaced and are dead
@@ -148,6 +150,7 @@
 	}
 	m.lastStep = now
 	m.apply(now, event)
+	m.dropOneWay(now)
 	if m.refresh(now) {
 		effects = append(effects, ViewChanged{View: m.view})
 	}
@@ -161,6 +164,9 @@
 // meanwhile says nothing, and without peers a round would be confirmed by nobody.
 func (m *Machine) forgive(now time.Duration) {
 	for _, g := range m.gates {
+		if g.unanswered != never {
+			g.unanswered = now
+		}
 		if m.lastStep-g.directAt < m.config.SuspectAfter {
 			g.directAt = now
 		}
@@ -244,6 +250,7 @@
 func (m *Machine) add(id Gate) *gate {
 	g := &gate{
 		Gate: id, unlistedAt: never, heardAt: never, directAt: never, answeredAt: never, differsFrom: never,
+		provenAt: never, unanswered: never,
 	}
 	g.hash = rendezvous.Hash(id.Name)
 	g.told = map[string]time.Duration{}
@@ -310,12 +317,16 @@
 
 // applyAnswer merges an answer and notes which heartbeat it confirms.
 func (m *Machine) applyAnswer(now time.Duration, answer HeartbeatAnswered) {
+	if g := m.gates[answer.Message.From.Name]; g != nil && !slices.Contains(g.old, answer.Message.From.Incarnation) {
+		g.unanswered = never
+	}
 	m.applyMessage(now, answer.Message)
 	g := m.gates[answer.Message.From.Name]
 	if g == nil || g.Incarnation != answer.Message.From.Incarnation {
 		return
 	}
 	g.met = true
+	g.provenAt = now
 	if answer.Message.ViewDigest == m.view.Digest {
 		g.differsFrom = never
 	} else if g.differsFrom == never {
@@ -354,7 +365,10 @@
 	if g == nil {
 		return false
 	}
-	g.heardAt, g.directAt = now, now
+	g.directAt = now
+	if !m.oneWay(g, now) {
+		g.heardAt = now
+	}
 	if draining != nil {
 		g.draining = g.draining || *draining
 	}
@@ -380,6 +394,7 @@
 		return
 	}
 	g.heardAt = max(g.heardAt, at)
+	g.provenAt = max(g.provenAt, at)
 	g.draining = g.draining || news.Draining
 }
 
@@ -409,6 +424,7 @@
 	g.draining, g.met = false, false
 	clear(g.told)
 	g.heardAt, g.directAt, g.answeredAt, g.differsFrom = never, never, never, never
+	g.provenAt, g.unanswered = never, never
 	return g
 }
 
@@ -431,6 +447,13 @@
 		return nil
 	}
 	var effects []Effect
+	for _, g := range m.sorted {
+		if !m.isPeer(g.Name) {
+			g.unanswered = never
+		} else if g.unanswered == never {
+			g.unanswered = now
+		}
+	}
 	for _, peer := range m.peers {
 		effects = append(effects, SendHeartbeat{To: peer, Message: m.Message(now, peer.Name)})
 	}
@@ -467,7 +490,28 @@
 	return m.config.FarSuspectAfter
 }
 
+// oneWay says whether a peer has left every heartbeat unanswered for the suspicion time. Its own messages may still
+// arrive, but it does not hear this gate and may take its targets over.
+func (m *Machine) oneWay(g *gate, now time.Duration) bool {
+	return g.unanswered != never && now-g.unanswered >= m.config.SuspectAfter
+}
+
+// dropOneWay makes a cut in one direction look the same from both of its ends: messages of a peer that does not answer
+// count as news of it no more, nor do those since its last answer.
+func (m *Machine) dropOneWay(now time.Duration) {
+	for _, g := range m.sorted {
+		if m.oneWay(g, now) && g.provenAt != never {
+			g.heardAt = min(g.heardAt, g.provenAt)
+		}
+	}
+}
+
 // direct says whether a gate itself was heard within the suspicion time.
 func (m *Machine) direct(g *gate, now time.Duration) bool {
+	return m.arrives(g, now) && !m.oneWay(g, now)
+}
+
+// arrives says whether a message of a gate itself came within the suspicion time.
+func (m *Machine) arrives(g *gate, now time.Duration) bool {
 	return g.directAt != never && now-g.directAt < m.config.SuspectAfter
 }
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -201,6 +201,35 @@
 	}
 }
 
+// Guards against a lease that is lost for as long as messages of a peer arrive that does not answer, and against counting
+// such a peer as one that hears this gate.
+func TestPeerThatDoesNotAnswer(t *testing.T) {
+	m := New(DefaultConfig(), id("a", 1), 0)
+	m.Step(0, list(5, Live, "a", "b"))
+	m.Step(0, Tick{})
+	m.Step(0, heartbeat("b", 7))
+	m.Step(0, HeartbeatAnswered{Sent: 0, Message: Message{From: id("b", 7), ViewDigest: m.View().Digest}})
+	last := never
+	for now := sec / 2; now <= 5*sec; now += sec / 2 {
+		effects := append(m.Step(now, heartbeat("b", 7)), m.Step(now, Tick{})...)
+		for _, effect := range effects {
+			if round, ok := effect.(RoundConfirmed); ok {
+				last = round.Started
+			}
+		}
+	}
+	if last != 5*sec {
+		t.Errorf("last confirmed round started at %v, want 5s", last)
+	}
+	if b, _ := m.View().Gate("b"); b.Heard || b.Direct || !b.OneWay || b.State != Suspected {
+		t.Errorf("the peer is %+v, want suspected and one-way", b)
+	}
+	m.Step(6*sec, HeartbeatAnswered{Sent: 6 * sec, Message: Message{From: id("b", 7), ViewDigest: m.View().Digest}})
+	if b, _ := m.View().Gate("b"); !b.Heard || !b.Direct || b.OneWay || b.State != Live {
+		t.Errorf("after an answer the peer is %+v, want live", b)
+	}
+}
+
 // Guards against a peer whose view differs for longer than lists may disagree and that still confirms.
 func TestLastingDisagreementConfirmsNothing(t *testing.T) {
 	m := New(DefaultConfig(), id("a", 1), 0)
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -106,7 +106,10 @@
 	member := Member{Gate: g.Gate, State: m.state(g, now), Heard: m.heard(g, now), Stopping: g.draining}
 	member.Met = g.met
 	member.Direct = m.direct(g, now) && m.isPeer(g.Name)
+	member.OneWay = m.oneWay(g, now) && m.arrives(g, now)
 	switch {
+	case member.OneWay:
+		member.Since = g.unanswered
 	case member.Heard:
 	case g.heardAt == never:
 		member.Since = g.listedAt
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -42,13 +42,16 @@
 	// Direct says that the gate is a heartbeat peer and was itself heard within the suspicion time, without a
 	// relay. Exactly the direct gates take part in the heartbeat round that renews leases.
 	Direct bool
+	// OneWay says that messages of the gate arrive, but that it has left this gate's heartbeats unanswered for the
+	// suspicion time. Others may still relay news of it.
+	OneWay bool
 	// Met says that this process of the gate answered a heartbeat of this gate, so that it has heard this gate.
 	Met bool
 	// Stopping says that the gate itself reported that it is leaving, so that this process of it takes no new
 	// work again. A gate that is only listed as leaving may not know it yet.
 	Stopping bool
-	// Since is the time of the last news of a gate that is not heard, or the time at which a gate that was never
-	// heard was first listed. It is zero for gates that are heard.
+	// Since is the time of the last news of a gate that is not heard, the time at which a gate that was never heard was
+	// first listed, or the time since which a one-way gate does not answer. It is zero for other gates.
 	Since time.Duration
 }
 
--- a/internal/ownership/bound_test.go
+++ b/internal/ownership/bound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,18 @@
 	firstSeed = flag.Int64("seed", 1, "seed of the first random schedule")
 )
 
+// failedSeeds are schedules beyond the default ones that exceeded the bound in some case before a fault was repaired.
+var failedSeeds = []int64{42, 113, 187}
+
+// seeds returns the seeds of the schedules to run.
+func seeds() []int64 {
+	chosen := slices.Clone(failedSeeds)
+	for seed := *firstSeed; seed < *firstSeed+int64(*schedules); seed++ {
+		chosen = append(chosen, seed)
+	}
+	return chosen
+}
+
 // disturb returns the actions of one random schedule.
 func disturb(f *fleet, cuts func(), freezes bool) func() {
 	next := f.between(0, 12*time.Second)
@@ -74,6 +87,35 @@
 	}
 }
 
+// oneDirection opens and closes a cut in one direction only, from one side to the other.
+func oneDirection(f *fleet) func() {
+	side := f.names[f.random.Intn(len(f.names))]
+	hears := f.random.Intn(2) == 0
+	return func() {
+		open := len(f.silent) == 0
+		f.silent = map[link]bool{}
+		for _, other := range f.names {
+			if open && other != side {
+				f.silent[link{side, other}] = hears
+				f.silent[link{other, side}] = !hears
+			}
+		}
+		f.log("silent %v", f.silent)
+	}
+}
+
+// anyDirections cuts and mends each direction of each link independently.
+func anyDirections(f *fleet) func() {
+	return func() {
+		for _, a := range f.names {
+			for _, b := range f.names {
+				f.silent[link{a, b}] = f.random.Intn(3) == 0
+			}
+		}
+		f.log("silent %v", f.silent)
+	}
+}
+
 // Guards against a target that runs more than the bound in the package comment, whatever the schedule of cuts,
 // freezes and stalls past the lease, kills, drains, lagging lists and late reports. Requests that a frozen process had
 // checked and writes on waking come on top (W in the package comment) and are not counted.
@@ -93,13 +135,19 @@
 		{"three gates, any cuts", []string{"a", "b", "c"}, []string{"z1", "z1", "z1"}, anyCuts, true, 3},
 		{"one gate in the zone", []string{"a", "b", "c"}, []string{"z1", "z2", "z2"}, oneCut, true, 2},
 		{"two gates in the zone", []string{"a", "b", "c"}, []string{"z1", "z1", "z2"}, oneCut, true, 2},
+		{"two gates, one direction", []string{"a", "b"}, []string{"z1", "z1"}, oneDirection, true, 2},
+		{"two gates, one direction, no freeze", []string{"a", "b"}, []string{"z1", "z1"}, oneDirection, false, 2},
+		{"three gates, one direction", []string{"a", "b", "c"}, []string{"z1", "z1", "z1"}, oneDirection, true, 2},
+		{"three gates, one direction, no freeze", []string{"a", "b", "c"}, []string{"z1", "z1", "z1"}, oneDirection, false, 2},
+		{"three gates, any directions", []string{"a", "b", "c"}, []string{"z1", "z1", "z1"}, anyDirections, true, 3},
+		{"two gates in the zone, one direction", []string{"a", "b", "c", "d"}, []string{"z1", "z1", "z2", "z2"}, oneDirection, true, 2},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			var served, total time.Duration
 			worst := -1 << 30
-			for seed := *firstSeed; seed < *firstSeed+int64(*schedules); seed++ {
+			for _, seed := range seeds() {
 				limits := []int{1, 2, 5, 8, 20, 21}
 				f := newFleet(seed, test.gates, limits[seed%int64(len(limits))])
 				for i, name := range test.gates {
--- a/internal/ownership/fleet_test.go
+++ b/internal/ownership/fleet_test.go
@@ -86,15 +86,17 @@
 	listed    map[string]bool
 	revisions []revision
 	cut       map[link]bool
-	running   []work
-	pending   []delivery
-	limit     int
-	peak      int
-	peakAt    time.Duration
-	offered   bool
-	served    time.Duration
-	loss      float64
-	trace     []string
+	// silent holds the directions, from a to b, in which messages are lost.
+	silent  map[link]bool
+	running []work
+	pending []delivery
+	limit   int
+	peak    int
+	peakAt  time.Duration
+	offered bool
+	served  time.Duration
+	loss    float64
+	trace   []string
 }
 
 // delivery is a message on its way; an empty from is the engine or the platform.
@@ -109,7 +111,7 @@
 	f := &fleet{
 		random: rand.New(rand.NewSource(seed)), names: names, limit: limit, offered: true, loss: 0.01,
 		zones: map[string]string{}, daemons: map[string]*daemon{}, restart: map[string]time.Duration{},
-		listed: map[string]bool{}, cut: map[link]bool{},
+		listed: map[string]bool{}, cut: map[link]bool{}, silent: map[link]bool{},
 	}
 	for _, name := range names {
 		f.zones[name] = "z1"
@@ -179,7 +181,7 @@
 			continue
 		}
 		d := f.daemons[m.to]
-		if d == nil || (m.from != "" && f.cut[pair(m.from, m.to)]) {
+		if d == nil || (m.from != "" && (f.cut[pair(m.from, m.to)] || f.silent[link{m.from, m.to}])) {
 			continue
 		}
 		if m.incarnation != 0 && m.incarnation != d.id.Incarnation {
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -240,13 +240,16 @@
 	}
 	for _, was := range before.Gates {
 		is, ok := m.view.Gate(was.Name)
-		ended := !ok || finished(is) || is.Incarnation != was.Incarnation
-		if was.Name == m.self.Name || was.Incarnation == 0 || finished(was) || !ended {
+		// A gate that was never heard may have owned the target too; that it is heard now is not its end.
+		replaced := was.Incarnation != 0 && is.Incarnation != was.Incarnation
+		if was.Name == m.self.Name || finished(was) || ok && !finished(is) && !replaced {
 			continue
 		}
-		if t.stopped[was.Name] != was.Incarnation {
+		if was.Incarnation == 0 || t.stopped[was.Name] != was.Incarnation {
 			t.tainted, t.clean = true, false
 			t.reportFrom = max(t.reportFrom, now)
+			// Reports from before its end don't bound what it left.
+			t.stoppedAt, t.least, t.orphans = now, unknown, unknown
 		}
 	}
 }
--- a/internal/ownership/owner.go
+++ b/internal/ownership/owner.go
@@ -21,13 +21,15 @@
 //     for a gate that ranked next when it was last heard, after D for other gates of the zone, and after JoinGrace
 //     for a gate that is listed but was never heard. The owner counts as hearing its next gate only while that
 //     gate takes part in its rounds, otherwise I1 says nothing about it.
+//     A peer that does not answer counts as not heard in I2 to I4 and I7, whatever arrives from it or is relayed.
 //   - I4 (probation). A gate takes over from gates that it doesn't hear only after a report measured when those
 //     gates are contested or stopped: at once for the gate that ranked directly before it, owned the target and is
 //     known to have heard this process; D + L after the suspicion in other cases; and JoinGrace + D + L after the
 //     start of this process, or the end of its last freeze, for gates that may never have heard it.
 //   - I5 (return). A contested owner, or one whose lease lapsed, becomes full again only by I2.
 //   - I6 (leftover). Work left by dead gates and handed-over work counts against the share of the side that it
-//     is on. It is bounded by handover replies, and by the least external load in reports since the takeover.
+//     is on. It is bounded by handover replies, and by the least external load in reports since the takeover
+//     and since the last end of a gate that had not stopped, also of one that was never heard.
 //   - I7 (zone). A gate of another zone admits nothing while a gate of the target's zone is not heard. If it held
 //     the target and the unheard gate is just starting, it goes on for JoinGrace, and the starting gate waits for
 //     JoinGrace + D + L. So gates of the zone don't have to hear other zones.
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -180,7 +180,7 @@
 	}
 	gates := []membership.Gate{former.Gate}
 	for _, member := range m.candidates(now, t) {
-		if member.Heard && member.State == membership.Live {
+		if hears(member) && member.State == membership.Live {
 			gates = append(gates, member.Gate)
 		}
 	}
@@ -224,11 +224,17 @@
 	return now < m.matureAt()
 }
 
+// hears says whether a gate is heard and may hear this one. A gate that leaves heartbeats unanswered may take targets
+// over, whatever arrives from it.
+func hears(member membership.Member) bool {
+	return member.Heard && !member.OneWay
+}
+
 // blockers returns the gates that this gate doesn't hear and that may admit to the target.
 func (m *Machine) blockers(now time.Duration, t *target) []membership.Member {
 	return slices.DeleteFunc(m.candidates(now, t), func(member membership.Member) bool {
 		switch {
-		case member.Heard || member.Name == m.self.Name:
+		case hears(member) || member.Name == m.self.Name:
 			return true
 		case m.self.Zone == t.Zone && member.Zone != t.Zone && !m.young(now):
 			return true
@@ -246,7 +252,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(m.view.Gates, func(member membership.Member) bool {
-		return member.Name != m.self.Name && member.Heard && member.Met
+		return member.Name != m.self.Name && hears(member) && member.Met
 	})
 }
 
@@ -257,7 +263,7 @@
 		return false
 	}
 	return slices.ContainsFunc(m.view.Gates, func(member membership.Member) bool {
-		if member.Zone != t.Zone || member.Heard {
+		if member.Zone != t.Zone || hears(member) {
 			return false
 		}
 		if member.State == membership.Joining {
@@ -334,12 +340,12 @@
 		if member.Name == m.self.Name {
 			continue
 		}
-		if !member.Heard || (t.stopped[member.Name] != 0 && t.stopped[member.Name] != member.Incarnation) {
+		if !hears(member) || (t.stopped[member.Name] != 0 && t.stopped[member.Name] != member.Incarnation) {
 			delete(t.stopped, member.Name)
 			delete(t.asked, member.Name)
 			delete(t.refused, member.Name)
 		}
-		if !member.Heard || t.stopped[member.Name] != 0 {
+		if !hears(member) || t.stopped[member.Name] != 0 {
 			continue
 		}
 		asked, ok := t.asked[member.Name]
@@ -357,7 +363,7 @@
 // polled says whether every gate that is heard has stopped, or was given the time in which its view catches up.
 func (m *Machine) polled(now time.Duration, t *target) bool {
 	for _, member := range m.candidates(now, t) {
-		if !member.Heard || member.Name == m.self.Name || t.stopped[member.Name] == member.Incarnation {
+		if !hears(member) || member.Name == m.self.Name || t.stopped[member.Name] == member.Incarnation {
 			continue
 		}
 		asked, ok := t.asked[member.Name]
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -490,6 +490,9 @@
 // Zone returns the zone of a node.
 func (f *Fleet) Zone(name string) string { return f.spec.Zones[f.nodes[name].zone] }
 
+// OneZone reports whether the fleet has only one zone.
+func (f *Fleet) OneZone() bool { return len(f.spec.Zones) == 1 }
+
 // Log returns what a process has logged.
 func (f *Fleet) Log(name string) string {
 	content, _ := os.ReadFile(f.path(name + ".log"))
--- a/test/e2e/order_test.go
+++ b/test/e2e/order_test.go
@@ -42,7 +42,8 @@
 	return o
 }
 
-// ordersOfOnePair gets tickets until enough of them name the same executor and witness, in different zones.
+// ordersOfOnePair gets tickets until enough of them name the same executor and witness, in different zones where
+// the fleet has several.
 func ordersOfOnePair(t *testing.T, f *fleet.Fleet, count int, label string) []*order {
 	t.Helper()
 	const ticketTries = 400
@@ -50,7 +51,7 @@
 	pairs := make(map[string][]*order)
 	for i := range ticketTries {
 		o := newOrder(t, f, f.URL(entries[i%len(entries)]), fmt.Sprintf(`{"part":"%s-%d"}`, label, i))
-		if o.ticket.Executor.Zone == o.ticket.Witness.Zone {
+		if o.ticket.Executor.Zone == o.ticket.Witness.Zone && !f.OneZone() {
 			continue
 		}
 		pair := o.ticket.Executor.Name + " " + o.ticket.Witness.Name
