--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -57,6 +57,8 @@
 	// permissions is what this gate may admit, by the ownership machine.
 	permissions atomic.Pointer[ownership.Snapshot]
 	life        *daemon.Lifecycle
+	// targetsLeft is set when a gate that is stopping gives its targets up.
+	targetsLeft atomic.Bool
 
 	admission *admitter
 	codec     *ticket.Codec
@@ -130,8 +132,8 @@
 	if err := g.registerReportGauges(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	g.control = rpc.NewDialer(rpc.Control, g.tls, meters)
-	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters)
+	g.control = rpc.NewDialer(rpc.Control, g.tls, meters).From(s.Source)
+	g.traffic = rpc.NewDialer(rpc.Traffic, g.tls, meters).From(s.Source)
 	return g, nil
 }
 
