Spread refused requests over the targets that have room

Cause: after idle all gates whose targets were full named the same next target. Calls listed their candidates in the order of the catalogue, gates name the first of the least loaded ones, and loads of targets come with heartbeats only. A redirected request has no candidates, so it waited there for up to queue_wait (2 s). In a trace of TestRampFromIdle at demand 1x 54 of 58 waiting requests were at the first engine after 1.0 s, while eight of twelve engines had room and no queue. In a pool of more than 16 targets the others were never named.

Ruled out: late load news, the suspected cause. From 0.7 s to 1.0 s the gates with a queue knew the exact loads of the others and nothing started. No message is added, so that control traffic stays as it was.

Change: calls list candidates from a place in the pool that depends on the chat. A gate adds a refused request to the known load of the target that it names first, until that load is measured anew. Load limits are computed as before. BenchmarkOverLimitWith16Candidates tells the gate new loads as it goes, since its refusals now fill the candidates; its check that each refusal names MaxNext targets is unchanged.

At demand 1x the last tenth still waits for heartbeats.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -182,6 +182,30 @@
 	}
 }
 
+// Guards against refusals that all name the same target until its load is measured anew, and against a redirected
+// request that counts in a load that already has it.
+func TestRedirectsSpread(t *testing.T) {
+	c := newController(nil, "a")
+	for _, name := range []string{"b", "c", "d"} {
+		c.SetTargetLoad(0, name, 0, 0)
+	}
+	submit(c, 0, Request{Target: "a"})
+	full := Request{Target: "a", Candidates: []string{"b", "c", "d"}}
+	for _, want := range full.Candidates {
+		if d := submit(c, 0, full); len(d.Next()) == 0 || d.Next()[0] != want {
+			t.Fatalf("next is %v, want %s first", d.Next(), want)
+		}
+	}
+	c.SetTargetLoad(time.Second, "b", 0, time.Second-redirectTransit/2)
+	if d := submit(c, time.Second, full); d.Verdict != Wait {
+		t.Fatalf("each target has a request: %+v", d)
+	}
+	c.SetTargetLoad(time.Second, "b", 0, 0)
+	if d := submit(c, time.Second, full); !slices.Equal(d.Next(), []string{"b"}) {
+		t.Fatalf("next is %v, want b, which is idle again", d.Next())
+	}
+}
+
 // Guards against a returning chat that loses its cached prefix although its target frees a place soon, waits longer
 // than the prefix is worth, or is then refused without the targets that have room.
 func TestPatience(t *testing.T) {
@@ -544,19 +568,26 @@
 }
 
 func BenchmarkOverLimitWith16Candidates(b *testing.B) {
+	const perRefresh = 64
 	c, names := benchmarkController(4)
 	c.SetCap(0, names[0], Cap{Max: 1}, nil)
 	req := Request{Target: names[0]}
 	for i := range 16 {
-		name := fmt.Sprint("other", i)
-		c.SetTargetLoad(0, name, i%5, 0)
-		req.Candidates = append(req.Candidates, name)
+		req.Candidates = append(req.Candidates, fmt.Sprint("other", i))
 	}
 	c.Submit(0, &req, nil)
 	b.ReportAllocs()
 	b.ResetTimer()
-	for range b.N {
-		if d, _ := c.Submit(0, &req, nil); d.nextCount != MaxNext {
+	now := time.Duration(0)
+	for round := range b.N {
+		now += redirectTransit
+		// A refusal counts at the target that it names first until its load is measured anew.
+		for i, name := range req.Candidates {
+			if round%perRefresh == 0 || i == 0 {
+				c.SetTargetLoad(now, name, i%5, 0)
+			}
+		}
+		if d, _ := c.Submit(now, &req, nil); d.nextCount != MaxNext {
 			b.Fatalf("%+v", d)
 		}
 	}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -13,12 +13,25 @@
 	maxGates = 1024
 	// maxTargetLoads bounds the loads of other gates' targets.
 	maxTargetLoads = 8192
+	// redirectTransit is the time in which a redirected request reaches the next gate.
+	redirectTransit = 20 * time.Millisecond
 )
 
 // targetLoad is the last known load of another gate's target.
 type targetLoad struct {
 	load     int
 	measured time.Duration
+	// redirected counts the requests that refusals have sent to the target and that the load may lack.
+	redirected   int
+	redirectedAt time.Duration
+}
+
+// update takes over newer figures. Those measured after the last redirect have counted the requests that came of it.
+func (l *targetLoad) update(load int, measured time.Duration) {
+	l.load, l.measured = load, measured
+	if l.redirected > 0 && measured >= l.redirectedAt+redirectTransit {
+		l.redirected = 0
+	}
 }
 
 // Controller admits requests to the targets of one gate. It is not safe for concurrent use.
@@ -160,7 +173,8 @@
 		return
 	}
 	if !ok || known.measured < now-age {
-		c.loads[target] = targetLoad{load, now - age}
+		known.update(load, now-age)
+		c.loads[target] = known
 	}
 }
 
--- a/internal/admission/submit.go
+++ b/internal/admission/submit.go
@@ -125,9 +125,24 @@
 			d.insertNext(&loads, name, load)
 		}
 	}
+	if d.nextCount > 0 {
+		c.countRedirect(now, d.next[0])
+	}
 	return d
 }
 
+// countRedirect adds a request to the known load of the target to which it is sent. Without it every refusal names the
+// same target until news of its load come, and the requests that follow wait there while other targets have room.
+func (c *Controller) countRedirect(now time.Duration, name string) {
+	known, ok := c.loads[name]
+	if !ok {
+		return
+	}
+	known.redirected++
+	known.redirectedAt = now
+	c.loads[name] = known
+}
+
 // insertNext keeps the candidates sorted by load; equal ones stay in the caller's order.
 func (d *Decision) insertNext(loads *[MaxNext]int, name string, load int) {
 	i := d.nextCount
@@ -153,7 +168,8 @@
 	if !ok || now-known.measured >= StaleAfter {
 		return math.MaxInt, true
 	}
-	return known.load, known.load < limit
+	load := known.load + known.redirected
+	return load, load < limit
 }
 
 // Release ends a request, whether it runs or waits. Completed says that the target answered it wholly, so that its
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -198,7 +198,7 @@
 		call.PreviousTarget = request.holderName
 	}
 	if !request.redirected {
-		call.Candidates = candidates(routes, tried)
+		call.Candidates = routes.Alternatives(request.chatHash, maximumCandidates, tried)
 		if position == request.holder {
 			call.PatienceMs = uint32(routes.Patience().Milliseconds())
 		}
@@ -235,17 +235,6 @@
 	return routes.LeastLoaded(request.chatHash, tried)
 }
 
-// candidates names targets to which the gate may point the request; without any, the request waits at its target.
-func candidates(routes *routing.Pool, tried *routing.Tried) []string {
-	var names []string
-	for i := range routes.Candidates {
-		if routes.Open(i, tried) && len(names) < maximumCandidates {
-			names = append(names, routes.Candidates[i].Target.Name)
-		}
-	}
-	return names
-}
-
 func (e *Entry) serveRequest(ctx context.Context, request *request, target string) *pb.ServeRequest {
 	remaining := int64(0)
 	if limit, ok := ctx.Deadline(); ok {
--- a/internal/replay/fleetpolicy.go
+++ b/internal/replay/fleetpolicy.go
@@ -167,7 +167,8 @@
 func (p *fleetPolicy) ask(t *try, cluster *Cluster, target int) admission.Decision {
 	request := &admission.Request{Customer: t.ask.Customer, Class: catalogue.DefaultClass}
 	if !t.redirected {
-		request.Candidates = t.candidates()
+		table := t.entry.table
+		request.Candidates = table.Alternatives(rendezvous.Hash(t.ask.Chat), len(table.Candidates), &t.tried)
 		if target == t.holder {
 			request.Patience = t.entry.table.Patience()
 		}
@@ -216,17 +217,6 @@
 	return table.LeastLoaded(chat, &t.tried)
 }
 
-// candidates names the targets to which a gate may point the turn.
-func (t *try) candidates() []string {
-	var names []string
-	for i := range t.entry.table.Candidates {
-		if t.entry.table.Open(i, &t.tried) {
-			names = append(names, t.entry.table.Candidates[i].Target.Name)
-		}
-	}
-	return names
-}
-
 // Ended takes a turn out of the entry's own requests and out of its gate's.
 func (p *fleetPolicy) Ended(ask Ask, target int) {
 	p.entry(ask).inFlight[target].Add(-1)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -203,6 +203,23 @@
 	return best, best >= 0
 }
 
+// Alternatives returns the names of open targets that have not been tried, at most the number given. Chats start at
+// different places of the pool: a gate names the first of equally loaded targets, and so sends chats to all of them.
+func (p *Pool) Alternatives(chat uint64, most int, tried *Tried) []string {
+	var names []string
+	count := len(p.Candidates)
+	for i := range count {
+		if len(names) == most {
+			break
+		}
+		position := (int(chat%uint64(count)) + i) % count
+		if p.Open(position, tried) {
+			names = append(names, p.Candidates[position].Target.Name)
+		}
+	}
+	return names
+}
+
 func (p *Pool) eligible(position int, tried *Tried) bool {
 	candidate := &p.Candidates[position]
 	return candidate.Open && candidate.Load() < p.Limit && !tried.has(position)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// Guards against chats that all name the same targets first, and against targets of a large pool that none names.
+func TestAlternativesSpread(t *testing.T) {
+	pool := testPool(t, 40, nil)
+	pool.Candidates[3].Open = false
+	tried := new(Tried)
+	tried.Add(5)
+	first := make(map[string]bool)
+	for i := range 1000 {
+		names := pool.Alternatives(rendezvous.Hash(fmt.Sprint("chat ", i)), 16, tried)
+		if len(names) != 16 {
+			t.Fatalf("chat %d has %v", i, names)
+		}
+		first[names[0]] = true
+	}
+	if len(first) != 38 || first[pool.Candidates[3].Target.Name] || first[pool.Candidates[5].Target.Name] {
+		t.Fatalf("%d targets come first, want all but the closed and the tried one: %v", len(first), first)
+	}
+}
+
 // Guards against chats that wait at a holder although reuse counts for nothing, or for as long as the queue permits, so
 // that nothing is left for another target.
 func TestPatience(t *testing.T) {
