Move shares of a customer's limit to the gates with demand by grants

Cause: a trace of the shares in TestRequestRateIsUsed (4 gates, 2 of which own no engine) showed that the idle gates held 0.50 of the limit at first and 0.20 to 0.23 after 10 s. A share moved in two steps: an idle gate gave up what the next enlargements could take, and a gate with demand enlarged its share by one step of a fortieth of the limit in 2 s. The step can't be larger, since the steps of all gates are what the tolerance of 10% covers. When gates started a little apart, those that had heard the first one started with one step each, and up to half of the limit was held by no gate.

Ruled out: larger or more frequent steps (the tolerance would have to grow); one gate that assigns all shares (two may act at once); a refusal that names a gate with unused share (a chat loses its prefix for the second that a grant takes).

Change: a gate that holds more than its part lowers its share and names a grant to a gate that is short, which takes it once. A grant never raises the sum, so it needs no agreement; gates count a grant that is under way. Demand is averaged over 2 s in place of 5 s, and told as a fraction of the limit. Enlargements only divide what no gate holds, and all gates take part in them. Gates that start together each take an even part. A gate that stood still for 5 s gives up its shares: its peers may have divided them; before, it went on with them.

In TestFirstShare cases were added, and fleetSim sets the epochs without which gates make no grants; no check was changed.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -35,6 +35,10 @@
 	table   table
 
 	sharesAt time.Duration
+	// receivers are the gates that have got grants since the last TakeReceivers.
+	receivers []string
+	// activeAt is the last time that the controller was called.
+	activeAt time.Duration
 	scratch  []int32
 }
 
@@ -70,6 +74,13 @@
 	}
 }
 
+// SetEpoch sets the epoch of this gate's shares, a random number of the process. Without one the gate neither gives nor
+// takes parts of a limit.
+func (c *Controller) SetEpoch(epoch uint64) { c.view.epoch = epoch }
+
+// Epoch returns the epoch of this gate's shares.
+func (c *Controller) Epoch() uint64 { return c.view.epoch }
+
 // SetCustomers replaces the settings of all customers. At a start, call SetGates and SetUse before the first Submit
 // or Tick, which set the first shares.
 func (c *Controller) SetCustomers(customers []Customer) {
@@ -104,12 +115,16 @@
 	if !ok || use.Gate == c.gate {
 		return
 	}
-	known.peers = setPeer(known.peers, peerUse{
-		gate:     use.Gate,
-		measured: now - use.Age,
-		shares:   [resources]Share{rateLimit: use.Rate, concurrencyLimit: use.InFlight},
-		expected: c.view.expects(use.Gate),
-	})
+	c.resume(now)
+	known.setUse(now, &c.view, use)
+}
+
+// TakeReceivers returns the gates to which this one has granted parts of limits since the last call. They should get
+// the uses at once: a grant that is under way is used by no gate.
+func (c *Controller) TakeReceivers() []string {
+	receivers := c.receivers
+	c.receivers = nil
+	return receivers
 }
 
 // SetPoolDigest takes over the load of a pool at another gate. Figures of this gate's own are ignored: it knows
--- a/internal/admission/customer.go
+++ b/internal/admission/customer.go
@@ -21,6 +21,8 @@
 	held     int // requests that wait or run
 	shares   [resources]share
 	peers    []peerUse
+	// news says that a use of a peer or the demand has changed since the last look for grants to make.
+	news bool
 	// viewVersion is that of the view for which the peers' expected flags were set.
 	viewVersion int
 
@@ -97,11 +99,70 @@
 func (c *customer) survey(now time.Duration, view *gateView) [resources]fleet {
 	if c.viewVersion != view.version {
 		for i := range c.peers {
-			c.peers[i].expected = view.expects(c.peers[i].gate)
+			c.peers[i].expected = !c.peers[i].replaced && view.expects(c.peers[i].gate)
 		}
 		c.viewVersion = view.version
 	}
-	return survey(now, view, c.peers)
+	return survey(now, view, c.peers, &c.shares, view.epoch)
+}
+
+// setUse takes over the use of a peer and the grants in it.
+func (c *customer) setUse(now time.Duration, view *gateView, use Use) {
+	peers, isNews := setPeer(c.peers, peerUse{
+		gate:     use.Gate,
+		epoch:    use.Epoch,
+		measured: now - use.Age,
+		shares:   [resources]Share{rateLimit: use.Rate, concurrencyLimit: use.InFlight},
+		expected: view.expects(use.Gate),
+	})
+	c.peers = peers
+	if !isNews {
+		return
+	}
+	c.news = true
+	if c.settings.RequestsPerSecond > 0 {
+		c.fill(now)
+	}
+	c.shares[rateLimit].accept(view.epoch, use.Epoch, &use.Rate, use.Age)
+	c.shares[concurrencyLimit].accept(view.epoch, use.Epoch, &use.InFlight, use.Age)
+}
+
+// least returns the smallest fraction that the gate can have: the requests that run here keep their part.
+func (c *customer) least(resource int, f fleet) float64 {
+	limit := c.limit(resource)
+	least := floor(limit, f.gates)
+	if resource == concurrencyLimit {
+		least = max(least, float64(c.held)/limit)
+	}
+	return least
+}
+
+// give grants unused parts of the limits to gates that need them, and appends their names.
+func (c *customer) give(now time.Duration, view *gateView, to []string) []string {
+	c.news = false
+	fleets := c.survey(now, view)
+	for resource := range c.shares {
+		if c.limit(resource) <= 0 {
+			continue
+		}
+		s := &c.shares[resource]
+		s.settle(now, view.epoch, resource, c.peers)
+		to = s.give(now, view.epoch, resource, fleets[resource], c.peers, c.least(resource, fleets[resource]), to)
+	}
+	return to
+}
+
+// resume handles a pause of the process, during which uses of other gates may have waited to be read, so that they
+// seem newer than they are. After a long one the other gates may have divided this gate's shares.
+func (c *customer) resume(now, pause time.Duration, view *gateView) {
+	for resource := range c.shares {
+		s := &c.shares[resource]
+		s.grewAt = now
+		if pause >= pauseLimit && s.started {
+			s.transfers = transfers{}
+			s.join(now, c.limit(resource), c.survey(now, view)[resource])
+		}
+	}
 }
 
 // startShares sets shares that have not been set yet, so that the first requests need not wait for a Tick.
@@ -118,33 +179,37 @@
 
 // updateShares averages the demand since the last update and moves the shares.
 func (c *customer) updateShares(now, elapsed time.Duration, view *gateView) {
-	fleets := c.survey(now, view)
 	c.peers = forgetGone(now, c.peers)
+	fleets := c.survey(now, view)
 	refusedRate := c.refused / elapsed.Seconds()
 	demands := [resources]float64{
 		rateLimit:        c.offered / elapsed.Seconds(),
 		concurrencyLimit: float64(c.held) + refusedRate,
 	}
 	c.offered, c.refused = 0, 0
+	if c.settings.RequestsPerSecond > 0 {
+		c.fill(now)
+	}
 	for resource := range c.shares {
 		s := &c.shares[resource]
 		limit := c.limit(resource)
 		if limit <= 0 {
-			*s = share{}
+			*s = share{transfers: s.transfers}
 			continue
 		}
-		s.observe(demands[resource], elapsed)
-		s.update(now, limit, fleets[resource])
+		s.observe(demands[resource], limit, elapsed)
+		s.update(now, limit, fleets[resource], c.least(resource, fleets[resource]))
 	}
+	c.news = true
 }
 
 // use returns what to tell the other gates.
-func (c *customer) use(gate string) Use {
-	told := func(s share) Share { return Share{s.demand, s.fraction, s.started} }
+func (c *customer) use(now time.Duration, gate string, epoch uint64) Use {
 	return Use{
 		Customer: c.settings.Name,
 		Gate:     gate,
-		Rate:     told(c.shares[rateLimit]),
-		InFlight: told(c.shares[concurrencyLimit]),
+		Epoch:    epoch,
+		Rate:     c.shares[rateLimit].told(now, c.limit(rateLimit)),
+		InFlight: c.shares[concurrencyLimit].told(now, c.limit(concurrencyLimit)),
 	}
 }
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -19,26 +20,40 @@
 	goneHold = 10 * time.Second
 	// shareInterval is the time between two computations of shares, that of the heartbeats.
 	shareInterval = 500 * time.Millisecond
-	// demandTime is the time constant over which demand is averaged.
-	demandTime = 5 * time.Second
-	// evenPart of a limit is split evenly, so that a gate without use can admit a first request at once.
-	evenPart = 0.1
+	// demandTime is the time constant over which demand is averaged. Shares can follow demand no faster.
+	demandTime = 2 * time.Second
+	// longestSample bounds the time over which one sample of the demand is averaged.
+	longestSample = 5 * time.Second
+	// evenPart of a limit is split evenly, so that a gate without use can admit a first request at once. Gates without
+	// use don't use it.
+	evenPart = 0.05
+	// leastFree is the smallest part that no gate holds for which shares change.
+	leastFree = 0.01
 )
 
 // Share is one gate's part of a customer's limit.
 type Share struct {
-	// Demand is the recent use and the refused part of it, in the unit of the limit.
+	// Demand is the recent use and the refused part of it, as a fraction of the limit.
 	Demand float64
 	// Fraction is the part of the limit that the gate admits.
 	Fraction float64
 	// Known says that the gate enforces the limit; otherwise Fraction means nothing.
 	Known bool
+	// Young says that the gate started to enforce the limit within the last goneHold.
+	Young bool
+	// Grants are the parts given to other gates that these may not have yet, or that not all gates know them to have.
+	Grants []Grant
+	// Receipts name the grants taken from others that their givers still list.
+	Receipts []Receipt
 }
 
 // Use is what one gate tells the others about a customer.
 type Use struct {
 	Customer string
 	Gate     string
+	// Epoch identifies the gate's shares: another process of the gate, or one that has given up its shares after a
+	// pause, has another epoch. Without an epoch a gate takes no part in grants.
+	Epoch    uint64
 	Rate     Share
 	InFlight Share
 	// Age is the time since the gate took the figures, transit included: it must not be too low.
@@ -48,8 +63,11 @@
 // peerUse is the last known use of another gate.
 type peerUse struct {
 	gate     string
+	epoch    uint64
 	measured time.Duration
 	shares   [resources]Share
+	// replaced says that the gate has told another epoch since. What it granted in this one may still arrive.
+	replaced bool
 	// expected caches whether the view expects the gate.
 	expected bool
 }
@@ -65,15 +83,16 @@
 type fleet struct {
 	gates    int // this gate included
 	heard    int
+	recent   int // expected gates heard within MaxUseAge
+	young    int // those of them whose shares have started lately
 	demand   float64
 	claimed  float64
 	complete bool // every expected gate has told its use recently
 }
 
-// survey sums the peers' last known uses of each limit.
-func survey(now time.Duration, view *gateView, peers []peerUse) [resources]fleet {
+// survey sums the peers' last known uses of each limit, and the grants that are under way.
+func survey(now time.Duration, view *gateView, peers []peerUse, own *[resources]share, epoch uint64) [resources]fleet {
 	var fleets [resources]fleet
-	var recent [resources]int
 	for resource := range fleets {
 		fleets[resource].gates = 1 + len(view.expected)
 	}
@@ -83,19 +102,23 @@
 		for resource := range fleets {
 			fleets[resource].add(p, &p.shares[resource])
 			if p.expected && fresh && p.shares[resource].Known {
-				recent[resource]++
+				fleets[resource].recent++
+				if p.shares[resource].Young {
+					fleets[resource].young++
+				}
 			}
 		}
 	}
 	for resource := range fleets {
-		fleets[resource].complete = recent[resource] == len(view.expected)
+		fleets[resource].complete = fleets[resource].recent == len(view.expected)
+		fleets[resource].claimed += allUnderWay(resource, peers, &own[resource], epoch)
 	}
 	return fleets
 }
 
-// add counts the share of a peer. One that the view does not name yet counts too.
+// add counts the share of a peer. One that the view does not name yet counts too; one that was replaced has ended.
 func (f *fleet) add(p *peerUse, s *Share) {
-	if !s.Known {
+	if !s.Known || p.replaced {
 		return
 	}
 	if !p.expected {
@@ -106,6 +129,32 @@
 	f.claimed += s.Fraction
 }
 
+// allUnderWay sums the grants that their receivers are not known to have taken.
+func allUnderWay(resource int, peers []peerUse, own *share, epoch uint64) float64 {
+	sum := 0.0
+	add := func(from uint64, grant Grant) {
+		if grant.To == epoch && epoch != 0 {
+			if !own.hasTaken(from, grant.Sequence) {
+				sum += grant.Fraction
+			}
+			return
+		}
+		to := findEpoch(peers, grant.To)
+		if to == nil || !to.shares[resource].hasReceipt(from, grant.Sequence) {
+			sum += grant.Fraction
+		}
+	}
+	for i := range own.transfers.given {
+		add(epoch, own.transfers.given[i].Grant)
+	}
+	for i := range peers {
+		for _, grant := range peers[i].shares[resource].Grants {
+			add(peers[i].epoch, grant)
+		}
+	}
+	return sum
+}
+
 // share is this gate's part of one limit, as a fraction. A change of the limit thus needs no agreement.
 //
 // Each gate moves its fraction towards the one that follows from the last known use of all gates. It enlarges it
@@ -113,11 +162,32 @@
 // MaxUseAge, and by at most one step per MaxUseAge. At the moment of the last enlargement by any gate, each other
 // fraction is therefore at most one step above what that gate knew, and the steps of all gates add up to the
 // tolerance. Delay, loss and cuts can't break this: they only stop enlargements, so that a cut keeps the last shares.
+//
+// Enlargements are slow and only divide what no gate holds. What a gate holds and does not need goes to others by
+// grants: the giver lowers its fraction before it names the grant, and the receiver takes each grant once. A grant
+// thus never raises the sum of fractions, whatever is lost, late or repeated, and needs no agreement. A gate counts the
+// grants under way: those that it knows from the giver and not from the receiver. The sum that it computes is then never below that
+// of an earlier moment, even if it knows the giver's use of a later time than the receiver's.
 type share struct {
 	fraction float64
+	// demand is in the unit of the limit, relative is a fraction of it.
 	demand   float64
+	relative float64
 	grewAt   time.Duration
 	started  bool
+	// startedAt is when the share was first set. One that was set anew after a pause counts as old.
+	startedAt time.Duration
+
+	transfers transfers
+}
+
+func (s *share) hasTaken(from, sequence uint64) bool {
+	for _, r := range s.transfers.receipts {
+		if r.From == from {
+			return r.Sequence >= sequence
+		}
+	}
+	return false
 }
 
 // step returns the size of one enlargement: the gate's part of the tolerance.
@@ -134,54 +204,68 @@
 	return 0
 }
 
-// desired returns the fraction that follows use: an even part, and the rest in proportion to demand.
-func desired(own float64, f fleet) float64 {
+// desired returns the fraction of a gate with a demand that follows use: an even part, and the rest in proportion to
+// demand. The demand of this gate and that of the others in f are the total.
+func desired(demand, own float64, f fleet) float64 {
 	even := 1 / float64(f.gates)
 	total := own + f.demand
 	if total <= 0 {
 		return even
 	}
-	return evenPart*even + (1-evenPart)*own/total
+	return evenPart*even + (1-evenPart)*demand/total
 }
 
-// start sets the first fraction: an even part if nothing is known of the others. A gate that knows others' shares
-// joins a fleet that has divided the limit already, so it starts with the one step that the tolerance covers.
+// start sets the first fraction: an even part if nothing is known of the others, or if all of them have just started too
+// and have left an even part for each gate. Another gate joins a fleet that has divided the limit already, so it starts
+// with the one step that the tolerance covers.
 func (s *share) start(now time.Duration, limit float64, f fleet) {
-	s.started = true
+	s.join(now, limit, f)
+	even := 1 / float64(f.gates)
+	s.startedAt = now
+	left := f.young == f.heard && f.claimed <= float64(f.heard)*even+shareEpsilon
+	if f.heard == 0 || left {
+		s.fraction = max(s.fraction, even)
+	}
+}
+
+// join sets the fraction of a gate that can't know what the others have left.
+func (s *share) join(now time.Duration, limit float64, f fleet) {
+	s.started, s.startedAt = true, now-goneHold
 	s.grewAt = now
 	s.fraction = step(limit, f.gates)
-	if f.heard == 0 {
-		s.fraction = max(s.fraction, 1/float64(f.gates))
-	}
 }
 
-// update moves the fraction towards the desired one.
-func (s *share) update(now time.Duration, limit float64, f fleet) {
+// update enlarges the fraction into what no gate holds, or lowers it when the gates hold too much. Every gate enlarges its
+// own, whether or not it needs more: together they take up what is free fastest, and grants bring it to where it is
+// needed.
+func (s *share) update(now time.Duration, limit float64, f fleet, least float64) {
 	if !s.started {
 		s.start(now, limit, f)
 		return
 	}
-	least := floor(limit, f.gates)
-	s.fraction = max(s.fraction, least)
+	s.fraction = max(s.fraction, floor(limit, f.gates))
 	if !f.complete {
 		return
 	}
-	want := max(desired(s.demand, f), least)
 	free := 1 - f.claimed - s.fraction
-	if want < s.fraction {
-		s.shrink(want, float64(f.gates)*step(limit, f.gates)-free)
+	if free < 0 {
+		s.shrink(-free, f, least)
 		return
 	}
-	s.grow(now, min(want-s.fraction, free, step(limit, f.gates)))
+	if free >= leastFree {
+		s.grow(now, min(free/float64(f.gates), step(limit, f.gates)))
+	}
 }
 
-// shrink gives up no more than the next step of all gates can use, so that a share isn't lost to no one's benefit.
-func (s *share) shrink(want, needed float64) {
-	s.fraction -= min(s.fraction-want, max(needed, 0))
+// shrink gives up this gate's part of what the gates hold too much. It takes half of it at a time, because the figures
+// of the others don't show yet what they have given up.
+func (s *share) shrink(excess float64, f fleet, least float64) {
+	own := excess * s.fraction / (s.fraction + f.claimed) / 2
+	s.fraction -= max(0, min(own, s.fraction-least))
 }
 
 func (s *share) grow(now time.Duration, gain float64) {
-	if gain <= 0 || now-s.grewAt < MaxUseAge {
+	if now-s.grewAt < MaxUseAge {
 		return
 	}
 	s.fraction += gain
@@ -189,23 +273,39 @@
 }
 
 // observe averages the demand over time.
-func (s *share) observe(demand float64, elapsed time.Duration) {
+func (s *share) observe(demand, limit float64, elapsed time.Duration) {
 	weight := 1 - math.Exp(-float64(elapsed)/float64(demandTime))
 	s.demand += weight * (demand - s.demand)
+	s.relative = s.demand / limit
 }
 
-// setPeer keeps the most recently measured use of a gate, in order of the gates' names so that sums are the same in
-// every run.
-func setPeer(peers []peerUse, use peerUse) []peerUse {
-	i, ok := slices.BinarySearchFunc(peers, use.gate, func(p peerUse, gate string) int {
-		return strings.Compare(p.gate, gate)
+// setPeer keeps the most recently measured use of each epoch of a gate, in order of the gates' names so that sums are
+// the same in every run. It reports whether the use is news.
+func setPeer(peers []peerUse, use peerUse) ([]peerUse, bool) {
+	i, ok := slices.BinarySearchFunc(peers, use, func(p, use peerUse) int {
+		return cmp.Or(strings.Compare(p.gate, use.gate), cmp.Compare(p.epoch, use.epoch))
 	})
 	switch {
-	case !ok && len(peers) < maxGates:
-		return slices.Insert(peers, i, use)
-	case ok && peers[i].measured < use.measured:
-		peers[i].measured = use.measured
-		peers[i].shares = use.shares
+	case ok && peers[i].measured >= use.measured:
+		return peers, false
+	case ok:
+		peers[i].measured, peers[i].shares = use.measured, use.shares
+	case len(peers) >= maxGates:
+		return peers, false
+	default:
+		peers = slices.Insert(peers, i, use)
+	}
+	newest := i
+	for j := range peers {
+		if peers[j].gate == use.gate && peers[j].measured > peers[newest].measured {
+			newest = j
+		}
+	}
+	for j := range peers {
+		if peers[j].gate == use.gate {
+			peers[j].replaced = j != newest
+			peers[j].expected = use.expected && !peers[j].replaced
+		}
 	}
-	return peers
+	return peers, true
 }
--- a/internal/admission/share_test.go
+++ b/internal/admission/share_test.go
@@ -49,6 +49,7 @@
 func (s *fleetSim) join() {
 	name := fmt.Sprint("g", len(s.gates))
 	c := New(name)
+	c.SetEpoch(uint64(1000 * (len(s.gates) + 1)))
 	c.SetCustomers([]Customer{s.limits})
 	c.SetPools([]Pool{{Name: "p", LoadMultiple: 1e6, MaxInFlight: 1e6, Targets: 1}})
 	c.SetTarget("t-"+name, "z", "p")
@@ -233,6 +234,9 @@
 		{"alone", 100, fleet{gates: 1}, 1},
 		{"nothing known of the others", 100, fleet{gates: 4}, 0.25},
 		{"joining a fleet", 100, fleet{gates: 5, heard: 4, claimed: 1}, 0.02},
+		{"an even part is left", 100, fleet{gates: 4, heard: 2, young: 2, claimed: 0.5}, 0.25},
+		{"joining an old fleet of which gates have gone", 100, fleet{gates: 4, heard: 2, young: 1, claimed: 0.5}, 0.025},
+		{"less is left", 100, fleet{gates: 4, heard: 2, young: 2, claimed: 0.6}, 0.025},
 		{"joining under a small limit", 4, fleet{gates: 5, heard: 4, claimed: 1}, 0.25},
 		{"more gates than requests", 4, fleet{gates: 10}, 0.25},
 	}
--- a/internal/admission/snapshot.go
+++ b/internal/admission/snapshot.go
@@ -87,7 +87,7 @@
 func (c *Controller) Uses() []Use {
 	var uses []Use
 	for _, customer := range c.customers {
-		use := customer.use(c.gate)
+		use := customer.use(c.activeAt, c.gate, c.view.epoch)
 		if use.Rate.Known || use.InFlight.Known {
 			uses = append(uses, use)
 		}
--- a/internal/admission/submit.go
+++ b/internal/admission/submit.go
@@ -22,6 +22,7 @@
 	if t.cap.Max == 0 {
 		return c.refuseWithNext(now, t, req, t.cap.reason()), out
 	}
+	c.resume(now)
 	customer := c.customer(now, req.Customer)
 	if r, wait := customer.check(now); r != "" {
 		if r == reason.CustomerConcurrency {
@@ -282,14 +283,36 @@
 		}
 		out = c.dispatch(now, t, out)
 	}
+	c.resume(now)
 	if elapsed := now - c.sharesAt; elapsed >= shareInterval {
 		c.sharesAt = now
-		c.updateShares(now, min(elapsed, demandTime))
+		c.updateShares(now, min(elapsed, longestSample))
 		c.forgetLoads(now)
 	}
+	for _, customer := range c.customers {
+		if customer.news {
+			c.receivers = customer.give(now, &c.view, c.receivers)
+		}
+	}
 	return out
 }
 
+// resume handles a pause since the last call. A gate calls Tick every 100 ms, so a longer time without a call means
+// that the process stood still.
+func (c *Controller) resume(now time.Duration) {
+	pause := now - c.activeAt
+	c.activeAt = now
+	if pause < shortestPause {
+		return
+	}
+	if pause >= pauseLimit && c.view.epoch != 0 {
+		c.view.epoch++
+	}
+	for _, customer := range c.customers {
+		customer.resume(now, pause, &c.view)
+	}
+}
+
 func (c *Controller) updateShares(now, elapsed time.Duration) {
 	c.view.forget(now)
 	for _, customer := range c.customers {
--- /dev/null
+++ b/internal/admission/transfer.go
@@ -0,0 +1,229 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// transferLifetime is the age up to which a grant is accepted. It is far below goneHold, for which the grants of
+	// a gate that is gone still count.
+	transferLifetime = 4 * time.Second
+	// pauseLimit is the pause of the process after which its shares may have been divided among the others.
+	// transferLifetime and pauseLimit together are less than goneHold, so that a gate that reads a grant late because
+	// it was paused does not accept one that the others have ceased to count.
+	pauseLimit = 5 * time.Second
+	// shortestPause of the process is the one from which uses that it reads may be older than they seem.
+	shortestPause = 500 * time.Millisecond
+	// shortPart of its share is the demand from which a gate is short of share. Shares of gates that are not short
+	// stay where they are.
+	shortPart = 0.75
+	// needPart of the share that it should have is the least that a gate has to lack to get a grant.
+	needPart = 0.1
+	// unfairPart is the same for a giver that uses its whole share. Such a grant does not raise the use of the limit, so
+	// it is only made against a coarse imbalance.
+	unfairPart = 0.3
+	// leastGrant is the smallest part of a limit that is worth a message.
+	leastGrant = 0.002
+)
+
+// Grant is a part of a limit that a gate has given to another one. The giver's fraction no longer contains it.
+type Grant struct {
+	// To is the epoch of the receiver.
+	To uint64
+	// Sequence grows from grant to grant of one giver.
+	Sequence uint64
+	// Fraction is the part of the limit.
+	Fraction float64
+}
+
+// Receipt names the last grant that a gate has taken from another one.
+type Receipt struct {
+	// From is the epoch of the giver.
+	From     uint64
+	Sequence uint64
+}
+
+// transfers are the grants of one limit to and from this gate.
+type transfers struct {
+	last     uint64
+	given    []givenGrant
+	receipts []receipt
+}
+
+type givenGrant struct {
+	Grant
+	// receivedAt is when the receipt came, or 0.
+	receivedAt time.Duration
+}
+
+type receipt struct {
+	Receipt
+	// listed says that the giver still names the grant.
+	listed bool
+}
+
+// told returns the share as the other gates get it.
+func (s *share) told(now time.Duration, limit float64) Share {
+	told := Share{Fraction: s.fraction, Known: s.started, Young: s.started && now-s.startedAt < goneHold}
+	if limit > 0 {
+		told.Demand = s.demand / limit
+	}
+	for i := range s.transfers.given {
+		told.Grants = append(told.Grants, s.transfers.given[i].Grant)
+	}
+	for _, r := range s.transfers.receipts {
+		if r.listed {
+			told.Receipts = append(told.Receipts, r.Receipt)
+		}
+	}
+	return told
+}
+
+// accept takes the grants of another gate that are for this one and not taken yet.
+func (s *share) accept(epoch, from uint64, theirs *Share, age time.Duration) {
+	if epoch == 0 || from == 0 || age >= transferLifetime {
+		return
+	}
+	i := slices.IndexFunc(s.transfers.receipts, func(r receipt) bool { return r.From == from })
+	listed := false
+	for _, grant := range theirs.Grants {
+		if grant.To != epoch {
+			continue
+		}
+		listed = true
+		if i < 0 {
+			i = len(s.transfers.receipts)
+			s.transfers.receipts = append(s.transfers.receipts, receipt{Receipt: Receipt{From: from}})
+		}
+		if grant.Sequence > s.transfers.receipts[i].Sequence {
+			s.transfers.receipts[i].Sequence = grant.Sequence
+			s.gain(grant.Fraction)
+		}
+	}
+	if i >= 0 {
+		s.transfers.receipts[i].listed = listed
+	}
+}
+
+// gain adds a grant. One for a limit that is no longer enforced here is lost.
+func (s *share) gain(fraction float64) {
+	if s.started {
+		s.fraction += fraction
+	}
+}
+
+// settle notes receipts and drops grants that no gate needs to know any more. A grant is named for MaxUseAge after its
+// receipt: by then no gate enlarges its share on a use of the receiver that lacks the grant.
+func (s *share) settle(now time.Duration, epoch uint64, resource int, peers []peerUse) {
+	s.transfers.given = slices.DeleteFunc(s.transfers.given, func(g givenGrant) bool {
+		return g.receivedAt > 0 && now-g.receivedAt > MaxUseAge
+	})
+	for i := range s.transfers.given {
+		g := &s.transfers.given[i]
+		to := findEpoch(peers, g.To)
+		switch {
+		case g.receivedAt > 0:
+		case to == nil, to.shares[resource].hasReceipt(epoch, g.Sequence):
+			g.receivedAt = now
+		}
+	}
+}
+
+func (s *Share) hasReceipt(from, sequence uint64) bool {
+	for _, r := range s.Receipts {
+		if r.From == from {
+			return r.Sequence >= sequence
+		}
+	}
+	return false
+}
+
+func findEpoch(peers []peerUse, epoch uint64) *peerUse {
+	for i := range peers {
+		if peers[i].epoch == epoch {
+			return &peers[i]
+		}
+	}
+	return nil
+}
+
+// underWay returns the grants to a gate that it has not taken, as far as is known here.
+func underWay(resource int, peers []peerUse, own *share, ownEpoch uint64, to *peerUse) float64 {
+	sum := 0.0
+	add := func(from uint64, grant Grant) {
+		if grant.To == to.epoch && !to.shares[resource].hasReceipt(from, grant.Sequence) {
+			sum += grant.Fraction
+		}
+	}
+	for i := range own.transfers.given {
+		add(ownEpoch, own.transfers.given[i].Grant)
+	}
+	for i := range peers {
+		for _, grant := range peers[i].shares[resource].Grants {
+			add(peers[i].epoch, grant)
+		}
+	}
+	return sum
+}
+
+// receiver is a gate that lacks a part of the limit.
+type receiver struct {
+	gate  string
+	epoch uint64
+	lacks float64
+}
+
+// give grants what this gate has above its part to the gates that are short of share. Each giver covers the part of the
+// need that corresponds to its part of what can be given, so that several givers together don't give too much.
+// It appends the names of the receivers.
+func (s *share) give(now time.Duration, epoch uint64, resource int, f fleet, peers []peerUse, least float64, to []string) []string {
+	if !s.started || epoch == 0 {
+		return to
+	}
+	spare := s.fraction - max(desired(s.relative, s.relative, f), least)
+	if spare < leastGrant {
+		return to
+	}
+	receivers, lacking, spareElsewhere := s.receivers(now, epoch, resource, f, peers)
+	part := min(1, lacking/(spare+spareElsewhere))
+	for _, r := range receivers {
+		if amount := spare * part * r.lacks / lacking; amount >= leastGrant {
+			s.grant(now, r.epoch, amount)
+			to = append(to, r.gate)
+		}
+	}
+	return to
+}
+
+// receivers returns the gates that are short of share, what they lack, and what other gates can give.
+func (s *share) receivers(now time.Duration, epoch uint64, resource int, f fleet, peers []peerUse) (receivers []receiver, lacking, spare float64) {
+	least := needPart
+	if s.relative >= s.fraction {
+		least = unfairPart
+	}
+	for i := range peers {
+		p := &peers[i]
+		theirs := &p.shares[resource]
+		if !p.expected || !theirs.Known || p.epoch == 0 || now-p.measured >= MaxUseAge {
+			continue
+		}
+		has := theirs.Fraction + underWay(resource, peers, s, epoch, p)
+		lacks := desired(theirs.Demand, s.relative, f) - has
+		switch {
+		case lacks < 0:
+			spare -= lacks
+		case theirs.Demand >= shortPart*has && lacks >= least*(has+lacks):
+			receivers = append(receivers, receiver{p.gate, p.epoch, lacks})
+			lacking += lacks
+		}
+	}
+	return receivers, lacking, spare
+}
+
+func (s *share) grant(now time.Duration, to uint64, fraction float64) {
+	s.fraction -= fraction
+	// A sequence that follows the time stays above those of an earlier record of the customer.
+	s.transfers.last = max(s.transfers.last+1, uint64(now.Milliseconds()))
+	s.transfers.given = append(s.transfers.given, givenGrant{Grant: Grant{To: to, Sequence: s.transfers.last, Fraction: fraction}})
+}
--- a/internal/admission/view.go
+++ b/internal/admission/view.go
@@ -9,6 +9,8 @@
 // gateView holds the other gates whose shares count: those that the view names, and for a while those that it has
 // ceased to name.
 type gateView struct {
+	// epoch identifies this gate's own shares.
+	epoch uint64
 	named []string
 	left  map[string]time.Duration // when a gate ceased to be named
 	// expected is the sorted union of both.
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -20,12 +20,14 @@
 	outcomes   []admission.Outcome
 }
 
-func newAdmitter(clock control.Clock, gate string) *admitter {
-	return &admitter{
+func newAdmitter(clock control.Clock, gate string, incarnation uint64) *admitter {
+	a := &admitter{
 		clock:      clock,
 		controller: admission.New(gate),
 		waiters:    make(map[admission.ID]chan admission.Outcome),
 	}
+	a.controller.SetEpoch(incarnation)
+	return a
 }
 
 // update changes the controller and passes on the outcomes that this has for waiting calls.
--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -44,6 +44,8 @@
 	// useVersion counts this gate's records of use.
 	useVersion uint64
 	lastUse    *pb.LoadRecord
+	// granted says that the record of use has grants that have not been sent.
+	granted bool
 	// transit is the longest recent round trip to each peer, an upper bound of the age that a message gains.
 	transit map[string]time.Duration
 	// reads are the cancel functions of the reads of the platform under way.
@@ -97,7 +99,7 @@
 	g.stepConfig(now, configsync.Tick{})
 	g.state.loads.Expire(now)
 	g.state.notices.Expire(now)
-	g.tickAdmission()
+	g.tickAdmission(now)
 	g.tickOrders(now)
 	if now-g.state.deskTicked >= deskTick {
 		g.state.deskTicked = now
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -114,7 +114,7 @@
 		}
 	}
 	g.loop = control.NewLoop(g.clock)
-	g.admission = newAdmitter(g.clock, s.Name)
+	g.admission = newAdmitter(g.clock, s.Name, g.self.Incarnation)
 	g.state = newControlState(g)
 	g.codec, err = ticket.NewCodec(s.FleetKeys...)
 	if err != nil {
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -22,9 +22,10 @@
 
 // refreshLoads makes a new record of this gate's loads when they have changed or the last one grows old.
 func (g *Gate) refreshLoads(now time.Duration) {
-	if g.state.lastLoad != nil && now-g.state.lastLoadAt < loadInterval {
+	if g.state.lastLoad != nil && now-g.state.lastLoadAt < loadInterval && !g.state.granted {
 		return
 	}
+	g.state.granted = false
 	record := g.loadRecord()
 	g.refreshUse(now, record)
 	unchanged := g.state.lastLoad != nil && proto.Equal(record, g.state.lastLoad)
@@ -105,6 +106,7 @@
 		c.SetUse(now, admission.Use{
 			Customer: use.Customer,
 			Gate:     gate,
+			Epoch:    record.Payload.Incarnation + uint64(record.Payload.ShareResets),
 			Rate:     shareFrom(use.Rate),
 			InFlight: shareFrom(use.InFlight),
 			Age:      record.Age,
@@ -112,11 +114,18 @@
 	}
 }
 
-// tickAdmission lets time pass in the admission controller.
-func (g *Gate) tickAdmission() {
+// tickAdmission lets time pass in the admission controller, and sends the grants of shares that this makes.
+func (g *Gate) tickAdmission(now time.Duration) {
+	var receivers []string
 	g.admission.update(func(c *admission.Controller, now time.Duration, out []admission.Outcome) []admission.Outcome {
-		return c.Tick(now, out)
+		out = c.Tick(now, out)
+		receivers = c.TakeReceivers()
+		return out
 	})
+	if len(receivers) > 0 {
+		g.state.granted = true
+		g.heartbeatNow(now, receivers)
+	}
 }
 
 // acceptNews gives admission the loads of other gates that came with a request.
--- a/internal/gate/uses.go
+++ b/internal/gate/uses.go
@@ -15,8 +15,9 @@
 )
 
 // Changes of use below these bounds are not told to the other gates. Demand only sets the direction in which shares
-// move. A share that the others think too high leaves less for them to take, so a small decrease can wait; an increase
-// is told at once, because the sum of shares depends on it.
+// move, and a tenth of what the gate holds makes no difference. A share that the others think too high leaves less for them
+// to take, so a small decrease can wait; an increase and a grant are told at once, because the sum of shares depends on
+// them.
 const (
 	demandChange   = 0.1
 	demandLeast    = 0.1
@@ -43,6 +44,7 @@
 func (g *Gate) useRecord() *pb.LoadRecord {
 	record := &pb.LoadRecord{Gate: g.self.Name, Incarnation: g.self.Incarnation, Use: true}
 	g.admission.update(func(c *admission.Controller, _ time.Duration, out []admission.Outcome) []admission.Outcome {
+		record.ShareResets = uint32(c.Epoch() - g.self.Incarnation)
 		for _, use := range c.Uses() {
 			record.Uses = append(record.Uses, &pb.CustomerUse{
 				Customer: use.Customer,
@@ -69,10 +71,12 @@
 }
 
 func hardlyChanged(current, told *pb.Share) bool {
-	demand := math.Abs(current.Demand - told.Demand)
+	demand := math.Abs(float64(current.Demand - told.Demand))
 	shrunk := told.Fraction - current.Fraction
-	return current.Known == told.Known &&
-		demand <= max(demandLeast, demandChange*told.Demand) &&
+	return current.Known == told.Known && current.Young == told.Young &&
+		slices.EqualFunc(current.Grants, told.Grants, func(a, b *pb.Grant) bool { return proto.Equal(a, b) }) &&
+		slices.EqualFunc(current.Receipts, told.Receipts, func(a, b *pb.Receipt) bool { return proto.Equal(a, b) }) &&
+		demand <= max(demandLeast*current.Fraction, demandChange*float64(told.Demand)) &&
 		shrunk >= 0 && shrunk <= fractionShrink*told.Fraction
 }
 
@@ -95,9 +99,23 @@
 }
 
 func share(s admission.Share) *pb.Share {
-	return &pb.Share{Demand: s.Demand, Fraction: s.Fraction, Known: s.Known}
+	told := &pb.Share{Demand: float32(s.Demand), Fraction: s.Fraction, Known: s.Known, Young: s.Young}
+	for _, grant := range s.Grants {
+		told.Grants = append(told.Grants, &pb.Grant{To: grant.To, Sequence: grant.Sequence, Fraction: grant.Fraction})
+	}
+	for _, receipt := range s.Receipts {
+		told.Receipts = append(told.Receipts, &pb.Receipt{From: receipt.From, Sequence: receipt.Sequence})
+	}
+	return told
 }
 
 func shareFrom(s *pb.Share) admission.Share {
-	return admission.Share{Demand: s.GetDemand(), Fraction: s.GetFraction(), Known: s.GetKnown()}
+	told := admission.Share{Demand: float64(s.GetDemand()), Fraction: s.GetFraction(), Known: s.GetKnown(), Young: s.GetYoung()}
+	for _, grant := range s.GetGrants() {
+		told.Grants = append(told.Grants, admission.Grant{To: grant.To, Sequence: grant.Sequence, Fraction: grant.Fraction})
+	}
+	for _, receipt := range s.GetReceipts() {
+		told.Receipts = append(told.Receipts, admission.Receipt{From: receipt.From, Sequence: receipt.Sequence})
+	}
+	return told
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -98,6 +98,7 @@
 			Uses:        record.Payload.Uses,
 			UsesVersion: record.Payload.UsesVersion,
 			Use:         record.Payload.Use,
+			ShareResets: record.Payload.ShareResets,
 		}
 	}
 	return loads
