Send only the customers whose use changed

Cause: a gate's record of the customers' use was one payload, so a change of one customer sent all of them, through every relay.

Ruled out: a gossip record for each customer, since a table keeps the version of each record for each peer: 165 gates x 350 customers x 12 peers are more than the 32 MB of a gate.

Change: a gossip table may divide payloads. A peer that is known to have a version gets the customers that changed since, and joins them to a version that is not older than that; otherwise it takes nothing.

TestUsesCrossInParts checks that what a peer holds is always a version of the sender's, with lost and overtaking messages. No existing check was changed.

--- a/internal/gate/control.go
+++ b/internal/gate/control.go
@@ -44,6 +44,10 @@
 	// useVersion counts this gate's records of use.
 	useVersion uint64
 	lastUse    *pb.LoadRecord
+	// lackingUses are the records of use that this gate lacks, or has an old version of, and since when.
+	lackingUses map[string]time.Duration
+	// wantedUses are those to ask a peer for.
+	wantedUses map[string][][]byte
 	// granted says that the record of use has grants that have not been sent.
 	granted bool
 	// transit is the longest recent round trip to each peer, an upper bound of the age that a message gains.
@@ -67,7 +71,7 @@
 	return controlState{
 		members:     membership.New(config, g.self, g.clock.Now()),
 		config:      configsync.New(configsync.Settings{Self: g.self.Name, Zone: g.self.Zone, ReadsPlatform: true}, random),
-		loads:       gossip.New[*pb.LoadRecord](loadLifetime),
+		loads:       gossip.NewInParts(loadLifetime, useParts),
 		notices:     gossip.New[*pb.Notice](max(noticeLifetime, crashLifetime)),
 		transit:     make(map[string]time.Duration),
 		reads:       make(map[uint64]context.CancelFunc),
@@ -77,6 +81,8 @@
 
 		introductions: newIntroductions(),
 		handedOver:    make(map[string]handedOverWork),
+		lackingUses:   make(map[string]time.Duration),
+		wantedUses:    make(map[string][][]byte),
 	}
 }
 
@@ -98,6 +104,7 @@
 	g.stepOwners(now, ownership.Tick{})
 	g.stepConfig(now, configsync.Tick{})
 	g.state.loads.Expire(now)
+	g.forgetLacks(now)
 	g.state.notices.Expire(now)
 	g.tickAdmission(now)
 	g.tickOrders(now)
--- a/internal/gate/heartbeat.go
+++ b/internal/gate/heartbeat.go
@@ -96,6 +96,8 @@
 	g.refreshLoads(now)
 	message := wire.Heartbeat(members, g.state.introductions.refsFor(peer))
 	message.Introduce = g.state.introductions.takeWanted(peer)
+	message.LackingUses = g.state.wantedUses[peer]
+	delete(g.state.wantedUses, peer)
 	version := g.state.introductions.newVersion(peer, g.state.config.Current().Version())
 	message.ConfigRevision, message.ConfigDigest = version.Revision, version.Digest
 	message.Claims = g.state.claims
@@ -133,6 +135,9 @@
 		g.state.introductions.forget(peer)
 		g.state.loads.Forget(peer)
 	}
+	for _, key := range message.LackingUses {
+		g.state.loads.ForgetRecord(peer, string(key))
+	}
 	g.acceptLoads(now, peer, g.state.loads.Merge(now, peer, wire.LoadsFrom(message.Loads)))
 	g.acceptNotices(now, g.state.notices.Merge(now, peer, wire.NoticesFrom(message.Notices)))
 	if len(message.Claims) > 0 {
--- a/internal/gate/uses.go
+++ b/internal/gate/uses.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -24,6 +25,53 @@
 	fractionShrink = 0.02
 )
 
+// lackPatience is how long a gate waits for changes of a record of use that the origin's load record announces before
+// it asks for the whole record: messages on the two streams between two gates, or through a third, overtake each other.
+const lackPatience = time.Second
+
+// useParts sends the customers whose use has changed. A load record is always sent whole.
+var useParts = gossip.Parts[*pb.LoadRecord]{Since: useSince, Join: joinUse}
+
+func useSince(record *pb.LoadRecord, version uint64) *pb.LoadRecord {
+	if !record.Use || version == 0 {
+		return record
+	}
+	part := &pb.LoadRecord{Gate: record.Gate, Incarnation: record.Incarnation, Use: true, ShareResets: record.ShareResets, Since: version}
+	for _, use := range record.Uses {
+		if use.Version > version {
+			part.Uses = append(part.Uses, use)
+		}
+	}
+	return part
+}
+
+func joinUse(held *pb.LoadRecord, version uint64, part *pb.LoadRecord) (*pb.LoadRecord, bool) {
+	if part.Since == 0 {
+		return part, true
+	}
+	if version < part.Since {
+		return nil, false
+	}
+	whole := &pb.LoadRecord{Gate: part.Gate, Incarnation: part.Incarnation, Use: true, ShareResets: part.ShareResets}
+	for _, use := range held.Uses {
+		if _, changed := findUse(part.Uses, use.Customer); !changed {
+			whole.Uses = append(whole.Uses, use)
+		}
+	}
+	whole.Uses = append(whole.Uses, part.Uses...)
+	slices.SortFunc(whole.Uses, compareUses)
+	return whole, true
+}
+
+func compareUses(a, b *pb.CustomerUse) int { return strings.Compare(a.Customer, b.Customer) }
+
+// findUse finds a customer in a sorted list.
+func findUse(uses []*pb.CustomerUse, customer string) (int, bool) {
+	return slices.BinarySearchFunc(uses, customer, func(u *pb.CustomerUse, name string) int {
+		return strings.Compare(u.Customer, name)
+	})
+}
+
 // refreshUse makes a new record of the customers' use when it has changed, and names its version in the load record.
 func (g *Gate) refreshUse(now time.Duration, load *pb.LoadRecord) {
 	record := g.useRecord()
@@ -31,8 +79,14 @@
 		return
 	}
 	if g.state.lastUse != nil {
+		record.Uses = addEnded(record.Uses, g.state.lastUse.Uses)
 		keepSmallChanges(record.Uses, g.state.lastUse.Uses)
 	}
+	for _, use := range record.Uses {
+		if use.Version == 0 {
+			use.Version = g.state.useVersion + 1
+		}
+	}
 	if g.state.lastUse == nil || !proto.Equal(record, g.state.lastUse) {
 		g.state.useVersion++
 		g.state.lastUse = record
@@ -41,6 +95,19 @@
 	load.UsesVersion = g.state.useVersion
 }
 
+// addEnded adds the customers that have no limits any more, so that the change is told.
+func addEnded(uses, told []*pb.CustomerUse) []*pb.CustomerUse {
+	var ended []*pb.CustomerUse
+	for _, before := range told {
+		if _, ok := findUse(uses, before.Customer); !ok {
+			ended = append(ended, &pb.CustomerUse{Customer: before.Customer})
+		}
+	}
+	uses = append(uses, ended...)
+	slices.SortFunc(uses, compareUses)
+	return uses
+}
+
 func (g *Gate) useRecord() *pb.LoadRecord {
 	record := &pb.LoadRecord{Gate: g.self.Name, Incarnation: g.self.Incarnation, Use: true}
 	g.admission.update(func(c *admission.Controller, _ time.Duration, out []admission.Outcome) []admission.Outcome {
@@ -54,34 +121,35 @@
 		}
 		return out
 	})
-	slices.SortFunc(record.Uses, func(a, b *pb.CustomerUse) int { return strings.Compare(a.Customer, b.Customer) })
+	slices.SortFunc(record.Uses, compareUses)
 	return record
 }
 
-// keepSmallChanges replaces figures that have hardly changed by those that were told last. Both lists are sorted.
+// keepSmallChanges replaces uses that have hardly changed by those that were told last. Both lists are sorted.
 func keepSmallChanges(uses, told []*pb.CustomerUse) {
-	for _, use := range uses {
-		i, ok := slices.BinarySearchFunc(told, use.Customer, func(u *pb.CustomerUse, name string) int {
-			return strings.Compare(u.Customer, name)
-		})
-		if ok && hardlyChanged(use.Rate, told[i].Rate) && hardlyChanged(use.InFlight, told[i].InFlight) {
-			use.Rate, use.InFlight = told[i].Rate, told[i].InFlight
+	for i, use := range uses {
+		j, ok := findUse(told, use.Customer)
+		if ok && hardlyChanged(use.Rate, told[j].Rate) && hardlyChanged(use.InFlight, told[j].InFlight) {
+			uses[i] = told[j]
 		}
 	}
 }
 
 func hardlyChanged(current, told *pb.Share) bool {
-	demand := math.Abs(float64(current.Demand - told.Demand))
-	shrunk := told.Fraction - current.Fraction
-	return current.Known == told.Known && current.Young == told.Young &&
-		slices.EqualFunc(current.Grants, told.Grants, func(a, b *pb.Grant) bool { return proto.Equal(a, b) }) &&
-		slices.EqualFunc(current.Receipts, told.Receipts, func(a, b *pb.Receipt) bool { return proto.Equal(a, b) }) &&
-		demand <= max(demandLeast*current.Fraction, demandChange*float64(told.Demand)) &&
-		shrunk >= 0 && shrunk <= fractionShrink*told.Fraction
+	if (current == nil) != (told == nil) {
+		return false
+	}
+	demand := math.Abs(float64(current.GetDemand() - told.GetDemand()))
+	shrunk := told.GetFraction() - current.GetFraction()
+	return current.GetKnown() == told.GetKnown() && current.GetYoung() == told.GetYoung() &&
+		slices.EqualFunc(current.GetGrants(), told.GetGrants(), func(a, b *pb.Grant) bool { return proto.Equal(a, b) }) &&
+		slices.EqualFunc(current.GetReceipts(), told.GetReceipts(), func(a, b *pb.Receipt) bool { return proto.Equal(a, b) }) &&
+		demand <= max(demandLeast*current.GetFraction(), demandChange*float64(told.GetDemand())) &&
+		shrunk >= 0 && shrunk <= fractionShrink*told.GetFraction()
 }
 
-// renewUses renews the records of use that the load records of a peer say are still in force. A gate that holds none
-// asks the peer for everything again: the peer counts records as sent that have expired here.
+// renewUses renews the records of use that the load records of a peer say are still in force. A gate that holds none, or
+// holds an old version for long, asks the peer for the whole record.
 func (g *Gate) renewUses(now time.Duration, peer string, records []gossip.Record[*pb.LoadRecord]) []gossip.Record[*pb.LoadRecord] {
 	var renewed []gossip.Record[*pb.LoadRecord]
 	for _, record := range records {
@@ -89,15 +157,36 @@
 		if load.UsesVersion == 0 || load.Gate == g.self.Name {
 			continue
 		}
-		uses, held := g.state.loads.Renew(now, wire.UseKey(load.Gate, load.Incarnation), load.UsesVersion, record.Age)
+		key := wire.UseKey(load.Gate, load.Incarnation)
+		uses, held := g.state.loads.Renew(now, key, load.UsesVersion, record.Age)
 		renewed = append(renewed, uses...)
-		if !held {
-			g.state.introductions.wanted[peer] = true
-		}
+		g.noteLack(now, peer, key, held, load.UsesVersion)
 	}
 	return renewed
 }
 
+// noteLack asks the peer for a record of use that this gate lacks.
+func (g *Gate) noteLack(now time.Duration, peer, key string, held bool, version uint64) {
+	if held && g.state.loads.Version(key) >= version {
+		delete(g.state.lackingUses, key)
+		return
+	}
+	since, known := g.state.lackingUses[key]
+	if known && now-since < lackPatience {
+		return
+	}
+	g.state.lackingUses[key] = now
+	if held && !known {
+		return
+	}
+	g.state.wantedUses[peer] = append(g.state.wantedUses[peer], []byte(key))
+}
+
+// forgetLacks drops the records of gates that have ended.
+func (g *Gate) forgetLacks(now time.Duration) {
+	maps.DeleteFunc(g.state.lackingUses, func(_ string, since time.Duration) bool { return now-since > loadLifetime })
+}
+
 func share(s admission.Share) *pb.Share {
 	told := &pb.Share{Demand: float32(s.Demand), Fraction: s.Fraction, Known: s.Known, Young: s.Young}
 	for _, grant := range s.Grants {
--- a/internal/gate/uses_test.go
+++ b/internal/gate/uses_test.go
@@ -1,9 +1,16 @@
 package gate
 
 import (
+	"fmt"
+	"math/rand"
 	"testing"
+	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthlb/amaranthlb/internal/gossip"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
 // Guards against an enlarged share that the other gates do not learn, which would let the sum of shares pass the
@@ -34,3 +41,54 @@
 		})
 	}
 }
+
+// Guards against a peer that takes a part of a record of use for the whole, or joins it to a version that lacks changes:
+// it would count too low a share of another gate. Messages are lost and overtake each other.
+func TestUsesCrossInParts(t *testing.T) {
+	seed := time.Now().UnixNano()
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewSource(seed))
+	sender, peer := gossip.NewInParts(time.Hour, useParts), gossip.NewInParts(time.Hour, useParts)
+	key := wire.UseKey("g", 1)
+	record := &pb.LoadRecord{Gate: "g", Incarnation: 1, Use: true}
+	for i := range 20 {
+		record.Uses = append(record.Uses, &pb.CustomerUse{Customer: fmt.Sprintf("c%02d", i), Version: 1})
+	}
+	sent := []*pb.LoadRecord{nil, record}
+	var late []gossip.Record[*pb.LoadRecord]
+	joined := 0
+	for version := uint64(2); version < 2000; version++ {
+		now := time.Duration(version) * time.Millisecond
+		record = proto.Clone(record).(*pb.LoadRecord)
+		for range random.Intn(3) {
+			record.Uses[random.Intn(20)] = &pb.CustomerUse{Customer: "", Rate: &pb.Share{Fraction: random.Float64()}, Version: version}
+		}
+		for i, use := range record.Uses {
+			use.Customer = fmt.Sprintf("c%02d", i)
+		}
+		sent = append(sent, record)
+		sender.Put(now, key, version, record)
+		news := wire.LoadsFrom(wire.Loads(sender.News(now, "peer", 0, 0)))
+		switch random.Intn(10) {
+		case 0:
+		case 1:
+			late = news
+		default:
+			peer.Merge(now, "sender", append(news, late...))
+			late = nil
+		}
+		held := peer.All(now)
+		if len(held) == 1 && !proto.Equal(&pb.LoadRecord{Uses: held[0].Payload.Uses}, &pb.LoadRecord{Uses: sent[held[0].Version].Uses}) {
+			t.Fatalf("the peer's version %d is not the sender's", held[0].Version)
+		}
+		switch {
+		case peer.Version(key) == version:
+			joined++
+		case random.Intn(3) == 0:
+			sender.ForgetRecord("peer", key)
+		}
+	}
+	if joined < 1000 {
+		t.Errorf("the peer had the newest version %d times of 2,000", joined)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -4,6 +4,8 @@
 // that every record crosses a link about once. Records end by age. A message that is lost delays a record until its
 // next version or until Forget is called for the peer; it never makes an old version replace a newer one.
 //
+// A payload of several parts can be sent in part: a peer that is known to have a version gets what has changed since.
+//
 // The package does no I/O and reads no clock.
 package gossip
 
@@ -25,9 +27,19 @@
 	Payload P
 }
 
+// Parts divides payloads, so that a peer that has an earlier version gets only what has changed.
+type Parts[P any] struct {
+	// Since returns what has changed after the version; the whole payload for version 0.
+	Since func(payload P, version uint64) P
+	// Join returns the payload that a part completes, and false when something is missing between the two. Version is
+	// that of the payload held, and 0 when none is.
+	Join func(held P, version uint64, part P) (P, bool)
+}
+
 // Table holds records. It is not safe for concurrent use.
 type Table[P any] struct {
 	lifetime time.Duration
+	parts    *Parts[P]
 	records  map[string]entry[P]
 	peers    map[string]map[string]uint64
 }
@@ -47,6 +59,13 @@
 	return &Table[P]{lifetime: lifetime, records: make(map[string]entry[P]), peers: make(map[string]map[string]uint64)}
 }
 
+// NewInParts returns an empty table that sends payloads in parts.
+func NewInParts[P any](lifetime time.Duration, parts Parts[P]) *Table[P] {
+	t := New[P](lifetime)
+	t.parts = &parts
+	return t
+}
+
 // Put stores a version that this daemon made now.
 func (t *Table[P]) Put(now time.Duration, key string, version uint64, payload P) {
 	t.records[key] = entry[P]{version: version, made: now, first: now, payload: payload, own: true}
@@ -74,6 +93,13 @@
 		if record.Age > t.lifetime || (ok && current.version >= record.Version) {
 			continue
 		}
+		if t.parts != nil {
+			whole, ok := t.parts.Join(current.payload, current.version, record.Payload)
+			if !ok {
+				continue
+			}
+			record.Payload = whole
+		}
 		t.records[record.Key] = entry[P]{version: record.Version, made: now - record.Age, first: now - record.Age, payload: record.Payload}
 		fresh = append(fresh, record)
 	}
@@ -90,8 +116,12 @@
 		if known[key] >= e.version || (!e.own && now-e.first < relayAfter) {
 			continue
 		}
+		payload := e.payload
+		if t.parts != nil {
+			payload = t.parts.Since(payload, known[key])
+		}
 		known[key] = e.version
-		news = append(news, Record[P]{Key: key, Version: e.version, Age: now - e.made + transit, Payload: e.payload})
+		news = append(news, Record[P]{Key: key, Version: e.version, Age: now - e.made + transit, Payload: payload})
 	}
 	return news
 }
@@ -102,6 +132,14 @@
 	delete(t.peers, peer)
 }
 
+// ForgetRecord drops what is known of a peer's version of one record, so that it gets the whole record again.
+func (t *Table[P]) ForgetRecord(peer, key string) {
+	delete(t.peers[peer], key)
+}
+
+// Version returns the version of a record that is held, and 0 when there is none.
+func (t *Table[P]) Version(key string) uint64 { return t.records[key].version }
+
 // Remove drops a record.
 func (t *Table[P]) Remove(key string) {
 	delete(t.records, key)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -99,6 +99,7 @@
 			UsesVersion: record.Payload.UsesVersion,
 			Use:         record.Payload.Use,
 			ShareResets: record.Payload.ShareResets,
+			Since:       record.Payload.Since,
 		}
 	}
 	return loads
--- a/standin/cmd/control-cost/main.go
+++ b/standin/cmd/control-cost/main.go
@@ -19,6 +19,7 @@
 	Zones     int           `arg:"--zones" default:"4"`
 	Targets   int           `arg:"--targets" default:"12"`
 	Customers int           `arg:"--customers" default:"10" help:"customers with limits"`
+	Limit     int           `arg:"--limit" default:"1000" help:"requests in a second that each customer with limits may make"`
 	Plain     int           `arg:"--plain-customers" help:"further customers without limits, which enlarge the catalogue"`
 	Changes   int           `arg:"--changes" help:"catalogue changes in a minute"`
 	Requests  int           `arg:"--requests" help:"requests in a second; 0 measures an idle fleet"`
@@ -43,6 +44,7 @@
 		Zones:            a.Zones,
 		Targets:          a.Targets,
 		Customers:        a.Customers,
+		Limit:            a.Limit,
 		Plain:            a.Plain,
 		ChangesPerMinute: a.Changes,
 		RequestsPerSec:   a.Requests,
--- a/standin/cost/config.go
+++ b/standin/cost/config.go
@@ -16,6 +16,8 @@
 	Zones     int `json:"zones"`
 	Targets   int `json:"targets"`
 	Customers int `json:"customers"`
+	// Limit is the number of requests in a second that each customer with limits may make.
+	Limit int `json:"limit"`
 	// Plain is the number of further customers without limits, which only enlarge the catalogue.
 	Plain            int           `json:"plain_customers"`
 	ChangesPerMinute int           `json:"changes_per_minute"`
@@ -56,7 +58,7 @@
 	for i := range c.Customers + c.Plain {
 		customer := fleet.Customer(fmt.Sprintf("customer-%04d", i+1), 1)
 		if i < c.Customers {
-			customer.RequestsPerSecond, customer.Concurrent = 1000, 1000
+			customer.RequestsPerSecond, customer.Concurrent = float64(c.Limit), 1000
 		}
 		customers = append(customers, customer)
 	}
