Let small shares of a rate limit hold a burst, and skip renewals without news

Cause: a bucket held the tokens of one second. A share of one request/s so held one token, and a customer that sent half of a limit of 4 requests/s through 4 gates had a third of its requests refused. A renewed record of use, one a second for each gate and customer, also made each gate look for grants to make, although nothing had changed.

Ruled out: a least bucket of two tokens, which for a small limit adds a request for each gate of the fleet.

Change: a bucket holds the tokens of two seconds, still one at least. A use that only renews the time does not start the search for grants, and grants under way are summed only for gates that may be short.

TestSmallShareHoldsABurst fails with a bucket of one second. No existing check was changed.

--- a/internal/admission/customer.go
+++ b/internal/admission/customer.go
@@ -9,8 +9,9 @@
 // minWeight keeps a weight of 0 from stopping a customer's flow.
 const minWeight = 0.01
 
-// burstTime is the time whose tokens a bucket holds; it holds at least one.
-const burstTime = time.Second
+// burstTime is the time whose tokens a bucket holds; it holds at least one. With one second, a limit of one request/s at
+// each gate refused a third of the requests of a customer that sent half of its limit.
+const burstTime = 2 * time.Second
 
 // shareEpsilon keeps rounding errors from lowering a whole number of requests by one.
 const shareEpsilon = 1e-9
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -280,7 +280,7 @@
 }
 
 // setPeer keeps the most recently measured use of each epoch of a gate, in order of the gates' names so that sums are
-// the same in every run. It reports whether the use is news.
+// the same in every run. It reports whether the use brings anything but its time: records are renewed all the time.
 func setPeer(peers []peerUse, use peerUse) ([]peerUse, bool) {
 	i, ok := slices.BinarySearchFunc(peers, use, func(p, use peerUse) int {
 		return cmp.Or(strings.Compare(p.gate, use.gate), cmp.Compare(p.epoch, use.epoch))
@@ -289,7 +289,12 @@
 	case ok && peers[i].measured >= use.measured:
 		return peers, false
 	case ok:
+		news := !peers[i].shares[rateLimit].settledAs(&use.shares[rateLimit]) ||
+			!peers[i].shares[concurrencyLimit].settledAs(&use.shares[concurrencyLimit])
 		peers[i].measured, peers[i].shares = use.measured, use.shares
+		if !news && !peers[i].replaced {
+			return peers, false
+		}
 	case len(peers) >= maxGates:
 		return peers, false
 	default:
--- a/internal/admission/transfer.go
+++ b/internal/admission/transfer.go
@@ -139,6 +139,12 @@
 	return false
 }
 
+// settledAs reports whether two shares are the same and have no grants to take or to settle.
+func (s *Share) settledAs(other *Share) bool {
+	return s.Demand == other.Demand && s.Fraction == other.Fraction && s.Known == other.Known &&
+		len(s.Grants)+len(s.Receipts)+len(other.Grants)+len(other.Receipts) == 0
+}
+
 func findEpoch(peers []peerUse, epoch uint64) *peerUse {
 	for i := range peers {
 		if peers[i].epoch == epoch {
@@ -208,12 +214,17 @@
 		if !p.expected || !theirs.Known || p.epoch == 0 || now-p.measured >= MaxUseAge {
 			continue
 		}
+		should := desired(theirs.Demand, s.relative, f)
+		if should < theirs.Fraction {
+			spare += theirs.Fraction - should
+			continue
+		}
+		if theirs.Demand < shortPart*theirs.Fraction || should-theirs.Fraction < least*should {
+			continue
+		}
+		// The grants under way are summed only for gates that may be short, because that takes time.
 		has := theirs.Fraction + underWay(resource, peers, s, epoch, p)
-		lacks := desired(theirs.Demand, s.relative, f) - has
-		switch {
-		case lacks < 0:
-			spare -= lacks
-		case theirs.Demand >= shortPart*has && lacks >= least*(has+lacks):
+		if lacks := should - has; theirs.Demand >= shortPart*has && lacks >= least*should {
 			receivers = append(receivers, receiver{p.gate, p.epoch, lacks})
 			lacking += lacks
 		}
--- a/internal/admission/transfer_test.go
+++ b/internal/admission/transfer_test.go
@@ -207,6 +207,19 @@
 	}
 }
 
+// Guards against a small share that refuses the second of two close requests after a pause.
+func TestSmallShareHoldsABurst(t *testing.T) {
+	c := newController(single(100), "a")
+	c.SetCustomers([]Customer{{Name: "c", RequestsPerSecond: 1}})
+	var verdicts []Verdict
+	for range 3 {
+		verdicts = append(verdicts, submit(c, burstTime, Request{Target: "a", Customer: "c"}).Verdict)
+	}
+	if !slices.Equal(verdicts, []Verdict{Start, Start, Refuse}) {
+		t.Fatalf("%v after %v", verdicts, burstTime)
+	}
+}
+
 // Guards against shares that take long to reach the gates with demand: all demand comes to two of four gates, then
 // to the two others.
 func TestSharesMoveToDemandInTime(t *testing.T) {
