Let each gate get the load records of an origin from one peer

Cause: after names were numbered, load records of third gates were the largest part left of the control traffic of a gate.

Change: a gate asks a peer to skip the records of an origin when another peer brought them first or the origin itself sends them. The request ends after a minute and when the peer forgets the gate. When no new record of an origin has come for 1.8 s, every peer is asked to resume, in each message until one comes. Records are relayed at once.

TestRelayWaitsForTheOrigin is replaced: it held the wait of a relay for the origin. TestSurplus holds that a relay of a reached origin is told to stop, TestRecordsArriveAboutOnce that a mesh sends at most 1.1 times the records that are needed and none grows stale, TestRecordsComeAnotherWay that none is lost with its relay. News loses its argument for the wait.

--- a/internal/gate/heartbeat.go
+++ b/internal/gate/heartbeat.go
@@ -18,9 +18,6 @@
 	heartbeatTimeout = time.Second
 	// unknownTransit is assumed for a peer whose round trip is not known yet.
 	unknownTransit = 200 * time.Millisecond
-	// relayAfter is the age from which the loads of other gates are relayed: peers that the origin reaches have
-	// them from it within one heartbeat interval.
-	relayAfter = 600 * time.Millisecond
 )
 
 // controlServer serves control calls of daemons.
@@ -99,8 +96,10 @@
 	version := g.state.introductions.newVersion(peer, g.state.config.Current().Version())
 	message.ConfigRevision, message.ConfigDigest = version.Revision, version.Digest
 	message.Claims = g.state.claims
-	message.Loads = wire.Loads(g.state.loads.News(now, peer, transit, relayAfter))
-	message.Notices = wire.Notices(g.state.notices.News(now, peer, transit, 0))
+	message.Loads = wire.Loads(g.state.loads.News(now, peer, transit))
+	message.Skip = wire.Origins(g.state.loads.TakeSurplus(peer))
+	message.Resume = wire.Origins(g.state.loads.Overdue(now))
+	message.Notices = wire.Notices(g.state.notices.News(now, peer, transit))
 	return message
 }
 
@@ -133,7 +132,9 @@
 		g.state.introductions.forget(peer)
 		g.state.loads.Forget(peer)
 	}
-	g.acceptLoads(now, peer, g.state.loads.Merge(now, peer, wire.LoadsFrom(message.Loads)))
+	g.acceptLoads(now, peer, g.state.loads.Merge(now, peer, wire.LoadsFrom(peer, message.Loads)))
+	g.state.loads.Skip(now, peer, wire.OriginsFrom(message.Skip))
+	g.state.loads.Resume(peer, wire.OriginsFrom(message.Resume))
 	g.acceptNotices(now, g.state.notices.Merge(now, peer, wire.NoticesFrom(message.Notices)))
 	if len(message.Claims) > 0 {
 		g.stepOwners(now, ownership.PeerClaim{By: from, Targets: message.Claims})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -21,6 +21,10 @@
 	Version uint64
 	// Age is the time since the origin made the version, transit included.
 	Age time.Duration
+	// Origin names the process that made the record, for the choice of one peer that relays its records; a table
+	// without origins takes them from every peer. Direct says that the peer that sent the record is the origin.
+	Origin string
+	Direct bool
 	// Payload is shared between daemons' goroutines and must not be changed.
 	Payload P
 }
@@ -30,26 +34,33 @@
 	lifetime time.Duration
 	records  map[string]entry[P]
 	peers    map[string]map[string]uint64
+	routes   routes
 }
 
 type entry[P any] struct {
 	version uint64
 	made    time.Duration
-	// first is the time at which the version was made; made is later when the version has been renewed.
-	first   time.Duration
 	payload P
 	// own says that this daemon is the origin.
-	own bool
+	own    bool
+	origin string
+	// from is the peer that brought the version first.
+	from string
 }
 
 // New returns an empty table whose records end after the lifetime.
 func New[P any](lifetime time.Duration) *Table[P] {
-	return &Table[P]{lifetime: lifetime, records: make(map[string]entry[P]), peers: make(map[string]map[string]uint64)}
+	return &Table[P]{
+		lifetime: lifetime,
+		records:  make(map[string]entry[P]),
+		peers:    make(map[string]map[string]uint64),
+		routes:   newRoutes(),
+	}
 }
 
 // Put stores a version that this daemon made now.
 func (t *Table[P]) Put(now time.Duration, key string, version uint64, payload P) {
-	t.records[key] = entry[P]{version: version, made: now, first: now, payload: payload, own: true}
+	t.records[key] = entry[P]{version: version, made: now, payload: payload, own: true}
 }
 
 // Renew makes a version that this daemon holds as young as the age given: its origin has said that the version is
@@ -71,23 +82,34 @@
 	for _, record := range records {
 		known[record.Key] = max(known[record.Key], record.Version)
 		current, ok := t.records[record.Key]
-		if record.Age > t.lifetime || (ok && current.version >= record.Version) {
-			continue
+		old := ok && current.version >= record.Version
+		isFresh := !old && record.Age <= t.lifetime
+		t.routes.arrive(now, peer, record.Origin, record.Direct, isFresh, old && current.from != peer)
+		if isFresh {
+			t.store(now, peer, record)
+			fresh = append(fresh, record)
 		}
-		t.records[record.Key] = entry[P]{version: record.Version, made: now - record.Age, first: now - record.Age, payload: record.Payload}
-		fresh = append(fresh, record)
 	}
 	return fresh
 }
 
-// News returns the records that the peer is not known to have, and counts them as sent. Ages grow by the transit,
-// an upper bound of the time that the message takes to the peer. Records of other origins wait until they are as old
-// as relayAfter: most peers have them from their origin by then, or a newer version.
-func (t *Table[P]) News(now time.Duration, peer string, transit, relayAfter time.Duration) []Record[P] {
+func (t *Table[P]) store(now time.Duration, peer string, record Record[P]) {
+	t.records[record.Key] = entry[P]{
+		version: record.Version,
+		made:    now - record.Age,
+		payload: record.Payload,
+		origin:  record.Origin,
+		from:    peer,
+	}
+}
+
+// News returns the records that the peer is not known to have and has not asked to leave out, and counts them as sent.
+// Ages grow by the transit, an upper bound of the time that the message takes to the peer.
+func (t *Table[P]) News(now time.Duration, peer string, transit time.Duration) []Record[P] {
 	known := t.known(peer)
 	var news []Record[P]
 	for key, e := range t.records {
-		if known[key] >= e.version || (!e.own && now-e.first < relayAfter) {
+		if known[key] >= e.version || (!e.own && t.routes.skipped(now, peer, e.origin)) {
 			continue
 		}
 		known[key] = e.version
@@ -100,6 +122,7 @@
 // have been lost and when the peer has restarted.
 func (t *Table[P]) Forget(peer string) {
 	delete(t.peers, peer)
+	t.routes.forget(peer)
 }
 
 // Remove drops a record.
@@ -117,6 +140,7 @@
 			t.Remove(key)
 		}
 	}
+	t.routes.expire(now, t.lifetime)
 }
 
 // All returns every record with its present age.
--- a/internal/wire/beats.go
+++ b/internal/wire/beats.go
@@ -72,8 +72,8 @@
 
 // Encode shortens a message in place. Parts that other messages may share are copied.
 func (e *BeatEncoder) Encode(m *pb.HeartbeatMessage) {
-	for _, news := range m.News {
-		e.ref(news.Gate)
+	for _, gate := range refsOf(m) {
+		e.ref(gate)
 	}
 	for _, load := range m.Loads {
 		number, carried := e.gates.of(LoadKey(load.Gate, load.Incarnation))
@@ -128,8 +128,8 @@
 
 // Decode restores a message in place.
 func (d *BeatDecoder) Decode(m *pb.HeartbeatMessage) error {
-	for _, news := range m.News {
-		if err := d.ref(news.Gate); err != nil {
+	for _, gate := range refsOf(m) {
+		if err := d.ref(gate); err != nil {
 			return err
 		}
 	}
@@ -192,6 +192,16 @@
 	return nil
 }
 
+// refsOf returns the gates that a heartbeat names besides its sender.
+func refsOf(m *pb.HeartbeatMessage) []*pb.GateRef {
+	refs := make([]*pb.GateRef, 0, len(m.News)+len(m.Skip)+len(m.Resume))
+	for _, news := range m.News {
+		refs = append(refs, news.Gate)
+	}
+	refs = append(refs, m.Skip...)
+	return append(refs, m.Resume...)
+}
+
 // headOf copies the fields that rarely change from one heartbeat to the next.
 func headOf(m *pb.HeartbeatMessage) *pb.HeartbeatMessage {
 	head := &pb.HeartbeatMessage{}
--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -26,6 +27,7 @@
 		{Self: self, ViewVersion: 4, ViewDigest: 2, Draining: true, LeavingTargets: []string{"t1"}, Loads: []*pb.LoadRecord{load(8, "t2")}},
 		{Self: self, ViewVersion: 4, ViewDigest: 2, News: []*pb.PeerNews{{Gate: Gate(restarted)}, {Gate: BriefGate(full)}}},
 		{Self: self, ViewVersion: 4, ViewDigest: 2, News: []*pb.PeerNews{{Gate: BriefGate(restarted)}}, Loads: []*pb.LoadRecord{load(8, "t2")}},
+		{Self: self, Skip: Origins([]string{LoadKey("g2", 7), LoadKey("g3", 1)}), Resume: Origins([]string{LoadKey("g2", 8)})},
 	}
 }
 
@@ -58,6 +60,14 @@
 	}
 }
 
+// Guards against origins of load records that change on the way, also with a zero byte or a slash in them.
+func TestOriginsSurvive(t *testing.T) {
+	keys := []string{LoadKey("g1", 0x2f00000000000000), LoadKey("a/b", 7), LoadKey("", 0)}
+	if got := OriginsFrom(Origins(keys)); !slices.Equal(got, keys) {
+		t.Fatalf("got %q, want %q", got, keys)
+	}
+}
+
 // Guards against a load record that a message to one peer shortens for all.
 func TestSharedLoadsAreNotChanged(t *testing.T) {
 	shared := []*pb.TargetLoad{{Target: "t1", Load: 3}}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
@@ -103,14 +104,16 @@
 	return loads
 }
 
-// LoadsFrom converts load records.
-func LoadsFrom(loads []*pb.LoadRecord) []gossip.Record[*pb.LoadRecord] {
+// LoadsFrom converts load records that a gate has sent.
+func LoadsFrom(sender string, loads []*pb.LoadRecord) []gossip.Record[*pb.LoadRecord] {
 	records := make([]gossip.Record[*pb.LoadRecord], len(loads))
 	for i, load := range loads {
 		records[i] = gossip.Record[*pb.LoadRecord]{
 			Key:     keyOf(load),
 			Version: load.Version,
 			Age:     duration(load.AgeMs),
+			Origin:  LoadKey(load.Gate, load.Incarnation),
+			Direct:  load.Gate == sender,
 			Payload: load,
 		}
 	}
@@ -129,13 +132,32 @@
 
 // LoadKey is the key of a gate process's load record.
 func LoadKey(gate string, incarnation uint64) string {
-	key := make([]byte, 0, len(gate)+9)
+	key := make([]byte, 0, len(gate)+loadKeyTail)
 	key = append(key, gate...)
 	key = append(key, '/')
-	for shift := 0; shift < 64; shift += 8 {
-		key = append(key, byte(incarnation>>shift))
+	return string(binary.LittleEndian.AppendUint64(key, incarnation))
+}
+
+// loadKeyTail is the length of the part of a load key after the gate's name.
+const loadKeyTail = 9
+
+// Origins converts the origins of load records, which are load keys.
+func Origins(keys []string) []*pb.GateRef {
+	refs := make([]*pb.GateRef, 0, len(keys))
+	for _, key := range keys {
+		name, tail := key[:len(key)-loadKeyTail], key[len(key)-loadKeyTail+1:]
+		refs = append(refs, &pb.GateRef{Name: name, Incarnation: binary.LittleEndian.Uint64([]byte(tail))})
+	}
+	return refs
+}
+
+// OriginsFrom converts the origins of load records.
+func OriginsFrom(refs []*pb.GateRef) []string {
+	keys := make([]string, 0, len(refs))
+	for _, ref := range refs {
+		keys = append(keys, LoadKey(ref.GetName(), ref.GetIncarnation()))
 	}
-	return string(key)
+	return keys
 }
 
 // Notices converts notices.
