--- a/internal/ownership/bound_test.go
+++ b/internal/ownership/bound_test.go
@@ -14,7 +14,7 @@
 )
 
 // failedSeeds are schedules beyond the default ones that exceeded the bound in some case before a fault was repaired.
-var failedSeeds = []int64{42, 113, 187}
+var failedSeeds = []int64{42, 113, 149, 187}
 
 // seeds returns the seeds of the schedules to run.
 func seeds() []int64 {
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -90,18 +90,20 @@
 	}
 	if event, ok := m.decide(now, t); ok && t.chart.Lists(event) {
 		if event == statechart.OwnershipOnSettled {
-			m.settle(t)
+			m.settle(now, t)
 		}
 		m.fire(t, event)
 	}
 }
 
 // settle makes the bounds those of a full owner.
-func (m *Machine) settle(t *target) {
+func (m *Machine) settle(now time.Duration, t *target) {
 	t.held, t.tainted, t.interrupted = true, false, false
 	if t.measured >= t.reportFrom {
 		t.orphans = t.external
 	}
+	// Gates that have stopped meanwhile may have added work after the report with the least external work.
+	t.stoppedAt, t.least = now, unknown
 }
 
 // decide returns the event that the state of other gates calls for.
--- a/test/e2e/notrun_test.go
+++ b/test/e2e/notrun_test.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/standin/backend"
+	"github.com/amaranthlb/amaranthlb/standin/engine"
 	"github.com/amaranthlb/amaranthlb/standin/fleet"
 )
 
@@ -21,6 +23,8 @@
 // mixedLoad sends chats, service calls and orders, each with a body of its own, and keeps the refusals.
 type mixedLoad struct {
 	f       *fleet.Fleet
+	entries []string
+	label   string
 	kinds   []string
 	stop    chan struct{}
 	running sync.WaitGroup
@@ -43,24 +47,46 @@
 
 // startMixedLoadOf sends only some kinds.
 func startMixedLoadOf(f *fleet.Fleet, workers int, kinds ...string) *mixedLoad {
-	l := &mixedLoad{f: f, kinds: kinds, stop: make(chan struct{}), counts: make(map[string]int)}
+	l := &mixedLoad{f: f, entries: f.Names("entry"), kinds: kinds, stop: make(chan struct{}), counts: make(map[string]int)}
+	l.start(workers)
+	return l
+}
+
+// startMixedLoadAt sends through the entries of some zones only.
+func startMixedLoadAt(f *fleet.Fleet, workers int, zones ...string) *mixedLoad {
+	l := &mixedLoad{f: f, label: zones[0] + " ", kinds: mixedKinds, stop: make(chan struct{}), counts: make(map[string]int)}
+	for _, entry := range f.Names("entry") {
+		if slices.Contains(zones, f.Zone(entry)) {
+			l.entries = append(l.entries, entry)
+		}
+	}
+	l.start(workers)
+	return l
+}
+
+func (l *mixedLoad) start(workers int) {
 	for worker := range workers {
 		l.running.Go(func() { l.work(worker) })
 	}
-	return l
+}
+
+// answers returns the number of answers so far.
+func (l *mixedLoad) answers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts["answered"]
 }
 
 func (l *mixedLoad) work(worker int) {
-	entries := l.f.Names("entry")
 	for turn := 0; ; turn++ {
 		select {
 		case <-l.stop:
 			return
 		default:
 		}
-		entry := l.f.URL(entries[(worker+turn)%len(entries)])
+		entry := l.f.URL(l.entries[(worker+turn)%len(l.entries)])
 		kind := l.kinds[worker%len(l.kinds)]
-		l.one(kind, entry, fmt.Sprintf("worker %d turn %d", worker, turn))
+		l.one(kind, entry, l.label+fmt.Sprintf("worker %d turn %d", worker, turn))
 	}
 }
 
@@ -94,6 +120,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
+	case code == "" && got.status == http.StatusOK && kind == "stream" && !isWhole(body, got.body):
+		l.strange = append(l.strange, "a stream ended as if it were whole")
 	case got.err != nil:
 		l.counts["cut"]++
 	case code == "" && got.status == http.StatusOK:
@@ -108,6 +136,13 @@
 	}
 }
 
+// isWhole reports whether a stream is the whole answer to its request.
+func isWhole(request []byte, stream string) bool {
+	want, err := engine.Answer(request)
+	text, done := streamText(stream)
+	return err == nil && done && text == want
+}
+
 // streamError returns the error event of a stream, if it has one.
 func streamError(body string) (code, ran string) {
 	_, event, found := strings.Cut(body, "event: error\ndata: ")
--- a/test/e2e/pair_test.go
+++ b/test/e2e/pair_test.go
@@ -135,6 +135,13 @@
 	sent.Wait()
 	awaitAllFull(t, f)
 	l.finish(t)
+	checkOrders(t, f, orders)
+	checkLoadMultiple(t, f, spec.Model.LoadMultiple)
+}
+
+// checkOrders checks the orders, and that none of the load's orders ran twice.
+func checkOrders(t *testing.T, f *fleet.Fleet, orders []*order) {
+	t.Helper()
 	runs := countRuns(runLogs(t, f, f.Names("service")))
 	var count tally
 	for _, o := range orders {
@@ -142,11 +149,10 @@
 	}
 	t.Log(count)
 	for body, n := range runs {
-		if n > 1 && strings.Contains(body, "order") {
+		if n > 1 && strings.Contains(body, `"order"`) {
 			t.Errorf("%s ran %d times", body, n)
 		}
 	}
-	checkLoadMultiple(t, f, spec.Model.LoadMultiple)
 }
 
 func traffic(t *testing.T, f *fleet.Fleet, from, to, condition string) {
