--- a/test/e2e/stop_test.go
+++ b/test/e2e/stop_test.go
@@ -109,3 +109,16 @@
 		}
 	}
 }
+
+// Guards against a graceful stop that waits for an heir which was killed just before, until the drain limit passes.
+func TestStopEndsWhenHeirWasKilled(t *testing.T) {
+	f := start(t, fleet.Default())
+	gates := f.Names("gate")
+	heir, stopping := gates[0], gates[1]
+	f.Kill(heir)
+	must(t, f.Terminate(stopping))
+	must(t, f.StartNode(heir))
+	if code, err := f.Await(stopping, startLimit); err != nil || code != 0 {
+		t.Errorf("%s: exit code %d, %v", stopping, code, err)
+	}
+}
