Give the test of a ticket during a stop a witness

Its zone had two gates; once the stopping one had left, the other reached no witness, and the refusal "witness_unreachable" was right. Ruled out: a fault of the stop; the refusal came from the gate that stays. Change: three gates in the zone. What the test demands is the same. Conclusion: the fault was the test's.

--- a/test/e2e/stop_test.go
+++ b/test/e2e/stop_test.go
@@ -87,7 +87,8 @@
 // Guards against a refused ticket while the only owner of a pool's targets stops and still has an order to write.
 func TestTicketWhileOwnerStops(t *testing.T) {
 	spec := onceSpec()
-	spec.Zones, spec.Services = []string{"a"}, 1
+	// Of three gates two are left, so that a new ticket has a witness.
+	spec.Zones, spec.GatesPerZone, spec.Services = []string{"a"}, 3, 1
 	f := start(t, spec)
 	entry := f.URL(f.Names("entry")[0])
 	first := newOrder(t, f, entry, `{"part":"first"}`)
