--- a/test/e2e/stop_test.go
+++ b/test/e2e/stop_test.go
@@ -87,7 +87,8 @@
 // Guards against a refused ticket while the only owner of a pool's targets stops and still has an order to write.
 func TestTicketWhileOwnerStops(t *testing.T) {
 	spec := onceSpec()
-	spec.Zones, spec.Services = []string{"a"}, 1
+	// Of three gates two are left, so that a new ticket has a witness.
+	spec.Zones, spec.GatesPerZone, spec.Services = []string{"a"}, 3, 1
 	f := start(t, spec)
 	entry := f.URL(f.Names("entry")[0])
 	first := newOrder(t, f, entry, `{"part":"first"}`)
@@ -109,3 +110,16 @@
 		}
 	}
 }
+
+// Guards against a graceful stop that waits for an heir which was killed just before, until the drain limit passes.
+func TestStopEndsWhenHeirWasKilled(t *testing.T) {
+	f := start(t, fleet.Default())
+	gates := f.Names("gate")
+	heir, stopping := gates[0], gates[1]
+	f.Kill(heir)
+	must(t, f.Terminate(stopping))
+	must(t, f.StartNode(heir))
+	if code, err := f.Await(stopping, startLimit); err != nil || code != 0 {
+		t.Errorf("%s: exit code %d, %v", stopping, code, err)
+	}
+}
