Choose an heir of the ticket records that answers

Cause: a stopping gate chose its heir from the view, which counts a gate that was killed as live for 2 s. The heir is never changed, since two heirs of one gate can make "not run" false (the search in internal/atmostonce shows it), so the stop lasted until the drain limit and the records were lost. Ruled out: another heir after a failure to send (a lost acknowledgement looks the same).

Change: before it names the heir, the gate asks the candidates in the order of rank for a sign of life of the same process that is not stopping, 500 ms each. When none answers it takes the first by rank, as before.

An heir that dies after the choice and before it has the records still delays the stop.

--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
 	"github.com/amaranthlb/amaranthlb/internal/ticket"
 )
@@ -19,6 +20,8 @@
 	// noteSpread is how long a gate goes on answering after its records are at the heir, so that the note that
 	// names the heir has reached every gate and entry.
 	noteSpread = 2 * time.Second
+	// heirProbeTimeout bounds the question whether a gate can be the heir.
+	heirProbeTimeout = 500 * time.Millisecond
 )
 
 // drain stops taking new work, hands targets and tickets over and finishes the work in flight.
@@ -45,9 +48,11 @@
 // handOver hands tickets and targets over and returns the heir of the ticket records. The targets stay until the orders
 // that the gate has accepted are written, since only their owner may admit those. Meanwhile it admits other requests too.
 func (g *Gate) handOver(ctx context.Context) (heir ticket.Gate, found bool) {
+	var ranked []ticket.Gate
 	_ = g.loop.Call(ctx, func(time.Duration) {
-		heir, found = chooseHeir(g.state.members.View(), g.self)
+		ranked = rankHeirs(g.state.members.View(), g.self)
 	})
+	heir, found = g.chooseHeir(ctx, ranked)
 	if found {
 		g.desk.feed(atmostonce.Drain{Heir: heir})
 		g.awaitOrders(ctx)
@@ -74,8 +79,8 @@
 	}
 }
 
-// chooseHeir returns the first live gate by rank, of this gate's zone where there is one.
-func chooseHeir(view *membership.View, self membership.Gate) (ticket.Gate, bool) {
+// rankHeirs returns the live gates by rank, those of this gate's zone first.
+func rankHeirs(view *membership.View, self membership.Gate) []ticket.Gate {
 	var near, far []string
 	for _, member := range view.Gates {
 		if member.Name == self.Name || member.State != membership.Live || !member.Direct || member.Incarnation == 0 {
@@ -87,15 +92,36 @@
 			far = append(far, member.Name)
 		}
 	}
-	if len(near) == 0 {
-		near = far
+	var heirs []ticket.Gate
+	for _, name := range append(rendezvous.Order(self.Name, near), rendezvous.Order(self.Name, far)...) {
+		member, _ := view.Gate(name)
+		heirs = append(heirs, ticket.Gate(member.Gate))
 	}
-	name, ok := rendezvous.First(self.Name, near)
-	if !ok {
+	return heirs
+}
+
+// chooseHeir returns the first gate that answers, or the first by rank when none does. The heir can't be changed later,
+// since it may have taken records whose acceptance was lost, and the view counts a gate that was killed as live for the
+// suspicion time.
+func (g *Gate) chooseHeir(ctx context.Context, ranked []ticket.Gate) (heir ticket.Gate, found bool) {
+	for _, gate := range ranked {
+		if g.answersAsHeir(ctx, gate) {
+			return gate, true
+		}
+		g.meters.ControlCall("plan", "failed")
+	}
+	if len(ranked) == 0 {
 		return ticket.Gate{}, false
 	}
-	member, _ := view.Gate(name)
-	return ticket.Gate(member.Gate), true
+	return ranked[0], true
+}
+
+// answersAsHeir reports whether a gate process is alive and not stopping itself.
+func (g *Gate) answersAsHeir(ctx context.Context, gate ticket.Gate) bool {
+	ctx, cancel := context.WithTimeout(ctx, heirProbeTimeout)
+	defer cancel()
+	plan, err := pb.NewDRPCTicketsClient(g.traffic.Conn(ctx, gate.Address)).Plan(ctx, &pb.PlanRequest{})
+	return err == nil && !plan.Draining && plan.Self.GetIncarnation() == gate.Incarnation
 }
 
 // awaitHandOver waits until the heir has all records and the note of it has spread.
