Avoid the targets of a gate that a call did not reach

Cause: a gate that is lost stays in the view for the suspicion time, 2 s and 6 s in another region. Meanwhile entries went on sending requests to its targets. With connections that break at once nothing says that the request did not run, so these requests ended as gate_failed, ran: unknown. Ruled out: retrying them (they may have run); a shorter suspicion time (owners rely on it).

Change: when the connection to a gate fails, the entry closes the targets that the gate owns by the view for 1 s, as it does for targets that can't be reached. If no other target of the pool is open, they stay open.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -36,6 +36,8 @@
 	// heardAt is when a followed gate last sent an update, which carries only the loads that changed.
 	heardAt  time.Duration
 	inFlight map[string]*atomic.Int32
+	// avoidedGates are the gates that a call did not reach, and until when they are avoided.
+	avoidedGates map[string]time.Duration
 }
 
 // reportedLoad is the last figure of a target.
@@ -49,9 +51,10 @@
 func newControlState(name, zone string) controlState {
 	random := rand.New(rand.NewSource(rand.Int63()))
 	return controlState{
-		config:   configsync.New(configsync.Settings{Self: name, Zone: zone, AskPeers: followedGates}, random),
-		loads:    make(map[string]reportedLoad),
-		inFlight: make(map[string]*atomic.Int32),
+		config:       configsync.New(configsync.Settings{Self: name, Zone: zone, AskPeers: followedGates}, random),
+		loads:        make(map[string]reportedLoad),
+		inFlight:     make(map[string]*atomic.Int32),
+		avoidedGates: make(map[string]time.Duration),
 	}
 }
 
@@ -125,6 +128,7 @@
 	if current == nil || e.state.view == nil || !e.state.config.Ready() {
 		return
 	}
+	e.state.forgetAvoided(now)
 	pools := make([]*routing.Pool, 0, len(current.Pools))
 	for i := range current.Pools {
 		pools = append(pools, e.poolSnapshot(now, &current.Pools[i]))
@@ -143,7 +147,7 @@
 			Target:   t,
 			Hash:     t.Hash(),
 			Distance: e.distance(t),
-			Open:     known.state == membership.Live && known.avoidUntil <= now,
+			Open:     known.state == membership.Live && known.avoidUntil <= now && !e.state.ownerAvoided(now, t),
 			InFlight: e.inFlightOf(t.Name),
 		}
 		open = open || candidates[i].Open
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/internal/membership"
+	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/routing"
 	"github.com/amaranthlb/amaranthlb/internal/settings"
@@ -58,6 +60,33 @@
 	}
 }
 
+// Guards against requests that fail at a lost gate until the view has learned of its loss, and against a pool that is closed
+// because all of its gates are avoided.
+func TestTargetsOfAvoidedGatesAreClosed(t *testing.T) {
+	gates := []membership.Member{
+		{Gate: membership.Gate{Name: "g0", Zone: "a"}, State: membership.Live},
+		{Gate: membership.Gate{Name: "g1", Zone: "a"}, State: membership.Live},
+	}
+	view := &membership.View{Gates: gates}
+	s := newControlState("entry", "a")
+	s.view = view
+	target := &catalogue.Target{Name: "e0", Zone: "a"}
+	owner, _ := ownership.Owner(view, target.Name, target.Zone)
+	for _, gate := range gates {
+		s.avoidedGates = map[string]time.Duration{gate.Name: avoidTime}
+		if got, want := s.ownerAvoided(avoidTime-1, target), gate.Name == owner.Name; got != want {
+			t.Errorf("%s avoided, owned by %s: closed %t, want %t", gate.Name, owner.Name, got, want)
+		}
+		if s.ownerAvoided(avoidTime, target) {
+			t.Errorf("%s is avoided for longer than %s", gate.Name, avoidTime)
+		}
+		s.forgetAvoided(avoidTime)
+		if len(s.avoidedGates) > 0 {
+			t.Error("gates that are avoided no longer are kept")
+		}
+	}
+}
+
 // Guards against requests that are refused for seconds after all targets of a pool were down at the same time and are
 // back, until the news arrives that they are.
 func TestDownTargetsAreTheLastResort(t *testing.T) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -224,6 +224,9 @@
 func (e *Entry) callOwner(ctx context.Context, owner membership.Gate, call *pb.ServeRequest, answer *answer) error {
 	err := e.callGate(ctx, owner, call, answer)
 	refusal, ok := refusalIn(err)
+	if ok {
+		e.avoidGateAfter(owner, refusal)
+	}
 	if ok && refusal.owner.Name != "" && refusal.owner.Name != owner.Name {
 		e.meters.Event("redirected")
 		return e.callGate(ctx, refusal.owner, call, answer)
