Follow the gates of the own zone again after they were lost

Cause: the count of attempts that chooses the gate to follow never started anew, so that an entry which had lost a stream or found no gate at its start took the second, third or a later gate by rank, which may be of another zone, and kept it for good. Updates then cross the costly links between zones once or twice a second. Found by the uneven numbers of followers in the whole trace. Ruled out: the ranks themselves (the nearest come first).

Change: after a stream that gave updates the choice starts with the nearest gate again, and an entry leaves a gate that it has followed for 10 s when a nearer one is free, one stream at a time.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -22,6 +22,8 @@
 	// followSilence is the time without an update after which an entry follows another gate. Gates send one at
 	// least every second.
 	followSilence = 3 * time.Second
+	// followLeast is the time for which a gate is followed before a nearer one may take its place.
+	followLeast = 10 * time.Second
 )
 
 // followed is the gate in one slot.
@@ -30,11 +32,12 @@
 	live bool
 }
 
-// follow keeps a stream of updates from one gate open, and takes another gate when it ends.
+// follow keeps a stream of updates from one gate open, and takes another gate when it ends. After a stream that gave
+// updates the nearest gates come first again.
 func (e *Entry) follow(ctx context.Context, slot int) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		if gate, ok := e.chooseGate(ctx, slot, attempt); ok {
-			e.followGate(ctx, slot, gate)
+		if gate, ok := e.chooseGate(ctx, slot, attempt); ok && e.followGate(ctx, slot, gate) {
+			attempt = -1
 		}
 		control.Sleep(ctx, followPause)
 	}
@@ -106,8 +109,10 @@
 	return 0
 }
 
-// followGate reads updates until the stream ends or falls silent.
-func (e *Entry) followGate(ctx context.Context, slot int, gate membership.Gate) {
+// followGate reads updates until the stream ends or falls silent, or a nearer gate can be followed. It reports whether any
+// came from a gate that is not stopping.
+func (e *Entry) followGate(ctx context.Context, slot int, gate membership.Gate) (served bool) {
+	since := e.clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(followSilence, cancel)
@@ -116,7 +121,7 @@
 	updates, err := client.Follow(ctx, &pb.FollowRequest{Entry: e.settings.Name, Zone: e.settings.Zone})
 	if err != nil {
 		e.meters.ControlCall("follow", "failed")
-		return
+		return false
 	}
 	defer func() { _ = updates.Close() }()
 	decoder := new(wire.UpdateDecoder)
@@ -131,11 +136,37 @@
 		silence.Reset(followSilence)
 		e.loop.Post(func(now time.Duration) { e.acceptUpdate(now, slot, update) })
 		if update.Draining {
+			served = false
+			break
+		}
+		served = true
+		if e.clock.Now()-since >= followLeast && e.nearerGate(ctx, slot) {
 			break
 		}
 	}
 	e.meters.Event("follow_ended")
 	e.loop.Post(func(time.Duration) { e.state.followed[slot] = followed{} })
+	return served
+}
+
+// nearerGate reports whether a slot should follow a nearer gate. Updates of far gates cross the costly links between zones
+// all the time. The slots move one after the other, so that the entry always follows a gate.
+func (e *Entry) nearerGate(ctx context.Context, slot int) (nearer bool) {
+	_ = e.loop.Call(ctx, func(time.Duration) {
+		for other, f := range e.state.followed {
+			if other != slot && !f.live {
+				return
+			}
+		}
+		own := e.nearness(e.state.followed[slot].gate)
+		for _, gate := range e.rankedGates() {
+			if !e.followedElsewhere(slot, gate.Address) {
+				nearer = e.nearness(gate) > own
+				return
+			}
+		}
+	})
+	return nearer
 }
 
 // acceptUpdate takes over what a followed gate tells.
