Use one Sleep, the catalogue's own lookup and one rule for TLS

The wait that a context can end stood in control, in replay and in the stand-ins, and once more in the entry's retry; control.Sleep now reports whether the time passed and serves all. The entry searched the list of customers although the catalogue has an index. Entry and gate copied the TLS settings field by field and each skipped them when unset; rpc.TLSConfig does that. A timer of a wait that is cut short is stopped now; nothing else changes. Ruled out: a change in the stand-in for requests whose caller has gone (its delay of 0 is still no wait). No test changed.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -33,11 +33,18 @@
 	return binary.LittleEndian.Uint64(b[:]) | 1
 }
 
-// Sleep waits unless the context ends first.
-func Sleep(ctx context.Context, pause time.Duration) {
+// Sleep waits, and reports false when the context ends first.
+func Sleep(ctx context.Context, pause time.Duration) bool {
+	if pause <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-time.After(pause):
+		return false
+	case <-timer.C:
+		return true
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -72,12 +71,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	var tlsConfig *tls.Config
-	if s.TLS.Enabled() {
-		tlsConfig, err = rpc.TLSConfig(rpc.TLSFiles{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority})
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
+	tlsConfig, err := rpc.TLSConfig(rpc.TLSFiles(s.TLS))
+	if err != nil {
+		return nil, trace.Wrap(err)
 	}
 	codec, err := ticket.NewCodec(s.FleetKeys...)
 	if err != nil {
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/internal/ownership"
 	"github.com/amaranthlb/amaranthlb/internal/routing"
 )
@@ -71,7 +70,7 @@
 		}
 	}
 	customer := query.Get("customer")
-	if customer != "" && !hasCustomer(snapshot.Catalogue, customer) {
+	if _, ok := snapshot.Catalogue.Customer(customer); customer != "" && !ok {
 		http.Error(w, "the catalogue has no customer "+customer, http.StatusNotFound)
 		return
 	}
@@ -79,15 +78,6 @@
 	_ = json.NewEncoder(w).Encode(explanation(snapshot, routes, callerKey(customer, query.Get("chat")), holder))
 }
 
-func hasCustomer(current *catalogue.Catalogue, name string) bool {
-	for i := range current.Customers {
-		if current.Customers[i].Name == name {
-			return true
-		}
-	}
-	return false
-}
-
 // explanation chooses as for a request and describes the candidates.
 func explanation(snapshot *Snapshot, routes *routing.Pool, key string, holder int) Explanation {
 	request := &request{pool: routes.Pool, chatHash: chatHash(key), holder: holder}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -171,12 +171,7 @@
 	}
 	e.meters.Retried(refusal.Reason)
 	answer.reset()
-	select {
-	case <-time.After(permit.Delay):
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return control.Sleep(ctx, permit.Delay)
 }
 
 // tryOnce sends the request to one target through its owner.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -109,11 +109,8 @@
 			Incarnation: control.NewIncarnation(),
 		},
 	}
-	if s.TLS.Enabled() {
-		g.tls, err = rpc.TLSConfig(rpc.TLSFiles{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority})
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
+	if g.tls, err = rpc.TLSConfig(rpc.TLSFiles(s.TLS)); err != nil {
+		return nil, trace.Wrap(err)
 	}
 	g.loop = control.NewLoop(g.clock)
 	g.admission = newAdmitter(g.clock, s.Name, g.self.Incarnation)
--- a/internal/replay/client.go
+++ b/internal/replay/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 )
 
@@ -125,21 +126,7 @@
 
 // waitUntil waits for an offset from the start; it returns false when the context ends first.
 func (c *Client) waitUntil(ctx context.Context, at time.Duration) bool {
-	return pause(ctx, time.Until(c.started.Add(at)))
-}
-
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return control.Sleep(ctx, time.Until(c.started.Add(at)))
 }
 
 // rotation returns a number that spreads requests over equal entries.
@@ -215,7 +202,7 @@
 	if refused != nil && refused.RetryAfterMS > 0 {
 		wait = time.Duration(refused.RetryAfterMS) * time.Millisecond
 	}
-	return pause(ctx, wait)
+	return control.Sleep(ctx, wait)
 }
 
 // grow returns the next pause.
--- a/internal/replay/faultcontrol.go
+++ b/internal/replay/faultcontrol.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/standin/backend"
 	"github.com/amaranthlb/amaranthlb/standin/platform"
 )
@@ -61,7 +62,7 @@
 func (f *faultControl) run(ctx context.Context, event *Event) {
 	logrus.WithFields(logrus.Fields{"fault": event.Fault, "target": event.Target, "zone": event.Zone, "vm": event.VM}).Info("fault")
 	f.log(f.apply(ctx, event, true), event)
-	if event.ForMS == 0 || !pause(ctx, event.For()) {
+	if event.ForMS == 0 || !control.Sleep(ctx, event.For()) {
 		return
 	}
 	f.log(f.apply(ctx, event, false), event)
--- a/internal/rpc/tls.go
+++ b/internal/rpc/tls.go
@@ -21,8 +21,12 @@
 }
 
 // TLSConfig returns the configuration for both sides of a connection. Certificate files are read again when
-// they change. The files are read once now, so that a wrong file is an error at start.
+// they change. The files are read once now, so that a wrong file is an error at start. Without a certificate there is
+// no TLS, and the configuration is nil.
 func TLSConfig(files TLSFiles) (*tls.Config, error) {
+	if files.Certificate == "" {
+		return nil, nil
+	}
 	pem, err := os.ReadFile(files.Authority)
 	if err != nil {
 		return nil, trace.BadParameter("tls.authority: %s", err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,9 +50,6 @@
 	Authority   string `yaml:"authority"`
 }
 
-// Enabled reports whether TLS is configured.
-func (t TLS) Enabled() bool { return t.Certificate != "" }
-
 // Log holds the log settings.
 type Log struct {
 	Level string `yaml:"level"`
--- a/standin/backend/faults.go
+++ b/standin/backend/faults.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/control"
 )
 
 // Faults are the switchable faults of a stand-in. The zero value has none.
@@ -87,7 +89,8 @@
 		return false
 	}
 	faults := s.Faults()
-	if !Sleep(request.Context(), time.Duration(faults.DelayMS)*time.Millisecond) {
+	delay := time.Duration(faults.DelayMS) * time.Millisecond
+	if delay > 0 && !control.Sleep(request.Context(), delay) {
 		return false
 	}
 	if faults.RefuseStatus != 0 {
@@ -96,18 +99,3 @@
 	}
 	return true
 }
-
-// Sleep waits for d, or returns false when the context ends first.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/standin/backend"
 )
 
@@ -149,7 +150,7 @@
 	run.Incarnation = e.Incarnation()
 	e.runs.Begin(run)
 	if reads {
-		backend.Sleep(context.WithoutCancel(c.Request().Context()), e.config.LoadTime)
+		control.Sleep(context.WithoutCancel(c.Request().Context()), e.config.LoadTime)
 	}
 	e.runs.End(run, backend.Done, func() {
 		if reads {
--- a/standin/engine/status.go
+++ b/standin/engine/status.go
@@ -7,7 +7,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/amaranthlb/amaranthlb/standin/backend"
+	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/standin/batch"
 )
 
@@ -64,7 +64,7 @@
 		if len(found) > 0 || time.Now().After(deadline) {
 			return c.JSON(http.StatusOK, map[string]any{"events": found, "next": after})
 		}
-		if !backend.Sleep(c.Request().Context(), eventPoll) {
+		if !control.Sleep(c.Request().Context(), eventPoll) {
 			return nil
 		}
 	}
