Share the server of the engine and service stand-ins

Read-through of the whole change: both stand-ins had the same listener, log of runs, faults, records and test control, wired by the same lines, and each answered /v1/requests/:id. backend.Server has these once. backend.Switch.Faults is called Current, since a server's Faults returns the switch. Paths and answers are unchanged; service_test names the field Records, its checks are the same.

--- a/standin/backend/faults.go
+++ b/standin/backend/faults.go
@@ -50,8 +50,8 @@
 	return &Switch{thawed: thawed}
 }
 
-// Faults returns the faults in force.
-func (s *Switch) Faults() Faults {
+// Current returns the faults in force.
+func (s *Switch) Current() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.faults
@@ -88,7 +88,7 @@
 	if !s.WaitThawed(request.Context()) {
 		return false
 	}
-	faults := s.Faults()
+	faults := s.Current()
 	delay := time.Duration(faults.DelayMS) * time.Millisecond
 	if delay > 0 && !control.Sleep(request.Context(), delay) {
 		return false
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -13,16 +13,14 @@
 )
 
 func (e *Server) routes() {
-	backend.Register(e.echo, e.runs, e.faults)
-	e.echo.POST("/v1/chat/completions", e.complete)
-	e.echo.GET("/v1/streams/:id", e.resume)
-	e.echo.DELETE("/v1/streams/:id", e.cancelStream)
-	e.echo.GET("/v1/requests/:id", e.record)
-	e.echo.GET("/status", e.status)
-	e.echo.GET("/cache/events", e.cacheEvents)
-	e.echo.POST("/kv/export", e.exportKV)
-	e.echo.POST("/kv/import", e.importKV)
-	e.echo.POST("/orders", e.order)
+	e.Echo.POST("/v1/chat/completions", e.complete)
+	e.Echo.GET("/v1/streams/:id", e.resume)
+	e.Echo.DELETE("/v1/streams/:id", e.cancelStream)
+	e.Echo.GET("/status", e.status)
+	e.Echo.GET("/cache/events", e.cacheEvents)
+	e.Echo.POST("/kv/export", e.exportKV)
+	e.Echo.POST("/kv/import", e.importKV)
+	e.Echo.POST("/orders", e.order)
 }
 
 func (e *Server) complete(c echo.Context) error {
@@ -54,9 +52,9 @@
 		run.RequestID = "local-" + strconv.FormatInt(int64(e.now()), 36)
 	}
 	s := newStream(run.RequestID, completion, backend.Priority(request), run)
-	e.records.Begin(s.id)
-	e.runs.Begin(run)
-	if faults := e.faults.Faults(); faults.Crashes(body) {
+	e.Records.Begin(s.id)
+	e.Runs().Begin(run)
+	if faults := e.Faults().Current(); faults.Crashes(body) {
 		e.crashBy(faults)
 	}
 	e.submit(s)
@@ -68,7 +66,7 @@
 	if !e.waitEvent(c, s, len(s.words)) {
 		panic(http.ErrAbortHandler)
 	}
-	if e.faults.Faults().CutAfterEvents > 0 {
+	if e.Faults().Current().CutAfterEvents > 0 {
 		panic(http.ErrAbortHandler)
 	}
 	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, s.whole())
@@ -101,10 +99,6 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
-func (e *Server) record(c echo.Context) error {
-	return c.JSON(http.StatusOK, e.records.Get(c.Param("id")))
-}
-
 // kvCache is the content of an export. A real engine's bytes are opaque; these name the blocks.
 type kvCache struct {
 	Model  string   `json:"model"`
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -148,11 +148,11 @@
 	run.Kind = "order"
 	run.Body = string(mustEncode(order))
 	run.Incarnation = e.Incarnation()
-	e.runs.Begin(run)
+	e.Runs().Begin(run)
 	if reads {
 		control.Sleep(context.WithoutCancel(c.Request().Context()), e.config.LoadTime)
 	}
-	e.runs.End(run, backend.Done, func() {
+	e.Runs().End(run, backend.Done, func() {
 		if reads {
 			run.WeightReads = 1
 		}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/labstack/echo/v4"
-
 	"github.com/amaranthlb/amaranthlb/standin/backend"
 	"github.com/amaranthlb/amaranthlb/standin/batch"
 )
@@ -60,12 +58,8 @@
 
 // Server is one engine. It is an http.Handler and can also listen by itself.
 type Server struct {
-	*backend.Listener
+	*backend.Server
 	config  Config
-	echo    *echo.Echo
-	runs    *backend.Runs
-	faults  *backend.Switch
-	records *backend.Records
 	started time.Time
 	stop    context.CancelFunc
 	stopped chan struct{}
@@ -89,16 +83,12 @@
 // New returns an engine that generates until Close.
 func New(config Config) *Server {
 	e := &Server{
+		Server:  backend.NewServer(config.LogFile),
 		config:  config,
-		echo:    echo.New(),
-		runs:    backend.NewRuns(config.LogFile),
-		faults:  backend.NewSwitch(),
-		records: backend.NewRecords(),
 		started: time.Now(),
 		stopped: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 	}
-	e.Listener = backend.NewListener(e)
 	e.reset()
 	e.routes()
 	ctx, stop := context.WithCancel(context.Background())
@@ -107,17 +97,6 @@
 	return e
 }
 
-// ServeHTTP answers one request.
-func (e *Server) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	e.echo.ServeHTTP(w, request)
-}
-
-// Runs returns the log of all runs.
-func (e *Server) Runs() *backend.Runs { return e.runs }
-
-// Faults returns the switchable faults.
-func (e *Server) Faults() *backend.Switch { return e.faults }
-
 // Incarnation returns the random number of the present start.
 func (e *Server) Incarnation() uint64 {
 	e.mu.Lock()
@@ -149,7 +128,7 @@
 	e.events = newEvents(e.config.EventDelay, e.config.EventGap)
 	e.model.Cache().OnChange = e.events.add
 	e.state = initialState(e.config)
-	e.records.Clear()
+	e.Records.Clear()
 }
 
 func (e *Server) dropStreams() {
@@ -166,7 +145,7 @@
 
 // crash ends the process, or all connections when the engine runs in a test's process.
 func (e *Server) crash() {
-	e.runs.EndAll(backend.Crashed)
+	e.Runs().EndAll(backend.Crashed)
 	if e.config.Exit != nil {
 		e.config.Exit()
 	}
@@ -196,7 +175,7 @@
 	defer close(e.stopped)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	for e.faults.WaitThawed(ctx) {
+	for e.Faults().WaitThawed(ctx) {
 		timer.Reset(e.advance())
 		select {
 		case <-timer.C:
@@ -233,8 +212,8 @@
 func (e *Server) finish(s *stream) {
 	delete(e.generating, s.request)
 	e.sampleLoad()
-	e.records.End(s.id, http.StatusOK, string(s.whole()))
-	e.runs.End(s.run, backend.Done, func() {
+	e.Records.End(s.id, http.StatusOK, string(s.whole()))
+	e.Runs().End(s.run, backend.Done, func() {
 		s.run.CachedTokens = s.request.Cached
 		s.run.PromptTokens = s.request.PromptTokens
 	})
--- a/standin/engine/sse.go
+++ b/standin/engine/sse.go
@@ -11,7 +11,7 @@
 
 // sendEvents writes the events of a stream from number n on.
 func (e *Server) sendEvents(c echo.Context, s *stream, n int) error {
-	writer := &eventWriter{response: c.Response(), stream: s, faults: e.faults}
+	writer := &eventWriter{response: c.Response(), stream: s, faults: e.Faults()}
 	c.Response().Header().Set(echo.HeaderContentType, "text/event-stream")
 	c.Response().Header().Set("Cache-Control", "no-cache")
 	c.Response().WriteHeader(http.StatusOK)
@@ -35,7 +35,7 @@
 		ready, cancelled, changed := s.events() > n, s.cancelled, s.changed
 		e.mu.Unlock()
 		if ready {
-			return e.faults.WaitThawed(c.Request().Context())
+			return e.Faults().WaitThawed(c.Request().Context())
 		}
 		if cancelled {
 			return false
@@ -59,7 +59,7 @@
 
 func (w *eventWriter) send(n int) error {
 	event := fmt.Appendf(nil, "id: %d\ndata: %s\n\n", n, w.stream.chunk(n))
-	faults := w.faults.Faults()
+	faults := w.faults.Current()
 	if faults.CutAfterEvents > 0 && w.sent >= faults.CutAfterEvents {
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -98,7 +98,7 @@
 	delete(e.generating, s.request)
 	e.model.Cancel(e.now(), s.request)
 	e.sampleLoad()
-	e.runs.End(s.run, backend.Cancelled, nil)
-	e.records.End(s.id, statusCancelled, "")
+	e.Runs().End(s.run, backend.Cancelled, nil)
+	e.Records.End(s.id, statusCancelled, "")
 	s.notify()
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -51,12 +51,8 @@
 
 // Server is one service. It is an http.Handler and can also listen by itself.
 type Server struct {
-	*backend.Listener
-	config  Config
-	echo    *echo.Echo
-	runs    *backend.Runs
-	faults  *backend.Switch
-	records *backend.Records
+	*backend.Server
+	config Config
 
 	mu          sync.Mutex
 	incarnation uint64
@@ -68,39 +64,22 @@
 // New returns a service.
 func New(config Config) *Server {
 	s := &Server{
-		config:  config,
-		echo:    echo.New(),
-		runs:    backend.NewRuns(config.LogFile),
-		faults:  backend.NewSwitch(),
-		records: backend.NewRecords(),
+		Server: backend.NewServer(config.LogFile),
+		config: config,
 	}
-	s.Listener = backend.NewListener(s)
 	s.reset()
-	backend.Register(s.echo, s.runs, s.faults)
-	s.echo.GET("/v1/requests/:id", s.record)
-	s.echo.GET("/status", s.status)
-	s.echo.Any("/*", s.call)
+	s.Echo.GET("/status", s.status)
+	s.Echo.Any("/*", s.call)
 	return s
 }
 
-// ServeHTTP answers one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	s.echo.ServeHTTP(w, request)
-}
-
-// Runs returns the log of all runs.
-func (s *Server) Runs() *backend.Runs { return s.runs }
-
-// Faults returns the switchable faults.
-func (s *Server) Faults() *backend.Switch { return s.faults }
-
 func (s *Server) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.incarnation = rand.Uint64()
 	s.running = 0
 	s.history = backend.History{Age: s.config.StatusAge}
-	s.records.Clear()
+	s.Records.Clear()
 }
 
 // call runs one call. A call that has started runs to its end even when the caller goes away.
@@ -112,7 +91,7 @@
 	run := backend.NewRun(c.Request(), body)
 	run.Body = string(body)
 	answer := s.begin(run)
-	if s.faults.Faults().Crashes(body) {
+	if s.Faults().Current().Crashes(body) {
 		s.crash()
 	}
 	time.Sleep(s.config.RunTime)
@@ -125,8 +104,8 @@
 	defer s.mu.Unlock()
 	s.number++
 	run.Incarnation = s.incarnation
-	s.records.Begin(run.RequestID)
-	s.runs.Begin(run)
+	s.Records.Begin(run.RequestID)
+	s.Runs().Begin(run)
 	s.changeLoad(1)
 	return Answer{
 		RequestID: run.RequestID, Number: s.number, Method: run.Method, Path: run.Path, BodyHash: run.BodyHash,
@@ -135,10 +114,10 @@
 
 // answer ends a run unless the service crashed meanwhile.
 func (s *Server) answer(c echo.Context, run *backend.Run, answer Answer) error {
-	if !s.end(run, answer) || s.faults.Faults().CutAfterEvents > 0 {
+	if !s.end(run, answer) || s.Faults().Current().CutAfterEvents > 0 {
 		panic(http.ErrAbortHandler)
 	}
-	if !s.faults.WaitThawed(c.Request().Context()) {
+	if !s.Faults().WaitThawed(c.Request().Context()) {
 		return nil
 	}
 	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, answer.encode())
@@ -151,8 +130,8 @@
 		return false
 	}
 	s.changeLoad(-1)
-	s.records.End(run.RequestID, http.StatusOK, string(answer.encode()))
-	s.runs.End(run, backend.Done, nil)
+	s.Records.End(run.RequestID, http.StatusOK, string(answer.encode()))
+	s.Runs().End(run, backend.Done, nil)
 	return true
 }
 
@@ -163,7 +142,7 @@
 
 // crash ends the process, or all connections when the service runs in a test's process.
 func (s *Server) crash() {
-	s.runs.EndAll(backend.Crashed)
+	s.Runs().EndAll(backend.Crashed)
 	if s.config.Exit != nil {
 		s.config.Exit()
 	}
@@ -172,10 +151,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (s *Server) record(c echo.Context) error {
-	return c.JSON(http.StatusOK, s.records.Get(c.Param("id")))
-}
-
 func (s *Server) status(c echo.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -53,7 +53,7 @@
 			if len(runs) != 1 || runs[0].Outcome != test.outcome || runs[0].Body != body {
 				t.Errorf("runs %+v, want one with outcome %s", runs, test.outcome)
 			}
-			if record := s.records.Get("r1"); record.State != test.record {
+			if record := s.Records.Get("r1"); record.State != test.record {
 				t.Errorf("record %+v, want %s", record, test.record)
 			}
 		})
