Rank the gates of a target once for each view

Cause: the ownership machine sorted the gates of the zone for every target in every step, to find the gates to watch, and again in each check of an owned target; entries did it for each request to find the owner. The order depends on the view only. Ruled out: the maps of permissions, 0.2 ms of the 7.5.

Change: the machine keeps the first two names of a target when a view comes, and Owner takes the highest score without a sort; rendezvous.FirstOf serves both lists and views.

Before (go test -bench 'Tick|Owner' ./internal/ownership, 165 gates in 5 zones, 600 targets): a step 7.46 ms and 9.95 MB, an owner 8.2 us and 16 KB. After: 0.24 ms and 0.11 MB, 2.6 us and 81 B.

--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -72,6 +72,9 @@
 	Target
 	chart  statechart.Instance[statechart.OwnershipState, statechart.OwnershipEvent, statechart.OwnershipAction]
 	chosen bool
+	// owner and follower are the names of the first two gates by the view, or empty. They are kept, since to rank the
+	// gates for each target in each step took 7.5 ms with 165 gates and 600 targets.
+	owner, follower string
 	// previous is the owner by the view before this gate was chosen.
 	previous membership.Gate
 	// since is the start of the present takeover.
@@ -245,8 +248,8 @@
 		m.targets[wanted.Name] = t
 	}
 	t.Zone = wanted.Zone
-	owner, ok := Owner(m.view, t.Name, t.Zone)
-	chosen := ok && owner.Name == m.self.Name
+	t.owner, t.follower = firstTwo(m.view, t)
+	chosen := t.owner == m.self.Name
 	if chosen && !t.chosen {
 		t.previous, _ = Owner(before, t.Name, t.Zone)
 	}
--- a/internal/ownership/owner.go
+++ b/internal/ownership/owner.go
@@ -68,6 +68,9 @@
 package ownership
 
 import (
+	"iter"
+	"slices"
+
 	"github.com/amaranthlb/amaranthlb/internal/membership"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
 )
@@ -75,9 +78,9 @@
 // Ranked returns the live gates that may own a target, the owner first: those of the target's zone, or all
 // live gates when its zone has none.
 func Ranked(view *membership.View, target, zone string) []membership.Gate {
-	gates := liveGates(view, zone)
+	gates := slices.Collect(liveGates(view, zone))
 	if len(gates) == 0 {
-		gates = liveGates(view, "")
+		gates = slices.Collect(liveGates(view, ""))
 	}
 	return rank(target, gates)
 }
@@ -97,25 +100,35 @@
 	return ranked
 }
 
-// Owner returns the owner of a target, and false when no gate is live.
+// Owner returns the owner of a target, which is the first of Ranked, and false when no gate is live. Entries call it for
+// each request, so it does not sort.
 func Owner(view *membership.View, target, zone string) (membership.Gate, bool) {
-	ranked := Ranked(view, target, zone)
-	if len(ranked) == 0 {
-		return membership.Gate{}, false
+	name, ok := rendezvous.FirstOf(target, names(liveGates(view, zone)))
+	if !ok {
+		name, ok = rendezvous.FirstOf(target, names(liveGates(view, "")))
 	}
-	return ranked[0], true
+	member, _ := view.Gate(name)
+	return member.Gate, ok
 }
 
 // liveGates returns the live gates of a zone, or of all zones when zone is empty.
-func liveGates(view *membership.View, zone string) []membership.Gate {
-	var gates []membership.Gate
-	for _, member := range view.Gates {
-		if member.State != membership.Live {
-			continue
+func liveGates(view *membership.View, zone string) iter.Seq[membership.Gate] {
+	return func(yield func(membership.Gate) bool) {
+		for i := range view.Gates {
+			member := &view.Gates[i]
+			if member.State == membership.Live && (zone == "" || member.Zone == zone) && !yield(member.Gate) {
+				return
+			}
 		}
-		if zone == "" || member.Zone == zone {
-			gates = append(gates, member.Gate)
+	}
+}
+
+func names(gates iter.Seq[membership.Gate]) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for gate := range gates {
+			if !yield(gate.Name) {
+				return
+			}
 		}
 	}
-	return gates
 }
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -312,24 +312,34 @@
 
 // next returns the live gate that ranks directly after this one.
 func (m *Machine) next(t *target) (membership.Member, bool) {
-	ranked := Ranked(m.view, t.Name, t.Zone)
-	if len(ranked) < 2 || ranked[0].Name != m.self.Name {
+	if t.follower == "" || t.owner != m.self.Name {
 		return membership.Member{}, false
 	}
-	return m.view.Gate(ranked[1].Name)
+	return m.view.Gate(t.follower)
+}
+
+// firstTwo returns the names of the first two gates for a target, empty where there is none.
+func firstTwo(view *membership.View, t *target) (first, second string) {
+	ranked := Ranked(view, t.Name, t.Zone)
+	if len(ranked) > 0 {
+		first = ranked[0].Name
+	}
+	if len(ranked) > 1 {
+		second = ranked[1].Name
+	}
+	return first, second
 }
 
 // nextGates returns the gates that rank next for owned targets, and the owners that this gate follows, sorted.
 func (m *Machine) nextGates() []string {
 	var names []string
 	for _, t := range m.targets {
-		ranked := Ranked(m.view, t.Name, t.Zone)
 		switch {
-		case len(ranked) < 2:
-		case ranked[0].Name == m.self.Name:
-			names = append(names, ranked[1].Name)
-		case ranked[1].Name == m.self.Name:
-			names = append(names, ranked[0].Name)
+		case t.follower == "":
+		case t.owner == m.self.Name:
+			names = append(names, t.follower)
+		case t.follower == m.self.Name:
+			names = append(names, t.owner)
 		}
 	}
 	slices.Sort(names)
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -5,6 +5,7 @@
 package rendezvous
 
 import (
+	"iter"
 	"math"
 	"math/bits"
 	"slices"
@@ -41,19 +42,20 @@
 
 // First returns the node with the highest score for the key, and false when there are no nodes.
 func First(key string, nodes []string) (string, bool) {
-	if len(nodes) == 0 {
-		return "", false
-	}
+	return FirstOf(key, slices.Values(nodes))
+}
+
+// FirstOf is First for nodes that are not in a list of their own.
+func FirstOf(key string, nodes iter.Seq[string]) (best string, found bool) {
 	k := Hash(key)
-	best := nodes[0]
-	score := Score(k, Hash(best))
-	for _, node := range nodes[1:] {
+	var score uint64
+	for node := range nodes {
 		s := Score(k, Hash(node))
-		if s > score || (s == score && node < best) {
-			best, score = node, s
+		if !found || s > score || (s == score && node < best) {
+			best, score, found = node, s, true
 		}
 	}
-	return best, true
+	return best, found
 }
 
 // Order returns the nodes sorted by falling score for the key.
