Share the simulated gates, their disturbances and the chunk decoder of tests

Read-through of the whole change: the two simulations of customers' shares built a gate and disturbed messages with the same lines, and two process tests decoded a stream's event with the same struct. Each stands once now; the draws of the random schedules, the bounds and the checks are the same.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -217,8 +217,8 @@
 	return true
 }
 
-// SetCap sets the permission for a target. With reason.ModelNotLoaded the target also leaves the pool's mean. It refuses the waiting requests of a target that gets no new work, and
-// starts those that a raised cap permits.
+// SetCap sets the permission for a target. With reason.ModelNotLoaded the target also leaves the pool's mean. It
+// refuses the waiting requests of a target that gets no new work, and starts those that a raised cap permits.
 func (c *Controller) SetCap(now time.Duration, name string, limit Cap, out []Outcome) []Outcome {
 	t, ok := c.targets[name]
 	if !ok || t.lost {
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -165,9 +165,9 @@
 //
 // Enlargements are slow and only divide what no gate holds. What a gate holds and does not need goes to others by
 // grants: the giver lowers its fraction before it names the grant, and the receiver takes each grant once. A grant
-// thus never raises the sum of fractions, whatever is lost, late or repeated, and needs no agreement. A gate counts the
-// grants under way: those that it knows from the giver and not from the receiver. The sum that it computes is then never below that
-// of an earlier moment, even if it knows the giver's use of a later time than the receiver's.
+// thus never raises the sum of fractions, whatever is lost, late or repeated, and needs no agreement. A gate counts
+// the grants under way: those that it knows from the giver and not from the receiver. The sum that it computes is then
+// never below that of an earlier moment, even if it knows the giver's use of a later time than the receiver's.
 type share struct {
 	fraction float64
 	// demand is in the unit of the limit, relative is a fraction of it.
--- a/internal/admission/share_test.go
+++ b/internal/admission/share_test.go
@@ -48,12 +48,7 @@
 // join adds a gate and, if there is gossip, lets it hear each of the others before it is ready.
 func (s *fleetSim) join() {
 	name := fmt.Sprint("g", len(s.gates))
-	c := New(name)
-	c.SetEpoch(uint64(1000 * (len(s.gates) + 1)))
-	c.SetCustomers([]Customer{s.limits})
-	c.SetPools([]Pool{{Name: "p", LoadMultiple: 1e6, MaxInFlight: 1e6, Targets: 1}})
-	c.SetTarget("t-"+name, "z", "p")
-	c.SetCap(s.now, "t-"+name, Full(), nil)
+	c := s.newGate(name, uint64(1000*(len(s.gates)+1)))
 	if s.now > 0 {
 		for _, other := range s.gates {
 			for _, use := range other.Uses() {
@@ -69,6 +64,17 @@
 	s.running = append(s.running, nil)
 }
 
+// newGate returns the Controller of a gate with one target.
+func (s *fleetSim) newGate(name string, epoch uint64) *Controller {
+	c := New(name)
+	c.SetEpoch(epoch)
+	c.SetCustomers([]Customer{s.limits})
+	c.SetPools([]Pool{{Name: "p", LoadMultiple: 1e6, MaxInFlight: 1e6, Targets: 1}})
+	c.SetTarget("t-"+name, "z", "p")
+	c.SetCap(s.now, "t-"+name, Full(), nil)
+	return c
+}
+
 func (s *fleetSim) setViews() {
 	for i, c := range s.gates {
 		view := slices.Clone(s.names)
@@ -142,12 +148,15 @@
 	return rate, concurrent
 }
 
-// disturb changes one thing about the fleet at random.
-func (s *fleetSim) disturb() {
-	switch s.rng.Intn(6) {
+// messageFaults is the number of changes that disturbMessages makes.
+const messageFaults = 5
+
+// disturbMessages changes demand, loss, delay or the cut.
+func (s *fleetSim) disturbMessages(change int, mostDemand float64) {
+	switch change {
 	case 0:
 		for i := range s.demand {
-			s.demand[i] = float64(s.rng.Intn(3)) * s.rng.Float64() * 5
+			s.demand[i] = float64(s.rng.Intn(3)) * s.rng.Float64() * mostDemand
 		}
 	case 1:
 		s.loss = s.rng.Float64()
@@ -160,7 +169,14 @@
 	case 4:
 		clear(s.side)
 		s.loss, s.maxDelay = 0, simTick
-	case 5:
+	}
+}
+
+// disturb changes one thing about the fleet at random.
+func (s *fleetSim) disturb() {
+	if change := s.rng.Intn(messageFaults + 1); change < messageFaults {
+		s.disturbMessages(change, 5)
+	} else {
 		s.hidden[s.rng.Intn(len(s.gates))] = s.rng.Intn(len(s.gates))
 		s.hideUntil = s.now + 5*time.Second
 		s.setViews()
--- a/internal/admission/submit.go
+++ b/internal/admission/submit.go
@@ -289,8 +289,9 @@
 	return append(out, outcome)
 }
 
-// Tick does what time requires: it refuses requests that have waited too long, moves the customers' shares, and starts requests whose target's limit has risen with the load of its pool. Call it
-// at least every 100 ms; no request waits longer than its bound plus that interval.
+// Tick does what time requires: it refuses requests that have waited too long, moves the customers' shares, and starts
+// requests whose target's limit has risen with the load of its pool. Call it at least every 100 ms; no request waits
+// longer than its bound plus that interval.
 func (c *Controller) Tick(now time.Duration, out []Outcome) []Outcome {
 	for _, t := range c.order {
 		out = c.dispatch(now, t, out)
--- a/internal/admission/transfer_test.go
+++ b/internal/admission/transfer_test.go
@@ -61,12 +61,7 @@
 // restart starts a process of a gate that has heard the others, as one does before it is ready.
 func (s *failingSim) restart(i int) {
 	s.epoch += 1000
-	c := New(s.names[i])
-	c.SetEpoch(s.epoch)
-	c.SetCustomers([]Customer{s.limits})
-	c.SetPools([]Pool{{Name: "p", LoadMultiple: 1e6, MaxInFlight: 1e6, Targets: 1}})
-	c.SetTarget("t-"+s.names[i], "z", "p")
-	c.SetCap(s.now, "t-"+s.names[i], Full(), nil)
+	c := s.newGate(s.names[i], s.epoch)
 	for j, other := range s.gates {
 		if j != i && !s.stopped(j) {
 			for _, use := range other.Uses() {
@@ -168,7 +163,7 @@
 					}
 				}
 			case s.now < calm && s.rng.Intn(10) == 0:
-				s.disturbMessages()
+				s.disturbMessages(s.rng.Intn(messageFaults), 100)
 			case s.now < calm && s.rng.Intn(50) == 0:
 				s.fail()
 			}
@@ -186,27 +181,6 @@
 	t.Logf("the shares added up to at most %.3f of the limit", worst)
 }
 
-// disturbMessages changes demand, loss, delay or the cut.
-func (s *failingSim) disturbMessages() {
-	switch s.rng.Intn(5) {
-	case 0:
-		for i := range s.demand {
-			s.demand[i] = float64(s.rng.Intn(3)) * s.rng.Float64() * 100
-		}
-	case 1:
-		s.loss = s.rng.Float64()
-	case 2:
-		s.maxDelay = time.Duration(s.rng.Intn(5000)) * time.Millisecond
-	case 3:
-		for i := range s.side {
-			s.side[i] = s.rng.Intn(2)
-		}
-	case 4:
-		clear(s.side)
-		s.loss, s.maxDelay = 0, simTick
-	}
-}
-
 // Guards against a small share that refuses the second of two close requests after a pause.
 func TestSmallShareHoldsABurst(t *testing.T) {
 	c := newController(single(100), "a")
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,7 +4,8 @@
 // the load digest. Pick reads it without locks and without allocation.
 //
 // A returning chat goes to the target that holds its prefix, and waits there for a time, unless that target's load
-// costs more than the reuse is worth. A new chat goes to the less loaded of its first ranks, which keeps the skew low without a table of chats.
+// costs more than the reuse is worth. A new chat goes to the less loaded of its first ranks, which keeps the skew low
+// without a table of chats.
 package routing
 
 import (
--- a/test/e2e/main_test.go
+++ b/test/e2e/main_test.go
@@ -140,23 +140,31 @@
 			done = true
 			continue
 		}
-		var chunk struct {
-			Choices []struct {
-				Delta struct {
-					Content string `json:"content"`
-				} `json:"delta"`
-			} `json:"choices"`
-		}
-		if json.Unmarshal([]byte(data), &chunk) != nil {
-			continue
-		}
-		for _, choice := range chunk.Choices {
-			text.WriteString(choice.Delta.Content)
-		}
+		content, _ := chunkText(data)
+		text.WriteString(content)
 	}
 	return text.String(), done
 }
 
+// chunkText returns the text of one event of a stream, and false when it is not JSON.
+func chunkText(data string) (string, bool) {
+	var chunk struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(data), &chunk) != nil {
+		return "", false
+	}
+	var text strings.Builder
+	for _, choice := range chunk.Choices {
+		text.WriteString(choice.Delta.Content)
+	}
+	return text.String(), true
+}
+
 // isStream reports whether a request asked for a stream.
 func isStream(r checked) bool { return bytes.Contains(r.body, []byte(`"stream":true`)) }
 
--- a/test/e2e/whole_test.go
+++ b/test/e2e/whole_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -95,19 +94,11 @@
 		s.done = true
 		return
 	}
-	var chunk struct {
-		Choices []struct {
-			Delta struct {
-				Content string `json:"content"`
-			} `json:"delta"`
-		} `json:"choices"`
-	}
-	if json.Unmarshal([]byte(data), &chunk) != nil {
+	content, ok := chunkText(data)
+	if !ok {
 		return
 	}
-	for _, choice := range chunk.Choices {
-		s.text += choice.Delta.Content
-	}
+	s.text += content
 	if id != "" {
 		s.lastID = id
 	}
