Set a target's cap in one place

Read-through of the whole change: three branches of configureTarget made the gate the owner of the target with the same line.

--- a/internal/gate/publish.go
+++ b/internal/gate/publish.go
@@ -55,18 +55,18 @@
 }
 
 func (g *Gate) configureTarget(c *admission.Controller, now time.Duration, snapshot *Snapshot, t *catalogue.Target, out []admission.Outcome) []admission.Outcome {
-	switch {
-	case !snapshot.Owned[t.Name]:
+	if !snapshot.Owned[t.Name] {
 		return c.DropTarget(now, t.Name, reason.NotOwner, out)
+	}
+	c.SetTarget(t.Name, t.Zone, t.Pool().Name)
+	limit := targetCap(g.permission(t.Name))
+	switch {
 	case snapshot.View.Target(t.Name) != membership.Live:
-		c.SetTarget(t.Name, t.Zone, t.Pool().Name)
-		return c.SetCap(now, t.Name, admission.None(reason.TargetLeaving), out)
+		limit = admission.None(reason.TargetLeaving)
 	case snapshot.Unloaded[t.Name]:
-		c.SetTarget(t.Name, t.Zone, t.Pool().Name)
-		return c.SetCap(now, t.Name, admission.None(reason.ModelNotLoaded), out)
+		limit = admission.None(reason.ModelNotLoaded)
 	}
-	c.SetTarget(t.Name, t.Zone, t.Pool().Name)
-	return c.SetCap(now, t.Name, targetCap(g.permission(t.Name)), out)
+	return c.SetCap(now, t.Name, limit, out)
 }
 
 // otherGates names every gate that may still be running.
