Keep polls of other processes out of the targets of router tests

Cause, TestUnsafeRunsAtMostOnce/silent (5 runs, want 1): the stand-in of a target recorded any HTTP request as a run, also one without an ID, which a real replica rejects as not run. A gate polls each of its engines twice a second, and engine stand-ins of other test processes took ports from the same range as the targets of router tests. One run and four polls within the 2 s of a silent target make five. Cause, TestRequestThatCrashesTargetsIsRefused (5 runs, want 3): traced before; another router learned of the third crash 1.9 ms later, and the test sent two more requests meanwhile. The test of crashes sends nothing while the third crash spreads, requires that it reaches all routers within the platform's bound of 3 s, and that no request runs afterwards, where it allowed one more run before. The test of runs prints what the targets received.

--- a/internal/replay/standins.go
+++ b/internal/replay/standins.go
@@ -6,6 +6,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
 	"github.com/amaranthlb/amaranthlb/standin/engine"
+	"github.com/amaranthlb/amaranthlb/standin/loopback"
 	"github.com/amaranthlb/amaranthlb/standin/service"
 )
 
@@ -43,7 +44,11 @@
 func (s *Standins) start(pool *Pool, name string) error {
 	one := s.create(pool, name)
 	s.all = append(s.all, one)
-	if err := one.Start("127.0.0.1:0"); err != nil {
+	address, err := loopback.FreeAddress()
+	if err != nil {
+		return err
+	}
+	if err := one.Start(address); err != nil {
 		return err
 	}
 	s.Targets = append(s.Targets, Backend{Name: name, Address: one.Address()})
--- a/internal/router/crashes_test.go
+++ b/internal/router/crashes_test.go
@@ -6,10 +6,15 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/amaranthlb/amaranthlb/platform/platformtest"
 )
 
+// propagationBound is the time after the third crash from which the platform's rules bound the further runs of a request
+// that crashes targets (stable-window-ms of the smallest deployments).
+const propagationBound = 3 * time.Second
+
 // Guards against a request that crashes one target after another because its client retries it through other routers,
 // and against other requests being refused because of it.
 func TestRequestThatCrashesTargetsIsRefused(t *testing.T) {
@@ -39,16 +44,29 @@
 		}
 		return count
 	}
-	last := result{}
-	for i := range calls {
+	send := func(i int) result {
 		inst := f.routers[i%len(f.routers)]
-		last = inst.send(context.Background(), call{method: http.MethodPost, path: "/order/poison", id: fmt.Sprint("p", i), body: "the same"})
+		return inst.send(context.Background(), call{method: http.MethodPost, path: "/order/poison", id: fmt.Sprint("p", i), body: "the same"})
+	}
+	for i := range allowed {
+		send(i)
 	}
-	if last.status != http.StatusServiceUnavailable || !strings.Contains(last.body, "crash_suspect") {
-		t.Errorf("status %d, %s", last.status, last.body)
+	if count := poisonedRuns(); count != allowed {
+		t.Errorf("the crashing request ran %d times, want %d before it is refused", count, allowed)
+	}
+	thirdCrash := time.Now()
+	for _, inst := range f.routers {
+		await(t, "the router knows of the crashes", func() bool { return strings.Count(inst.output.String(), "crashes targets and is refused") > 0 })
+	}
+	if took := time.Since(thirdCrash); took > propagationBound {
+		t.Errorf("all routers refuse the request %v after the third crash, want at most %v", took, propagationBound)
+	}
+	for i := allowed; i < calls; i++ {
+		if got := send(i); got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "crash_suspect") {
+			t.Errorf("call %d: status %d, %s", i, got.status, got.body)
+		}
 	}
-	// One more run may be in progress while the other routers are notified.
-	if count := poisonedRuns(); count < allowed || count > allowed+1 {
+	if count := poisonedRuns(); count != allowed {
 		t.Errorf("the crashing request ran %d times, want %d", count, allowed)
 	}
 	for i, inst := range f.routers {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -91,13 +91,15 @@
 			if got.status != c.want {
 				t.Errorf("status %d, want %d (%v)", got.status, c.want, got.err)
 			}
-			runs := len(first.Runs()) + len(second.Runs())
-			if want := 1; c.behavior.NotRun {
-				if runs != 0 {
-					t.Errorf("%d runs of a refused request, want 0", runs)
-				}
-			} else if runs != want {
-				t.Errorf("%d runs, want %d", runs, want)
+			runs, want := append(first.Runs(), second.Runs()...), 1
+			if c.behavior.NotRun {
+				want = 0
+			}
+			if len(runs) != want {
+				t.Errorf("%d runs, want %d: %+v", len(runs), want, runs)
+			}
+			if rejected := append(first.Rejected(), second.Rejected()...); len(rejected) > 0 {
+				t.Logf("requests without an ID from outside the test: %q", rejected)
 			}
 		})
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -7,8 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -20,6 +18,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/amaranthlb/amaranthlb/internal/catalogue"
+	"github.com/amaranthlb/amaranthlb/standin/loopback"
 )
 
 const (
@@ -110,18 +109,10 @@
 	return assign(fields...)
 }
 
-// Ports lie below the range from which the kernel takes ports of outgoing connections, since one of those could
-// take an address between its choice here and the start of its process.
-const (
-	firstPort  = 12000
-	portCount  = 18000
-	portTrials = 200
-)
-
 // assign finds a free loopback address for each field. The ports are held until all are chosen, so that they differ.
 func assign(fields ...*string) error {
 	for _, field := range fields {
-		listener, err := listenAny()
+		listener, err := loopback.Listen()
 		if err != nil {
 			return err
 		}
@@ -131,18 +122,6 @@
 	return nil
 }
 
-func listenAny() (net.Listener, error) {
-	var err error
-	for range portTrials {
-		var listener net.Listener
-		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
-		if err == nil {
-			return listener, nil
-		}
-	}
-	return nil, err
-}
-
 func (f *Fleet) write(name string, content []byte) error {
 	return os.WriteFile(filepath.Join(f.directory, name), content, 0o600)
 }
