Move stalled streams to another engine before the retransmission

A packet that the link loses holds back its event for 200 ms (the sender's retransmission timeout), and pass-ms makes the stream late. A trial that stopped silent streams showed how many events their engine had made in the meantime: 4 to 12 where a packet was lost, 0 or 1 where the engine was slow. Chosen: a stream is overdue 10 ms before the retransmission can arrive, its own spacing added; the run is then stopped with its memory copied to the least loaded engine, and goes on there after the last event that the caller has. This is the same run for every kind of route. A timed out read of a response can go on (upstream.ReadWatched). A stream that can't go on is cut; the test of that found that a refused continuation started a new run of a stream that must not repeat (checkRetry looked at the last attempt only), mended here.

--- a/cmd/amaranth-router/main.go
+++ b/cmd/amaranth-router/main.go
@@ -74,7 +74,7 @@
 		log.WithError(err).Error("failed to set up metrics")
 		return daemon.ExitFailed
 	}
-	daemonRouter := router.New(routerConfig(settings), platform.Wire{}, platform.NewStore(settings.StoreAddress), platform.NewCaches(), platform.Decoder{}, log, meters)
+	daemonRouter := router.New(routerConfig(settings), platform.Wire{}, platform.NewStore(settings.StoreAddress), platform.NewEngines(), platform.Decoder{}, log, meters)
 	checkSettingsOnHangup(path, log)
 	return daemon.Run(log.Entry, func(ctx context.Context) error { return daemonRouter.Run(ctx) })
 }
--- /dev/null
+++ b/internal/place/destination.go
@@ -0,0 +1,52 @@
+package place
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/routes"
+)
+
+// ChooseDestination returns the target to which a run moves from another one. It is the least loaded of the healthy
+// ones whose load stays within the mean plus longSlack, so that moved runs do not crowd a target. Targets in the
+// local zone are preferred, and those in the zone of the source, since a copy between zones takes twice as long. It
+// returns false if no target has room.
+func (p *LoadTracker) ChooseDestination(now time.Duration, source routes.Target, zone string, exclude []string) (Choice, bool) {
+	svc := p.services[source.Service]
+	if svc == nil {
+		return Choice{}, false
+	}
+	open := slices.DeleteFunc(p.candidates(now, svc, append(slices.Clone(exclude), source.ID)), func(candidate *targetState) bool {
+		return candidate.withdrawn || now < candidate.blocked || candidate.target.WarmupRemaining > 0
+	})
+	if len(open) == 0 {
+		return Choice{}, false
+	}
+	loads := make([]Load, len(open))
+	mean := 0.0
+	for i, candidate := range open {
+		loads[i] = candidate.load(now)
+		mean += loads[i].Requests / float64(len(open))
+	}
+	best, bestCost := -1, math.Inf(1)
+	for i, candidate := range open {
+		if loads[i].total()+1 > min(mean+longSlack, candidate.slots()) {
+			continue
+		}
+		cost := loads[i].total()/candidate.slots() + tieBreakJitter*p.rng.Float64()
+		if candidate.target.Zone != zone {
+			cost += remoteZoneCost
+		}
+		if candidate.target.Zone != source.Zone {
+			cost += remoteZoneCost
+		}
+		if cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return Choice{}, false
+	}
+	return Choice{Target: open[best].target, Load: loads[best], LoadAge: open[best].loadAge(now), Mean: mean}, true
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -46,8 +46,19 @@
 // Request counts a caller's request for the service.
 func (b *Budget) Request(now time.Duration, service string) { b.at(now, service).requests++ }
 
+// optionalShare is the part of the budget that is available to additional requests that only save time. The rest is
+// reserved for requests that would otherwise fail.
+const optionalShare = 0.75
+
 // Allow reports whether one more retry is within the budget, and counts it if so.
-func (b *Budget) Allow(now time.Duration, service string) bool {
+func (b *Budget) Allow(now time.Duration, service string) bool { return b.allow(now, service, 1) }
+
+// AllowOptional is like Allow for an additional request without which the caller would still be served, but late.
+func (b *Budget) AllowOptional(now time.Duration, service string) bool {
+	return b.allow(now, service, optionalShare)
+}
+
+func (b *Budget) allow(now time.Duration, service string, share float64) bool {
 	entry := b.at(now, service)
 	requests, extra := 0, 0
 	for _, count := range b.counts[service] {
@@ -56,7 +67,7 @@
 			extra += count.extra
 		}
 	}
-	if float64(extra+1) > b.ratio*float64(requests)+b.slack {
+	if float64(extra+1) > share*(b.ratio*float64(requests)+b.slack) {
 		return false
 	}
 	entry.extra++
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -42,3 +42,23 @@
 	}
 	return n
 }
+
+// Guards against requests that only save time using up the budget of requests that would otherwise fail.
+func TestOptionalRetriesLeaveAReserve(t *testing.T) {
+	const requests, ratio, slack = 100, 0.2, 4.0
+	budget := NewBudget(ratio, slack, 10*time.Second)
+	for range requests {
+		budget.Request(0, "s")
+	}
+	optional := 0
+	for budget.AllowOptional(0, "s") {
+		optional++
+	}
+	needed := 0
+	for budget.Allow(0, "s") {
+		needed++
+	}
+	if total := int(ratio*requests + slack); optional+needed != total || needed != total/4 {
+		t.Errorf("%d optional and %d needed retries of %d", optional, needed, total)
+	}
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -40,9 +40,12 @@
 func (x *exchange) attempt(ctx context.Context, choice place.Choice) attemptResult {
 	r := x.router
 	startedAt := time.Now()
-	x.attempts++
+	if x.moved == nil {
+		x.attempts++
+	}
 	x.lastTarget = choice.Target.ID
 	x.choice, x.promptRead = choice, false
+	moved := x.moved
 	result := x.sendToTarget(ctx, choice)
 	if x.r.Context().Err() != nil && !result.completed {
 		result.outcome = place.Neutral
@@ -57,7 +60,9 @@
 	}
 	if result.mayHaveRun {
 		x.mayHaveRun = true
-		x.runs++
+		if x.moved == moved {
+			x.runs++
+		}
 	}
 	if result.completed {
 		r.meters.Answered()
@@ -120,7 +125,10 @@
 		}
 	}
 	order.Priority = min(max(order.Priority, 0), 9)
-	if x.route.Resumable {
+	if x.moved != nil {
+		order.ContinueFrom, order.FetchFrom = x.moved.run.Reference, ""
+	}
+	if x.route.Resumable || x.moved != nil {
 		order.ResumeAfter = x.resumeAfter
 	}
 	header := x.header.Clone()
@@ -146,7 +154,7 @@
 	}
 	defer response.Close()
 	x.report(target, response.Answer)
-	return x.forwardResponse(response)
+	return x.forwardResponse(ctx, response)
 }
 
 func (x *exchange) report(target routes.Target, answer routes.Answer) {
@@ -187,7 +195,7 @@
 }
 
 // forwardResponse handles the header of a response and forwards the response.
-func (x *exchange) forwardResponse(response *upstream.Response) attemptResult {
+func (x *exchange) forwardResponse(ctx context.Context, response *upstream.Response) attemptResult {
 	answer := response.Answer
 	switch {
 	case answer.NotRun:
@@ -204,11 +212,9 @@
 	case response.Status >= http.StatusInternalServerError:
 		return x.bufferFailure(response)
 	case x.headerSent:
-		return x.forwardEvents(response, true)
-	case x.route.Kind == routes.Stream && response.Status == http.StatusOK && x.route.Resumable:
-		return x.forwardEvents(response, false)
+		return x.forwardEvents(ctx, response, true)
 	case x.route.Kind == routes.Stream && response.Status == http.StatusOK:
-		return x.forwardStream(response, nil)
+		return x.forwardEvents(ctx, response, false)
 	default:
 		return x.forwardBuffered(response)
 	}
@@ -290,7 +296,7 @@
 func (x *exchange) writeStreamHeader(response *upstream.Response) {
 	length := response.Header.Get("Content-Length")
 	x.copyHeader(response.Header)
-	if response.Length >= 0 && !x.route.Resumable {
+	if response.Length >= 0 && x.route.Kind != routes.Stream {
 		x.w.Header().Set("Content-Length", length)
 	}
 	x.w.WriteHeader(response.Status)
@@ -332,14 +338,17 @@
 
 // forwardEvents forwards a stream in complete events, so that another target can resume it after the last one. The
 // parameter continued means that the client already has the beginning.
-func (x *exchange) forwardEvents(response *upstream.Response, continued bool) attemptResult {
+func (x *exchange) forwardEvents(ctx context.Context, response *upstream.Response, continued bool) attemptResult {
 	if continued && response.Status != http.StatusOK {
 		return attemptResult{reason: reason.StreamGone, outcome: place.Failed, mayHaveRun: true, reachedTarget: true}
 	}
 	var pending []byte
 	buffer := make([]byte, streamBuffer)
+	attempted := x.moved
 	for {
-		n, err := response.Read(buffer, earlier(x.deadline, time.Now().Add(streamIdleTimeout)))
+		n, err := x.readEvents(ctx, func(deadline time.Time, onTimeout func() (time.Time, bool)) (int, error) {
+			return response.ReadWatched(buffer, deadline, onTimeout)
+		})
 		pending = append(pending, buffer[:n]...)
 		if complete := completeEventsLength(pending); complete > 0 {
 			if !x.headerSent {
@@ -348,12 +357,16 @@
 			if failure := x.writeChunk(pending[:complete]); failure != nil {
 				return *failure
 			}
+			x.stall.Event(x.lastAt)
 			x.resumeAfter = lastEventID(pending[:complete], x.resumeAfter)
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		if err == io.EOF {
 			return x.finishEvents(response, pending)
 		}
+		if x.moved != nil && err != nil && x.moved != attempted {
+			return attemptResult{outcome: place.Neutral, mayHaveRun: true, reachedTarget: true}
+		}
 		if err != nil {
 			x.lastErr = err
 			return brokenResult(err)
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -16,6 +16,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/place"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
+	"github.com/amaranthlb/amaranthlb/internal/stall"
 	"github.com/amaranthlb/amaranthlb/internal/upstream"
 )
 
@@ -60,9 +61,11 @@
 	service  string
 	// maxConnections is the connection limit of each target of the service.
 	maxConnections int
-	prompt         place.Prompt
-	header         http.Header
-	body           []byte
+	// movableRuns is set if the service's targets can move a run to another target.
+	movableRuns bool
+	prompt      place.Prompt
+	header      http.Header
+	body        []byte
 
 	attempts     int
 	runs         int
@@ -85,6 +88,10 @@
 	maxGap  time.Duration
 	// longResponseLogged is set once the response in progress has been logged.
 	longResponseLogged bool
+	// stall detects a lost packet of the stream; moves counts the moves of its run, moved is the latest of them.
+	stall stall.Detector
+	moves int
+	moved *movedRun
 }
 
 type bufferedResponse struct {
@@ -141,7 +148,7 @@
 	}
 	x.service = x.route.Service(xxhash.Sum64String(x.request.ID))
 	if service := table.Service(x.service); service != nil {
-		x.maxConnections = service.MaxConnections
+		x.maxConnections, x.movableRuns = service.MaxConnections, service.MovableRuns
 	}
 	x.prompt = sharedPrompt(x.request.Prompt)
 	x.header = x.r.Header
@@ -256,11 +263,12 @@
 			x.finish(reason.CrashSuspect, 0)
 			return
 		}
-		choice, refusal := x.chooseTarget()
+		choice, refusal := x.nextTarget()
 		if refusal != nil {
 			x.finish(refusal.Reason, refusal.RetryAfter)
 			return
 		}
+		moved := x.moved
 		result := x.attempt(ctx, choice)
 		if result.completed {
 			return
@@ -269,6 +277,9 @@
 			x.finish(reason.CallerGone, 0)
 			return
 		}
+		if x.continueMoved(moved, result) {
+			continue
+		}
 		if code := x.checkRetry(result); code != "" {
 			x.finish(code, failureRetryAfter)
 			return
@@ -317,7 +328,7 @@
 		return reason.DeadlineExceeded
 	case x.attempts >= maxAttempts:
 		return result.reason
-	case result.mayHaveRun && !x.route.Idempotent():
+	case x.mayHaveRun && !x.route.Idempotent():
 		return result.reason
 	case result.mayHaveRun && x.runs >= x.route.MaxTargets:
 		return result.reason
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -100,16 +100,27 @@
 	}
 	inst.output = new(safeBuffer)
 	log := eventlog.Open(inst.output, logrus.InfoLevel, logrus.Fields{"vm": inst.config.Name})
-	inst.router = router.New(inst.config, platform.Wire{}, platform.NewStore(inst.door.Address), platform.NewCaches(), platform.Decoder{}, log, meters)
+	inst.router = router.New(inst.config, platform.Wire{}, platform.NewStore(inst.door.Address), platform.NewEngines(), platform.Decoder{}, log, meters)
 	ctx, stop := context.WithCancel(context.Background())
 	inst.stop, inst.ended = stop, make(chan error, 1)
 	go func() { inst.ended <- inst.router.Run(ctx) }()
 	f.t.Cleanup(func() {
 		stop()
 		log.Close(time.Second)
+		if f.t.Failed() {
+			f.t.Logf("log of %s at the end:\n%s", inst.config.Name, lastLines(inst.output.String(), loggedLines))
+		}
 	})
 }
 
+// loggedLines bounds the lines of a router's log that a failed test prints.
+const loggedLines = 40
+
+func lastLines(text string, count int) string {
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	return strings.Join(lines[max(len(lines)-count, 0):], "\n")
+}
+
 // configure writes a new version of the configuration. By default its routes cover one model service and one plain
 // service.
 func (f *fleet) configure(changes map[string]any) {
@@ -132,7 +143,7 @@
 			route("order", "/order/", "unsafe", "app", nil),
 			route("look", "/look/", "safe", "app", map[string]any{"max-attempts": 2}),
 		},
-		"services": []any{map[string]any{"name": "llm", "max-conns": 100}, map[string]any{"name": "app", "max-conns": 100}},
+		"services": []any{map[string]any{"name": "llm", "max-conns": 100, "engine": map[string]any{"moves": true}}, map[string]any{"name": "app", "max-conns": 100}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants":  []any{map[string]any{"name": "t1", "api-keys": []string{"key"}}},
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,9 +42,12 @@
 	Reconnect()
 }
 
-// Engines reads the cache contents of engines.
+// Engines makes control calls to engines.
 type Engines interface {
+	// Cached returns the prompt parts that an engine has cached.
 	Cached(ctx context.Context, address string) ([]routes.Part, error)
+	// Move stops a request's run on an engine and copies its memory to another one.
+	Move(ctx context.Context, address, requestID, to string) (routes.MovedRun, error)
 }
 
 // Config holds the settings of a router.
--- a/internal/routes/message.go
+++ b/internal/routes/message.go
@@ -43,6 +43,8 @@
 	FetchFrom string
 	// ResumeAfter is the ID of the last event that the caller has received from another target.
 	ResumeAfter string
+	// ContinueFrom names the memory of the run that this request continues; empty for a new run.
+	ContinueFrom string
 }
 
 // Load is the load that a target reports.
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -92,6 +92,8 @@
 	Name string
 	// MaxConnections limits the connections of all callers to one target.
 	MaxConnections int
+	// MovableRuns is set if the targets are engines that can move a running request to another engine.
+	MovableRuns bool
 }
 
 // Limits are the limits on callers' requests and connections.
@@ -218,3 +220,13 @@
 	// Revision is the store's revision of the entry.
 	Revision uint64
 }
+
+// MovedRun is a run that its engine has stopped so that it can continue elsewhere.
+type MovedRun struct {
+	// Reference names the run's memory in the request that continues it.
+	Reference string
+	// Copied is set if the other engine has the memory. Otherwise only the engine that stopped the run can continue it.
+	Copied bool
+	// Events is the number of events that the run had produced.
+	Events int
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -123,6 +123,26 @@
 	// idleLimit is how long the connection may be idle and still be reused.
 	idleLimit time.Duration
 	used      bool
+	// onTimeout, if set, decides whether a read that timed out goes on, and until when.
+	onTimeout func() (time.Time, bool)
+}
+
+// Read implements io.Reader. A read that onTimeout extends never returns its timeout, which readers of HTTP bodies
+// don't recover from.
+func (c *conn) Read(buffer []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(buffer)
+		if n > 0 || c.onTimeout == nil || !isTimeout(err) {
+			return n, err
+		}
+		next, proceed := c.onTimeout()
+		if !proceed {
+			return n, err
+		}
+		if err := c.SetReadDeadline(next); err != nil {
+			return n, err
+		}
+	}
 }
 
 // Pool holds idle connections by address. It is safe for concurrent use.
@@ -193,7 +213,9 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), address: call.Address}, nil
+	c := &conn{Conn: raw, address: call.Address}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 func (p *Pool) takeIdle(address string) *conn {
@@ -354,6 +376,14 @@
 	return n, nil
 }
 
+// ReadWatched reads like Read, but calls onTimeout at the deadline. If that returns true, the read goes on until the
+// returned time; otherwise it fails. The connection is not used while onTimeout runs.
+func (r *Response) ReadWatched(buffer []byte, deadline time.Time, onTimeout func() (time.Time, bool)) (int, error) {
+	r.conn.onTimeout = onTimeout
+	defer func() { r.conn.onTimeout = nil }()
+	return r.Read(buffer, deadline)
+}
+
 // ErrTooLong reports a body longer than the limit of ReadAll.
 var ErrTooLong = errors.New("response body exceeds the size limit")
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -295,3 +295,49 @@
 		t.Errorf("%d idle connections are kept, want %d", kept, maxIdlePerAddress)
 	}
 }
+
+// Guards against a reader of a chunked body that stays broken after a read that was meant to go on after its timeout.
+func TestWatchedReadGoesOnAfterTimeout(t *testing.T) {
+	address := target(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n")
+		time.Sleep(150 * time.Millisecond)
+		_, _ = io.WriteString(conn, "2\r\ncd\r\n0\r\n\r\n")
+	})
+	response, err := NewPool(decoder{}).Do(context.Background(), call(address, "1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	var body []byte
+	timeouts := 0
+	buffer := make([]byte, 16)
+	for err == nil {
+		var n int
+		n, err = response.ReadWatched(buffer, time.Now().Add(50*time.Millisecond), func() (time.Time, bool) {
+			timeouts++
+			return time.Now().Add(time.Second), true
+		})
+		body = append(body, buffer[:n]...)
+	}
+	if !errors.Is(err, io.EOF) || string(body) != "abcd" || timeouts != 1 {
+		t.Errorf("body %q after %d timeouts, %v", body, timeouts, err)
+	}
+}
+
+// Guards against a read that goes on although the caller gave up at the timeout.
+func TestWatchedReadFailsAtTimeout(t *testing.T) {
+	address := target(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		time.Sleep(2 * time.Second)
+	})
+	response, err := NewPool(decoder{}).Do(context.Background(), call(address, "1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	_, err = response.ReadWatched(make([]byte, 16), time.Now().Add(50*time.Millisecond), func() (time.Time, bool) { return time.Time{}, false })
+	var broken *BrokenError
+	if !errors.As(err, &broken) || broken.Closed {
+		t.Errorf("got %v, want a timeout", err)
+	}
+}
