Hedge reads of the store that get no response

Chosen: after 400 ms without the first byte another read starts on a connection of its own, up to four, the first answer wins.

--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -146,7 +146,7 @@
 	if fullRead {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		revision, items, err := r.store.Range(ctx, prefix)
+		revision, items, err := r.readRange(ctx, prefix)
 		if err != nil {
 			return err
 		}
--- a/internal/router/store_test.go
+++ b/internal/router/store_test.go
@@ -77,15 +77,22 @@
 	}
 }
 
-// startReading returns a router that reads one range of a store until the test ends.
-func startReading(t *testing.T, store *slowStore) *Router {
+// newReader returns a router that is not running.
+func newReader(t *testing.T, store Store) *Router {
 	t.Helper()
 	meters, err := telemetry.New()
 	if err != nil {
 		t.Fatal(err)
 	}
 	log := eventlog.Open(io.Discard, logrus.InfoLevel, nil)
-	r := New(Config{PeerAddress: "127.0.0.1:1", LoadMultiple: 2, RetryWindow: time.Second}, nil, store, nil, emptyDecoder{}, log, meters)
+	t.Cleanup(func() { log.Close(time.Second) })
+	return New(Config{PeerAddress: "127.0.0.1:1", LoadMultiple: 2, RetryWindow: time.Second}, nil, store, nil, emptyDecoder{}, log, meters)
+}
+
+// startReading returns a router that reads one range of a store until the test ends.
+func startReading(t *testing.T, store Store) *Router {
+	t.Helper()
+	r := newReader(t, store)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -95,7 +102,6 @@
 	t.Cleanup(func() {
 		stop()
 		<-ended
-		log.Close(time.Second)
 	})
 	return r
 }
