Let restarted routers find each other within two digests

Cause: after a restart of all routers each engine is to be asked for its cache by one router, the one that ranks first. The ranks counted only routers heard from directly. Change: ranks count all current members; a digest lists 40 members instead of 6 in the first 3 s of a process; a router that knows few others gets a digest in reply to its first one. Test: TestRestartedRoutersAgreeOnRanks, gossip of 195 routers in played time: 2,746 calls for 84 engines before, at most 105 now; without the reply 172, since two or three routers were heard of by all and heard of nobody.

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -16,8 +16,11 @@
 	// probeWindow is how long datagrams are still sent to a router that is no longer heard from, so that both sides of
 	// a network partition find each other again.
 	probeWindow = 60 * time.Second
-	// sampleSize is the number of other routers listed in a datagram.
-	sampleSize = 6
+	// sampleSize is the number of other routers listed in a datagram, startSampleSize that in the first startPeriod of a
+	// process. When all routers have restarted each knows only the seeds, and larger lists spread faster.
+	sampleSize      = 6
+	startSampleSize = 40
+	startPeriod     = 3 * time.Second
 	// localZoneFraction is the fraction of datagrams sent to routers in the router's own zone when there are more
 	// routers than datagrams.
 	localZoneFraction = 0.67
@@ -219,11 +222,12 @@
 	return list
 }
 
-// Direct returns the routers that were recently heard from directly, in random order.
-func (m *Members) Direct(now time.Duration) []string {
+// Current returns the current members other than this router, in random order. It includes those that were only heard
+// of through others: in a large fleet, a router hears directly from few others within the first seconds.
+func (m *Members) Current(now time.Duration) []string {
 	var list []string
 	for address, known := range m.members {
-		if known.seenDirectly && !known.leaving && now-known.lastDirect < memberTimeout {
+		if !known.leaving && now-known.lastSeen < memberTimeout {
 			list = append(list, address)
 		}
 	}
@@ -237,6 +241,12 @@
 	m.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
 
+// NeedsIntroduction reports whether a router that lists so many others in a datagram is to be told of more at once. A
+// router that knows as many as a datagram usually lists spreads its knowledge by itself.
+func (m *Members) NeedsIntroduction(now time.Duration, listed int) bool {
+	return listed < sampleSize && m.Count(now) > listed+2
+}
+
 // Sample returns a random sample of current members to list in a datagram.
 func (m *Members) Sample(now time.Duration) []Sighting {
 	var list []Sighting
@@ -247,5 +257,9 @@
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Address < list[j].Address })
 	m.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), sampleSize)]
+	size := sampleSize
+	if now < startPeriod {
+		size = startSampleSize
+	}
+	return list[:min(len(list), size)]
 }
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
 )
 
 func newGroup(count int) []*Members {
@@ -186,3 +188,47 @@
 		t.Errorf("%d of %d routers receive a datagram without a limit", len(all), zones*perZone)
 	}
 }
+
+// Guards against routers that share out work without knowing each other: after all have restarted, each engine is to be
+// asked for its cache by the router that ranks first, and with 195 routers each was asked by some twenty. The load is
+// the gossip of a fleet in its first 1.8 s, in which each router sends seven digests to twelve others.
+func TestRestartedRoutersAgreeOnRanks(t *testing.T) {
+	const routers, ticks, fanout, engines = 195, 7, 12, 84
+	const interval = 250 * time.Millisecond
+	all := newGroup(routers)
+	for _, m := range all {
+		m.seeds = []string{all[0].self, all[70].self, all[140].self}
+	}
+	byAddress := make(map[string]*Members)
+	for _, m := range all {
+		byAddress[m.self] = m
+	}
+	now := time.Duration(0)
+	for range ticks {
+		now += interval
+		for _, from := range all {
+			sample := from.Sample(now)
+			for _, address := range from.Recipients(now, fanout) {
+				to := byAddress[address]
+				joined := to.RecordDatagram(now, from.self, 1, false, Relayed)
+				to.MergeSightings(now, sample)
+				if joined && to.NeedsIntroduction(now, len(sample)) {
+					from.RecordDatagram(now, to.self, 1, false, Relayed)
+					from.MergeSightings(now, to.Sample(now))
+				}
+			}
+		}
+	}
+	asked := 0
+	for engine := range engines {
+		key := fmt.Sprint("engine-", engine)
+		for _, m := range all {
+			if first, _ := rendezvous.First(key, append(m.Current(now), m.self)); first == m.self {
+				asked++
+			}
+		}
+	}
+	if asked > engines*5/4 {
+		t.Errorf("%d engines are asked %d times", engines, asked)
+	}
+}
--- a/internal/router/caches.go
+++ b/internal/router/caches.go
@@ -137,7 +137,7 @@
 	services := table.StreamServices()
 	r.controlMu.Lock()
 	defer r.controlMu.Unlock()
-	routers := append(r.members.Direct(r.now()), r.config.PeerAddress)
+	routers := append(r.members.Current(r.now()), r.config.PeerAddress)
 	var assigned []routes.Target
 	for _, target := range r.directory.Targets() {
 		first, _ := rendezvous.First(target.ID, routers)
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -102,7 +102,7 @@
 // reportCrash records a crash and sends it to the router that ranks first for the digest.
 func (r *Router) reportCrash(charge crashguard.Charge) {
 	r.controlMu.Lock()
-	routers := append(r.members.Direct(r.now()), r.config.PeerAddress)
+	routers := append(r.members.Current(r.now()), r.config.PeerAddress)
 	r.controlMu.Unlock()
 	first, _ := rendezvous.First(strconv.FormatUint(uint64(charge.Digest), 16), routers)
 	charges := []crashguard.Charge{charge}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -257,11 +257,29 @@
 		r.applyPeerChanges(digest.Address, update)
 	}
 	if joined {
+		r.introduceMembers(digest)
 		r.meters.Event("peer_joined")
 		r.log.WithFields(logrus.Fields{"peer": digest.Address, "zone": digest.Zone}).Info("peer joined")
 	}
 }
 
+// introduceMembers replies to a new router that knows few others. After a restart of all routers each knows only the
+// seeds, and some would otherwise hear of nobody for seconds.
+func (r *Router) introduceMembers(digest *pb.Digest) {
+	now := r.now()
+	r.controlMu.Lock()
+	needed := r.members.NeedsIntroduction(now, len(digest.Members))
+	r.controlMu.Unlock()
+	if !needed {
+		return
+	}
+	reply, _ := r.buildDigest(now, nil, false)
+	if err := r.link.Send(reply, []string{digest.Address}); err != nil {
+		r.meters.Event("digest_not_sent")
+		r.log.WithError(err).Debug("failed to send digest")
+	}
+}
+
 // decodeLoads returns the loads in a digest. Entries without a counterpart in the parallel lists are dropped.
 func decodeLoads(digest *pb.Digest) map[uint64]place.Load {
 	count := min(len(digest.TargetHashes), len(digest.TargetRequests), len(digest.TargetPrefillTenths))
