Prefer engines of the caller's zone for prompts

Change: an engine of the own zone that has the prompt precedes others; a prompt of at most four tokens for each token of its answer gets a copy in each zone that asks for it. Long prompts stay where they are: their copy costs more than the answers of the two or three requests that a zone sends for each of them.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -86,6 +86,8 @@
 	Prompt Prompt
 	// PromptTokens is the size of the whole prompt in tokens.
 	PromptTokens int
+	// AnswerTokens is the expected size of the answer in tokens; 0 if it is unknown.
+	AnswerTokens int
 	// Zone is the local zone.
 	Zone string
 	// Exclude lists the IDs of targets that were already tried.
@@ -395,7 +397,7 @@
 	prefill := 0.0
 	if query.Prompt.Key != 0 {
 		cachedAt := p.targetsWith(now, query.Prompt.Key)
-		best, rank = chooseForPrompt(open, loads, mean, p.multiple, query.Prompt, cachedAt)
+		best, rank = chooseForPrompt(open, loads, mean, p.multiple, query, cachedAt)
 		savedTokens := query.Prompt.Tokens
 		if !slices.Contains(cachedAt, open[best]) {
 			source, savedTokens = p.source(now, svc.targets, open[best], query.Prompt, cachedAt)
--- a/internal/place/prompt.go
+++ b/internal/place/prompt.go
@@ -32,6 +32,9 @@
 	// sourceTokens is the size from which a copy of a prompt's cache is worth its cost: below it, prefill
 	// takes no longer than the copy, 5 ms.
 	sourceTokens = 250
+	// localCopyRatio is the number of prompt tokens for each token of the answer up to which a prompt is cached in each
+	// zone.
+	localCopyRatio = 4
 	// warmupPeriod is how long a newly listed target is assumed to have an empty cache, while others still have the
 	// prompts that it takes over.
 	warmupPeriod = 15 * time.Second
@@ -58,34 +61,45 @@
 //
 // Pending prefill at a target counts against prompts that it does not have, but not against those that it has: another
 // target would have to prefill the same prompt from the beginning.
-func chooseForPrompt(open []*targetState, loads []Load, mean Load, multiple float64, prompt Prompt, cachedAt []*targetState) (best, rank int) {
+//
+// A target of the local zone that has the prompt precedes the others. A prompt that is short for its answer is cached
+// in each zone that asks for it, since its copy costs less than answers from another zone.
+func chooseForPrompt(open []*targetState, loads []Load, mean Load, multiple float64, query Query, cachedAt []*targetState) (best, rank int) {
+	prompt := query.Prompt
 	weight := min(float64(prompt.Tokens)/longPrompt, 1)
 	share := shortShare + weight*(longShare-shortShare)
 	bound := func(mean float64) float64 {
 		return mean*(1+share*(multiple-1)) + shortSlack + weight*(longSlack-shortSlack)
 	}
 	holderBound, coldBound := bound(mean.Requests), bound(mean.total())
+	local := func(i int) bool { return open[i].target.Zone == query.Zone }
 	best = -1
 	for i, candidate := range open {
 		fits := loads[i].Requests+1 <= min(holderBound, candidate.slots())
-		if fits && slices.Contains(cachedAt, candidate) && (best < 0 || loads[i].total() < loads[best].total()) {
+		if !fits || !slices.Contains(cachedAt, candidate) {
+			continue
+		}
+		if best < 0 || local(i) && !local(best) || local(i) == local(best) && loads[i].total() < loads[best].total() {
 			best = i
 		}
 	}
-	if best >= 0 {
+	localCopy := query.AnswerTokens > 0 && prompt.Tokens <= localCopyRatio*query.AnswerTokens
+	if best >= 0 && (local(best) || !localCopy) {
 		return best, 0
 	}
 	fits := func(i int) bool { return loads[i].total()+1 <= min(coldBound, open[i].slots()) }
 	order := rankTargets(open, prompt)
-	lowest := math.Inf(1)
-	for position, candidate := range order[:min(rankChoices, len(order))] {
-		cost := loads[candidate.index].total() + rankCost*float64(position)
-		if fits(candidate.index) && cost < lowest {
-			best, rank, lowest = candidate.index, position, cost
+	if localCopy {
+		inZone := slices.DeleteFunc(slices.Clone(order), func(candidate ranked) bool { return !local(candidate.index) })
+		if first, position := firstRanked(inZone, loads, fits); first >= 0 {
+			return first, position
 		}
 	}
 	if best >= 0 {
-		return best, rank
+		return best, 0
+	}
+	if first, position := firstRanked(order, loads, fits); first >= 0 {
+		return first, position
 	}
 	least := order[0].index
 	for position, candidate := range order {
@@ -99,6 +113,19 @@
 	return least, len(order)
 }
 
+// firstRanked returns the index and the position of the best target that fits among the first few in rank, or -1.
+func firstRanked(order []ranked, loads []Load, fits func(int) bool) (best, rank int) {
+	best = -1
+	lowest := math.Inf(1)
+	for position, candidate := range order[:min(rankChoices, len(order))] {
+		cost := loads[candidate.index].total() + rankCost*float64(position)
+		if fits(candidate.index) && cost < lowest {
+			best, rank, lowest = candidate.index, position, cost
+		}
+	}
+	return best, rank
+}
+
 type ranked struct {
 	index int
 	score uint64
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -306,6 +306,7 @@
 		Service:        x.service,
 		Prompt:         x.prompt,
 		PromptTokens:   x.request.PromptTokens,
+		AnswerTokens:   x.request.ExpectedAnswerTokens(),
 		Zone:           r.config.Zone,
 		Exclude:        x.triedTargets,
 		Remaining:      time.Until(x.deadline),
--- a/internal/routes/message.go
+++ b/internal/routes/message.go
@@ -27,6 +27,14 @@
 	ResumeAfter string
 }
 
+// ExpectedAnswerTokens returns the caller's estimate of the response size, or else its bound; zero if there is neither.
+func (r *Request) ExpectedAnswerTokens() int {
+	if r.AnswerTokens > 0 {
+		return r.AnswerTokens
+	}
+	return r.MaxAnswerTokens
+}
+
 // Dispatch holds what the router sends to a target in addition to the caller's own headers.
 type Dispatch struct {
 	// TargetID is the expected instance: any other instance at the same address refuses the request.
