Bound what is read before a response is recognized

Cause: a response head was read without a limit on its size, and interim responses without a limit on their number. Change: at most 128 KB are read from a connection before the response to the request is recognized, interim responses and responses to other requests included; then the connection is closed and the request counts as failed.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -47,6 +48,9 @@
 	// maxSkippedBytes bounds the body of a response that is read in order to skip it.
 	maxSkippedBytes = 64 << 10
 	readBuffer      = 4 << 10
+	// maxHeadBytes bounds what is read before the response to a request is recognized, interim responses and those to
+	// other requests included. A target in trouble may send data without end.
+	maxHeadBytes = 128 << 10
 	// maxIdlePerAddress bounds the idle connections to one target. All routers together must stay far below the target's
 	// limit: 80 routers keep 160 of the 480 or more connections that targets allow on the enlarged sites.
 	maxIdlePerAddress = 2
@@ -72,6 +76,9 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// errHeadTooLong reports a connection on which no response was recognized within maxHeadBytes.
+var errHeadTooLong = errors.New("no response to the request within the limit of its head")
+
 // errWrongRequestID reports a response on the connection that does not belong to the request.
 var errWrongRequestID = errors.New("response does not carry the request ID")
 
@@ -117,7 +124,9 @@
 
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
+	reader *bufio.Reader
+	// unread is the number of bytes that may still be read from the connection.
+	unread  int64
 	address string
 	idleAt  time.Time
 	// idleLimit is how long the connection may be idle and still be reused.
@@ -130,8 +139,13 @@
 // Read implements io.Reader. A read that onTimeout extends never returns its timeout, which readers of HTTP bodies
 // don't recover from.
 func (c *conn) Read(buffer []byte) (int, error) {
+	if c.unread <= 0 {
+		return 0, errHeadTooLong
+	}
+	buffer = buffer[:min(int64(len(buffer)), c.unread)]
 	for {
 		n, err := c.Conn.Read(buffer)
+		c.unread -= int64(n)
 		if n > 0 || c.onTimeout == nil || !isTimeout(err) {
 			return n, err
 		}
@@ -332,8 +346,13 @@
 // readHead reads the header of the response to the request. It skips interim responses and those to other requests.
 func (r *Response) readHead(call Call) error {
 	method := &http.Request{Method: call.Method}
+	r.conn.unread = maxHeadBytes
+	defer func() { r.conn.unread = math.MaxInt64 }()
 	for skipped := 0; ; {
 		raw, err := http.ReadResponse(r.conn.reader, method)
+		if r.conn.unread <= 0 {
+			return &BrokenError{Cause: errHeadTooLong}
+		}
 		if err != nil {
 			return &BrokenError{Cause: err, Closed: !isTimeout(err)}
 		}
