Bound events and rejections of targets in trouble, keep slow streams

Causes: an event without end filled the router's memory; a stream whose target sent a byte now and then was never resumed, since each byte restarted the idle timeout; a rejection without end held its request until the deadline although another target could serve it; a slow stream was cut after 1.2 s without an event even if no other target was allowed to continue it. Change: an incomplete event of more than 1 MB breaks the attempt; the idle timeout runs from the last complete event, and only while another target may continue; at most 16 KB and 50 ms of a rejection are read. Tests, each failed first: TestEventWithoutEndIsCutOff, TestStreamWithoutEventsIsResumed, TestSlowStreamIsNotCut, TestEndlessRejectionIsNotAwaited.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -23,6 +23,12 @@
 	// Clients abandon a silent stream after 2 s.
 	streamIdleTimeout = 1200 * time.Millisecond
 	streamBuffer      = 4 << 10
+	// maxEventBytes bounds an incomplete event of a stream. Events hold a few tokens.
+	maxEventBytes = 1 << 20
+	// maxDrainBytes and drainTimeout bound what is read of a rejection, so that its connection can be reused: a
+	// target in trouble may send data without end.
+	maxDrainBytes = 16 << 10
+	drainTimeout  = 50 * time.Millisecond
 )
 
 // attemptResult is the result of an attempt at one target.
@@ -224,11 +230,14 @@
 
 // drain reads the rest of a short response, so that the connection can be reused.
 func (x *exchange) drain(response *upstream.Response) {
-	if _, err := response.ReadAll(maxBufferedBody, x.deadline); err != nil {
+	deadline := earlier(x.deadline, time.Now().Add(drainTimeout))
+	if _, err := response.ReadAll(maxDrainBytes, deadline); err != nil {
 		x.lastErr = err
 	}
 }
 
+var errEventTooLong = errors.New("event exceeds the size limit")
+
 // brokenResult returns the result for a response that broke off after its header.
 func brokenResult(err error) attemptResult {
 	return attemptResult{reason: reason.BrokenAnswer, outcome: outcomeOf(err), mayHaveRun: true, reachedTarget: true}
@@ -345,6 +354,7 @@
 	var pending []byte
 	buffer := make([]byte, streamBuffer)
 	attempted := x.moved
+	x.progressAt = time.Now()
 	for {
 		n, err := x.readEvents(ctx, func(deadline time.Time, onTimeout func() (time.Time, bool)) (int, error) {
 			return response.ReadWatched(buffer, deadline, onTimeout)
@@ -358,12 +368,17 @@
 				return *failure
 			}
 			x.stall.Event(x.lastAt)
+			x.progressAt = x.lastAt
 			x.resumeAfter = lastEventID(pending[:complete], x.resumeAfter)
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		if err == io.EOF {
 			return x.finishEvents(response, pending)
 		}
+		if len(pending) > maxEventBytes {
+			x.lastErr = errEventTooLong
+			return brokenResult(errEventTooLong)
+		}
 		if x.moved != nil && err != nil && x.moved != attempted {
 			return attemptResult{outcome: place.Neutral, mayHaveRun: true, reachedTarget: true}
 		}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -86,6 +86,8 @@
 	firstAt time.Time
 	lastAt  time.Time
 	maxGap  time.Duration
+	// progressAt is the time of the response head or of the latest complete event of the current attempt.
+	progressAt time.Time
 	// longResponseLogged is set once the response in progress has been logged.
 	longResponseLogged bool
 	// stall detects a lost packet of the stream; moves counts the moves of its run, moved is the latest of them.
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -30,10 +30,11 @@
 	triedDestination bool
 }
 
-// readLimit returns the time until which the target may be silent.
-func (x *exchange) readLimit(now time.Time) time.Time {
-	if x.route.Resumable {
-		return earlier(x.deadline, now.Add(streamIdleTimeout))
+// readLimit returns the time until which the target may go without a complete event. A slow stream is given all of its
+// time if no other target could continue it.
+func (x *exchange) readLimit() time.Time {
+	if x.route.Resumable && x.runs+1 < x.route.MaxTargets && x.attempts < maxAttempts {
+		return earlier(x.deadline, x.progressAt.Add(streamIdleTimeout))
 	}
 	return x.deadline
 }
@@ -41,7 +42,7 @@
 // readEvents reads the next part of a stream. A stalled stream is moved to another target, in which case x.moved is set
 // and the read fails.
 func (x *exchange) readEvents(ctx context.Context, read func(deadline time.Time, onTimeout func() (time.Time, bool)) (int, error)) (int, error) {
-	limit := x.readLimit(time.Now())
+	limit := x.readLimit()
 	deadline, known := x.stall.Deadline()
 	if !known || !x.movable() || !deadline.Before(limit) {
 		deadline = limit
