Tell callers to return after an outage of the store, not during it

Cause: a router that starts while the store is down told callers to return as soon as it had itself waited, 0.2 s at first.

--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -34,10 +34,6 @@
 	// maxBufferedBody bounds a response body that is read completely before it is forwarded. Larger ones are forwarded
 	// as they arrive.
 	maxBufferedBody = 1 << 20
-	// minNotReadyRetry and maxNotReadyRetry bound the Retry-After of a router without a configuration. A router that is
-	// started while the store is available becomes ready after about 100 ms.
-	minNotReadyRetry = 200 * time.Millisecond
-	maxNotReadyRetry = 2 * time.Second
 	// longResponseTime is the time after which a response in progress is logged, since a process that is killed leaves
 	// no other log line for it. It equals two flush intervals of the log. About one response in seven takes longer
 	// (11,471 of 74,024 on the days of both smaller sites).
@@ -123,8 +119,7 @@
 	x.request = decoded
 	table := x.router.table.Load()
 	if table == nil {
-		// The store may be down. The longer the outage has lasted, the longer it is likely to last.
-		return reason.NotReady, min(max(x.router.now(), minNotReadyRetry), maxNotReadyRetry)
+		return reason.NotReady, x.router.notReadyRetryAfter()
 	}
 	x.version = table.Version
 	if err != nil {
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -33,6 +33,8 @@
 	// failure.
 	minRetryPause = 100 * time.Millisecond
 	maxRetryPause = 600 * time.Millisecond
+	// maxStartRetryPause replaces maxRetryPause while the router has no content and can't serve.
+	maxStartRetryPause = 200 * time.Millisecond
 	// deferredRetryPause is the pause while other routers probe the store on behalf of all. A router that can reach
 	// only the store is not heard by any peer and keeps the short pause; the others learn that the store is back within
 	// two digests.
@@ -88,6 +90,9 @@
 		if r.canDeferToPeers(keyRange) {
 			pause = deferredRetryPause
 		}
+		if !r.initialized(keyRange) {
+			pause = min(pause, maxStartRetryPause)
+		}
 		jitter := time.Duration(rand.Int64N(int64(pause)))
 		sleep(ctx, pause/2+jitter)
 		pause = min(2*pause, maxRetryPause)
