--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -210,10 +210,13 @@
 	if err != nil {
 		return nil, err
 	}
-	decompressed, err := io.ReadAll(io.LimitReader(reader, maxPulledBytes))
+	decompressed, err := io.ReadAll(io.LimitReader(reader, maxPulledBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(decompressed) > maxPulledBytes {
+		return nil, trace.LimitExceeded("reply of a peer exceeds %d bytes", maxPulledBytes)
+	}
 	list := new(pb.StoreItems)
 	return list, proto.Unmarshal(decompressed, list)
 }
