Keep streams on engines that read prompts

Cause: of the streams that were moved as stalled, 40 in 100 had lost no packet. An engine reads prompts between the tokens of its other requests, which are late then. Test: TestPrefillingTargetIsRecognized.

--- a/internal/place/destination.go
+++ b/internal/place/destination.go
@@ -8,6 +8,10 @@
 	"github.com/amaranthlb/amaranthlb/internal/routes"
 )
 
+// delayingPrefill is the pending prefill from which a target's events are late: the time in which an engine reads the
+// prompts, 30 ms or more, is spent between the tokens of all its requests.
+const delayingPrefill = 1
+
 // ChooseDestination returns the target to which a run moves from another one. It is the least loaded of the healthy
 // ones whose load stays within the mean plus longSlack, so that moved runs do not crowd a target. Targets in the
 // local zone are preferred, and those in the zone of the source, since a copy between zones takes twice as long. It
@@ -50,3 +54,10 @@
 	}
 	return Choice{Target: open[best].target, Load: loads[best], LoadAge: open[best].loadAge(now), Mean: mean}, true
 }
+
+// Prefilling reports whether the target is known to read prompts that delay the events of its other requests, so that
+// their silence is no sign of a lost packet.
+func (p *LoadTracker) Prefilling(now time.Duration, id string) bool {
+	state := p.byID[id]
+	return state != nil && state.load(now).Prefill >= delayingPrefill
+}
--- a/internal/place/destination_test.go
+++ b/internal/place/destination_test.go
@@ -94,3 +94,29 @@
 		}
 	}
 }
+
+// Guards against moves away from an engine that is slow because it reads a long prompt of this or another process.
+func TestPrefillingTargetIsRecognized(t *testing.T) {
+	p := picture(3, 16)
+	q := query(1, 8000)
+	choice := choose(t, p, second, q)
+	if p.Prefilling(second, choice.Target.ID) {
+		t.Error("an idle target is reported")
+	}
+	p.Start(second, choice, q.Prompt)
+	if !p.Prefilling(second, choice.Target.ID) {
+		t.Error("a target that reads a prompt of 8,000 tokens is not reported")
+	}
+	p.PromptRead(choice)
+	if p.Prefilling(second, choice.Target.ID) {
+		t.Error("a target that has read its prompts is reported")
+	}
+	hash := p.byID[choice.Target.ID].hash
+	p.PeerLoads("peer", second, map[uint64]Load{hash: {Requests: 1, Prefill: 4}})
+	if !p.Prefilling(second, choice.Target.ID) {
+		t.Error("the prompt of a peer is not counted")
+	}
+	if p.Prefilling(second, "unknown") {
+		t.Error("an unknown target is reported")
+	}
+}
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -65,9 +65,14 @@
 // the run goes on where it is.
 func (x *exchange) move(ctx context.Context) bool {
 	r := x.router
-	x.moves++
 	r.trafficMu.Lock()
 	now := r.now()
+	if r.loadTracker.Prefilling(now, x.choice.Target.ID) {
+		r.trafficMu.Unlock()
+		r.meters.Event("stream_slow")
+		return false
+	}
+	x.moves++
 	destination, found := r.loadTracker.ChooseDestination(now, x.choice.Target, r.config.Zone, x.triedTargets)
 	allowed := found && r.budget.AllowOptional(now, x.service)
 	if allowed {
