--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -200,7 +201,9 @@
 type call struct {
 	method, path, id, body string
 	header                 map[string]string
-	prompt                 []routes.Part
+	// wait is how long the client waits; 0 means callWait.
+	wait   time.Duration
+	prompt []routes.Part
 }
 
 func get(path, id string) call { return call{method: http.MethodGet, path: path, id: id} }
@@ -208,6 +211,9 @@
 	return call{method: http.MethodPost, path: path, id: id, body: "body of " + id}
 }
 
+// callWait is how long a client waits unless a test sets another time.
+const callWait = 2 * time.Second
+
 // send makes a request on a new connection.
 func (inst *instance) send(ctx context.Context, a call) result {
 	began := time.Now()
@@ -215,7 +221,7 @@
 	if err != nil {
 		return result{err: err}
 	}
-	platformtest.Caller{ID: a.id, Key: "key", Wait: 2 * time.Second, Prompt: a.prompt}.Apply(request)
+	platformtest.Caller{ID: a.id, Key: "key", Wait: cmp.Or(a.wait, callWait), Prompt: a.prompt}.Apply(request)
 	for name, value := range a.header {
 		request.Header.Set(name, value)
 	}
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -48,7 +48,7 @@
 				target := f.target(fmt.Sprint("llm-", i), "llm", platformtest.Behavior{})
 				target.SetBehavior(func(r *http.Request) platformtest.Behavior {
 					behavior := behavior
-					if r.Header.Get("Kv-From") != "" {
+					if platformtest.ContinuesRun(r) {
 						behavior.StallAfter = 0
 					}
 					return behavior
@@ -106,7 +106,7 @@
 		target.SetBehavior(func(r *http.Request) platformtest.Behavior {
 			return platformtest.Behavior{
 				Events: 30, Work: 10 * time.Millisecond, StallAfter: 6, Stall: time.Second, Move: http.StatusOK,
-				NotRun: r.Header.Get("Kv-From") != "",
+				NotRun: platformtest.ContinuesRun(r),
 			}
 		})
 	}
--- a/internal/router/trouble_test.go
+++ b/internal/router/trouble_test.go
@@ -41,7 +41,7 @@
 	trouble := platformtest.Behavior{Events: 9, Work: time.Millisecond, StallAfter: 3, Filler: ":", FillerInterval: 50 * time.Millisecond}
 	f, _ := troubledFleet(t, "llm", trouble, sound)
 	a := post("/check/", "1")
-	a.header = map[string]string{"Amaranthlb-Deadline": "6000"}
+	a.wait = 6 * time.Second
 	got := f.send(a)
 	if got.err != nil || got.body != events(9) {
 		t.Errorf("error %v, body %q", got.err, got.body)
@@ -86,7 +86,7 @@
 		f.target("llm-2", "llm", slow)
 		f.awaitReady()
 		a := post(path, "1")
-		a.header = map[string]string{"Amaranthlb-Deadline": "8000"}
+		a.wait = 8 * time.Second
 		if got := f.send(a); got.err != nil || got.body != events(3) {
 			t.Errorf("%s: error %v, body %q", path, got.err, got.body)
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,6 +23,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/amaranthlb/amaranthlb/internal/routes"
 	"github.com/amaranthlb/amaranthlb/platform"
 	"github.com/amaranthlb/amaranthlb/platform/platformtest"
@@ -166,8 +168,17 @@
 
 func (w *world) calm(service string) func(*http.Request) platformtest.Behavior {
 	if service == "llm" {
-		return func(*http.Request) platformtest.Behavior {
-			return platformtest.Behavior{Events: streamLen, Work: 10 * time.Millisecond}
+		return func(r *http.Request) platformtest.Behavior {
+			behavior := platformtest.Behavior{Events: streamLen, Work: 10 * time.Millisecond, Move: http.StatusOK}
+			// One stream in eight loses a packet. The request's ID decides, so that seeds draw the same schedules as ever.
+			digest := xxhash.Sum64String(platformtest.RequestID(r))
+			if digest%8 == 0 {
+				behavior.StallAfter, behavior.Stall = streamLen/2, 600*time.Millisecond
+			}
+			if digest%32 == 0 {
+				behavior.Move = http.StatusServiceUnavailable
+			}
+			return behavior
 		}
 	}
 	return func(*http.Request) platformtest.Behavior { return platformtest.Behavior{Work: 15 * time.Millisecond} }
@@ -198,7 +209,7 @@
 	}
 	w.store.Put(platform.ConfigKey, map[string]any{
 		"version": w.version, "routes": list,
-		"services": []any{map[string]any{"name": "llm"}, map[string]any{"name": "app"}},
+		"services": []any{map[string]any{"name": "llm", "engine": map[string]any{"moves": true}}, map[string]any{"name": "app"}},
 		"limits":   map[string]any{"max-body-bytes": 65536},
 	})
 }
@@ -570,18 +581,33 @@
 	}
 }
 
-func checkRecord(r record, runs []platformtest.Run) error {
+func checkRecord(r record, all []platformtest.Run) error {
 	once := r.kind == "order" || r.kind == "chat"
+	// A run that another target continues after a move is the same run.
+	var runs []platformtest.Run
+	moved, continued := 0, 0
+	for _, run := range all {
+		if run.Moved {
+			moved++
+		}
+		if run.ContinuedFrom != "" {
+			continued++
+		} else {
+			runs = append(runs, run)
+		}
+	}
 	notRun := r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
 	switch {
 	case once && len(runs) > 1:
 		return errors.New("ran more than once")
 	case once && notRun && len(runs) > 0:
 		return errors.New("refused as not run, but ran")
+	case continued > moved:
+		return errors.New("continued more often than stopped")
 	case len(runs) > 2:
 		return errors.New("ran at more targets than the route allows")
 	}
-	for _, run := range runs {
+	for _, run := range all {
 		if run.Body != "body of "+r.id {
 			return fmt.Errorf("the target got %q", run.Body)
 		}
