Release load reserved for runs that do not arrive, restart the stall clock of a moved stream

Found by reading: a run whose client left between the move and the next attempt stayed in the load of its destination for good; a moved stream counted as stalled again at once if its first event did not come with the head; a stream without events on a service that can't move runs was held back up to 1 MB. Change: the reservation is released at the end of the request; the time of the latest event restarts with the head of the next response; only streams that may move or resume are framed by events.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -51,6 +51,7 @@
 	}
 	x.lastTarget = choice.Target.ID
 	x.choice, x.promptRead = choice, false
+	x.reserved = ""
 	moved := x.moved
 	result := x.sendToTarget(ctx, choice)
 	if x.r.Context().Err() != nil && !result.completed {
@@ -219,8 +220,10 @@
 		return x.bufferFailure(response)
 	case x.headerSent:
 		return x.forwardEvents(ctx, response, true)
-	case x.route.Kind == routes.Stream && response.Status == http.StatusOK:
+	case x.route.Kind == routes.Stream && response.Status == http.StatusOK && (x.route.Resumable || x.movableRuns):
 		return x.forwardEvents(ctx, response, false)
+	case x.route.Kind == routes.Stream && response.Status == http.StatusOK:
+		return x.forwardStream(response, nil)
 	default:
 		return x.forwardBuffered(response)
 	}
@@ -355,6 +358,7 @@
 	buffer := make([]byte, streamBuffer)
 	attempted := x.moved
 	x.progressAt = time.Now()
+	x.stall.Restart(x.progressAt)
 	for {
 		n, err := x.readEvents(ctx, func(deadline time.Time, onTimeout func() (time.Time, bool)) (int, error) {
 			return response.ReadWatched(buffer, deadline, onTimeout)
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -90,6 +90,8 @@
 	stall stall.Detector
 	moves int
 	moved *movedRun
+	// reserved is the ID of the target whose load includes the moved run although it was not asked yet to continue it.
+	reserved string
 }
 
 type bufferedResponse struct {
@@ -255,6 +257,7 @@
 	defer cancel()
 	_ = x.control.SetWriteDeadline(x.deadline.Add(writeGrace))
 	x.countRequest()
+	defer x.releaseReserved()
 	for {
 		if x.isCrashSuspect() {
 			x.finish(reason.CrashSuspect, 0)
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -76,7 +76,7 @@
 	destination, found := r.loadTracker.ChooseDestination(now, x.choice.Target, r.config.Zone, x.triedTargets)
 	allowed := found && r.budget.AllowOptional(now, x.service)
 	if allowed {
-		r.loadTracker.Start(now, destination, place.Prompt{})
+		x.reserve(now, destination)
 	}
 	r.trafficMu.Unlock()
 	if !allowed {
@@ -97,9 +97,7 @@
 		"silent_ms": startedAt.Sub(x.lastAt).Milliseconds(), "ms": time.Since(startedAt).Milliseconds(), "after": x.resumeAfter,
 	}
 	if err != nil || !run.Copied {
-		r.trafficMu.Lock()
-		r.loadTracker.End(destination.Target.ID, r.now(), place.Neutral, 0)
-		r.trafficMu.Unlock()
+		x.releaseReserved()
 	}
 	if err != nil {
 		r.meters.Event("stream_move_failed")
@@ -120,11 +118,30 @@
 func (x *exchange) startAtSource() {
 	r := x.router
 	r.trafficMu.Lock()
-	r.loadTracker.Start(r.now(), x.moved.source, place.Prompt{})
+	x.reserve(r.now(), x.moved.source)
 	r.trafficMu.Unlock()
 	x.moved.destination, x.moved.triedDestination = x.moved.source, true
 }
 
+// reserve counts the moved run in the load of the target that is to continue it. The caller holds trafficMu.
+func (x *exchange) reserve(now time.Duration, choice place.Choice) {
+	x.router.loadTracker.Start(now, choice, place.Prompt{})
+	x.reserved = choice.Target.ID
+}
+
+// releaseReserved takes the moved run out of the load of a target that was not asked to continue it, as when the client
+// has left in the meantime.
+func (x *exchange) releaseReserved() {
+	if x.reserved == "" {
+		return
+	}
+	r := x.router
+	r.trafficMu.Lock()
+	defer r.trafficMu.Unlock()
+	r.loadTracker.End(x.reserved, r.now(), place.Neutral, 0)
+	x.reserved = ""
+}
+
 // nextTarget returns the target of the next attempt: the one to which the run was moved, or a newly chosen one.
 func (x *exchange) nextTarget() (place.Choice, *place.Refusal) {
 	if x.moved != nil {
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -32,6 +32,9 @@
 	d.last, d.started = now, true
 }
 
+// Restart records that the stream goes on on another connection, whose first event is due from now on.
+func (d *Detector) Restart(now time.Time) { d.last = now }
+
 // Deadline returns the time at which the stream counts as stalled if no event has arrived until then. It returns false
 // before the spacing of the stream is known.
 func (d *Detector) Deadline() (time.Time, bool) {
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -38,3 +38,21 @@
 		})
 	}
 }
+
+// Guards against a stream that counts as stalled again at once after it has moved.
+func TestRestart(t *testing.T) {
+	var d Detector
+	start := time.Now()
+	d.Event(start)
+	d.Event(start.Add(20 * time.Millisecond))
+	moved := start.Add(400 * time.Millisecond)
+	d.Restart(moved)
+	if deadline, known := d.Deadline(); !known || deadline.Sub(moved) != 210*time.Millisecond {
+		t.Errorf("stalled %v after the move (%t)", deadline.Sub(moved), known)
+	}
+	var unknown Detector
+	unknown.Restart(moved)
+	if _, known := unknown.Deadline(); known {
+		t.Error("a stream without events has a deadline")
+	}
+}
