Log prompt and progress of tries that end with a crash

The routers' logs could not tell whether the crashed requests had something in common, and whether one request caused several crashes.

Change: the line of a try with outcome 'crashed' has the IDs of the prompt's parts and whether the engine had begun to answer.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -50,7 +51,7 @@
 		x.attempts++
 	}
 	x.lastTarget = choice.Target.ID
-	x.choice, x.promptRead = choice, false
+	x.choice, x.promptRead, x.answering = choice, false, false
 	x.reserved = ""
 	moved := x.moved
 	result := x.sendToTarget(ctx, choice)
@@ -90,6 +91,10 @@
 		fields["gap_ms"] = x.maxGap.Milliseconds()
 	}
 	fields["route"] = x.route.Name
+	if result.outcome == place.Crashed && len(x.request.Prompt) > 0 {
+		fields["prompt"] = loggedPrompt(x.request.Prompt)
+		fields["answering"] = x.answering
+	}
 	if x.lastErr != nil {
 		fields["error"] = x.lastErr.Error()
 	}
@@ -101,6 +106,18 @@
 	return result
 }
 
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 8
+
+// loggedPrompt returns the IDs of the prompt's parts for a log line.
+func loggedPrompt(parts []routes.Part) string {
+	ids := make([]string, 0, maxLoggedParts)
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // markPromptRead removes the prompt of the current attempt from the target's tracked load. It has an effect only once
 // per attempt.
 func (x *exchange) markPromptRead() {
@@ -325,6 +342,7 @@
 		return &attemptResult{reason: reason.CallerGone, outcome: place.Neutral, mayHaveRun: true, reachedTarget: true}
 	}
 	x.markPromptRead()
+	x.answering = true
 	now := time.Now()
 	if x.firstAt.IsZero() {
 		x.firstAt = now
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -74,9 +74,11 @@
 	// headerSent is set once the response header has been written.
 	headerSent  bool
 	resumeAfter string
-	// choice is the target of the current attempt; promptRead is set once that target has read the prompt.
+	// choice is the target of the current attempt; promptRead is set once that target has read the prompt, answering once
+	// a part of its response has been forwarded.
 	choice     place.Choice
 	promptRead bool
+	answering  bool
 	// firstAt and lastAt are the times of the first and the latest part of the response; maxGap is the longest pause
 	// between two parts.
 	firstAt time.Time
