Test that a prompt part that crashes engines is refused; known red

What callers saw: prompts that share one part crash engine after engine, and each crash ends the other streams of its engine.

--- /dev/null
+++ b/internal/router/promptcrash_test.go
@@ -0,0 +1,112 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/routes"
+	"github.com/amaranthlb/amaranthlb/platform/platformtest"
+)
+
+const deadlyPart = "dead"
+
+func hasPart(r *http.Request, id string) bool {
+	return strings.Contains(r.Header.Get("Amaranthlb-Prompt-Prefix"), id+":")
+}
+
+// promptOf returns a prompt of the parts, the last of which is the request's own.
+func promptOf(ids ...string) []routes.Part {
+	var parts []routes.Part
+	for _, id := range ids {
+		parts = append(parts, routes.Part{ID: id, Tokens: 100})
+	}
+	return parts
+}
+
+// crashingFleet starts routers and engines that crash when they are about to answer a prompt with the deadly part.
+func crashingFleet(t *testing.T, routerCount, targetCount int) (*fleet, func() int) {
+	t.Helper()
+	f := newFleet(t, routerCount)
+	var all []*platformtest.Target
+	for i := range targetCount {
+		target := f.target(fmt.Sprint("e-", i), "llm", platformtest.Behavior{})
+		target.SetBehavior(func(r *http.Request) platformtest.Behavior {
+			if hasPart(r, deadlyPart) {
+				go target.Stop()
+				return platformtest.Behavior{Break: true}
+			}
+			return platformtest.Behavior{Events: 3, Work: time.Millisecond}
+		})
+		all = append(all, target)
+	}
+	f.awaitReady()
+	for _, inst := range f.routers {
+		await(t, "all targets are known", func() bool { return strings.Count(inst.output.String(), "target_listed") >= targetCount })
+		await(t, "all peers have joined", func() bool { return strings.Count(inst.output.String(), "peer joined") >= routerCount-1 })
+	}
+	return f, func() int {
+		count := 0
+		for _, target := range all {
+			for _, run := range target.Runs() {
+				if strings.Contains(run.Header.Get("Amaranthlb-Prompt-Prefix"), deadlyPart+":") {
+					count++
+				}
+			}
+		}
+		return count
+	}
+}
+
+// Guards against different requests that share a prompt part crashing one engine after another.
+func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
+	const engines, calls, allowed = 14, 24, 5
+	f, deadlyRuns := crashingFleet(t, 3, engines)
+	send := func(i int, parts ...string) result {
+		inst := f.routers[i%len(f.routers)]
+		own := fmt.Sprint("own", i)
+		return inst.send(context.Background(), call{
+			method: http.MethodPost, path: "/chat/", id: fmt.Sprint("p", i, parts), body: own, prompt: promptOf(append(parts, own)...),
+		})
+	}
+	refused := func() bool {
+		for _, inst := range f.routers {
+			if !strings.Contains(inst.output.String(), "prompt part crashes targets and is refused") {
+				return false
+			}
+		}
+		return true
+	}
+	var fifthCrash time.Time
+	for i := 0; i < calls && !refused(); i++ {
+		send(i, "head", "subject", deadlyPart)
+		if deadlyRuns() == allowed {
+			fifthCrash = time.Now()
+		}
+		// Crashes at the same moment count once.
+		time.Sleep(300 * time.Millisecond)
+	}
+	if count := deadlyRuns(); count > allowed {
+		t.Errorf("prompts with the part crashed %d engines, want at most %d", count, allowed)
+	}
+	if !fifthCrash.IsZero() && time.Since(fifthCrash) > propagationBound {
+		t.Errorf("the part was refused %v after the fifth crash, want at most %v", time.Since(fifthCrash), propagationBound)
+	}
+	before := deadlyRuns()
+	for i := range calls {
+		if got := send(calls+i, "head", "subject", deadlyPart); got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "crash_suspect") {
+			t.Errorf("call %d: status %d, %s", i, got.status, got.body)
+		}
+	}
+	if count := deadlyRuns() - before; count != 0 {
+		t.Errorf("%d more prompts with the part reached engines", count)
+	}
+	for i := range len(f.routers) {
+		if got := send(2*calls+i, "head", "subject"); got.status != http.StatusOK {
+			t.Errorf("a prompt with the same head and subject: status %d, %s", got.status, got.body)
+		}
+	}
+}
