Refuse prompt parts that crash engines

Cause: the crash guard identifies a request by customer, path and body. The requests that share a part differ in all of them, so none was ever recognized.

Change: crashguard.PartGuard charges the parts of prompts that a target had not answered when it crashed. A closed connection counts as a crash only if the target accepts no new one. An answer clears a part. After three crashes prompts are refused as not run that have the part and all other uncleared parts which the crashed prompts had in common. Routers report crashes to all others and repeat refusals in their digests.

Why this works: a deadly part is never answered, so its charges stay, while any other part of its prompts is answered in another request; until it is, a prompt without one of the parts still runs.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -5,6 +5,8 @@
 // suspect runs, so that a second crash identifies the request that caused it. A digest with two active charges is
 // refused. A harmless request that happened to run at a crashed target is cleared as soon as it completes.
 //
+// Requests that crash targets may also have just one part of their prompts in common; PartGuard recognizes these.
+//
 // Gates exchange charges by gossip. A charge is identified by digest and crash, and a crash by the target and its
 // incarnation. Merging is therefore idempotent, and a crash that is relayed or observed several times counts once.
 package crashguard
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -51,7 +51,8 @@
 		x.attempts++
 	}
 	x.lastTarget = choice.Target.ID
-	x.choice, x.promptRead, x.answering = choice, false, false
+	x.choice, x.promptRead = choice, false
+	x.promptAnswered, x.answeringSince = false, time.Time{}
 	x.reserved = ""
 	moved := x.moved
 	result := x.sendToTarget(ctx, choice)
@@ -65,6 +66,7 @@
 	r.trafficMu.Unlock()
 	if result.outcome == place.Crashed {
 		x.recordCrash(choice.Target.ID, choice.Target.StartedAt)
+		x.recordPromptCrash(choice.Target)
 	}
 	if result.mayHaveRun {
 		x.mayHaveRun = true
@@ -74,6 +76,9 @@
 	}
 	if result.completed {
 		r.meters.Answered()
+		if result.outcome == place.Good {
+			x.recordPromptAnswered()
+		}
 	}
 	fields := logrus.Fields{
 		"request": x.request.ID, "target": choice.Target.ID, "zone": choice.Target.Zone, "load": choice.Load.Requests, "prefill": choice.Load.Prefill,
@@ -93,7 +98,7 @@
 	fields["route"] = x.route.Name
 	if result.outcome == place.Crashed && len(x.request.Prompt) > 0 {
 		fields["prompt"] = loggedPrompt(x.request.Prompt)
-		fields["answering"] = x.answering
+		fields["answering"] = !x.answeringSince.IsZero()
 	}
 	if x.lastErr != nil {
 		fields["error"] = x.lastErr.Error()
@@ -342,8 +347,12 @@
 		return &attemptResult{reason: reason.CallerGone, outcome: place.Neutral, mayHaveRun: true, reachedTarget: true}
 	}
 	x.markPromptRead()
-	x.answering = true
 	now := time.Now()
+	if x.answeringSince.IsZero() {
+		x.answeringSince = now
+	} else if now.Sub(x.answeringSince) >= answerSettlingTime {
+		x.recordPromptAnswered()
+	}
 	if x.firstAt.IsZero() {
 		x.firstAt = now
 	} else {
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -17,6 +17,8 @@
 		{Notice: true, PromptHashes: []uint64{1, 2}, HolderHashes: []uint64{3}, HeadHashes: []uint64{4, 5}, PlacementPrefillTenths: []uint32{1}},
 		{Inheritance: true, PromptHashes: []uint64{1}, HolderHashes: []uint64{2}},
 		{Charges: []*pb.Charge{{}, nil}},
+		{CrashReport: true, PromptCrashes: []*pb.PromptCrash{{}, {Target: "t", Parts: []uint64{1, 1}, AgeMs: -1 << 62}, nil}, AnsweredParts: []*pb.AnsweredPart{{Part: 1, AgeMs: 1 << 62}}},
+		{RefusedPrompts: []*pb.RefusedPrompt{{}, {Parts: []uint64{1}, AgeMs: 1 << 62}, nil}},
 		{RelayedPlacements: 4_000_000_000, PromptHashes: []uint64{1}, HolderHashes: []uint64{2}},
 		{TargetHashes: []uint64{1}, TargetRequests: []uint32{2, 3}, News: []*pb.RangeNews{{Prefix: "p"}, nil}, Ranges: []*pb.RangeRevision{nil}},
 	} {
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -185,6 +185,8 @@
 		Zone:        r.config.Zone,
 		Leaving:     r.draining.Load(),
 		News:        updates,
+
+		RefusedPrompts: wire.RefusedPrompts(r.refusedPrompts(now)),
 	}
 	r.trafficMu.Lock()
 	for hash, load := range r.loadTracker.OwnLoads() {
@@ -230,6 +232,9 @@
 	case len(digest.Charges) > 0:
 		r.applyCharges(wire.ChargesFrom(digest.Charges))
 		return
+	case digest.CrashReport:
+		r.handleCrashReport(digest)
+		return
 	}
 	now := r.now()
 	loads := decodeLoads(digest)
@@ -256,6 +261,9 @@
 	for _, update := range digest.News {
 		r.applyPeerChanges(digest.Address, update)
 	}
+	if len(digest.RefusedPrompts) > 0 {
+		r.applyRefusedPrompts(wire.RefusedPromptsFrom(digest.RefusedPrompts), digest.Address)
+	}
 	if joined {
 		r.introduceMembers(digest)
 		r.meters.Event("peer_joined")
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -74,11 +74,12 @@
 	// headerSent is set once the response header has been written.
 	headerSent  bool
 	resumeAfter string
-	// choice is the target of the current attempt; promptRead is set once that target has read the prompt, answering once
-	// a part of its response has been forwarded.
-	choice     place.Choice
-	promptRead bool
-	answering  bool
+	// choice is the target of the current attempt; promptRead is set once that target has read the prompt, and
+	// promptAnswered once it has gone on after its first event. answeringSince is the time of that event.
+	choice         place.Choice
+	promptRead     bool
+	promptAnswered bool
+	answeringSince time.Time
 	// firstAt and lastAt are the times of the first and the latest part of the response; maxGap is the longest pause
 	// between two parts.
 	firstAt time.Time
@@ -261,7 +262,7 @@
 	x.countRequest()
 	defer x.releaseReserved()
 	for {
-		if x.isCrashSuspect() {
+		if x.isCrashSuspect() || x.promptRefused() {
 			x.finish(reason.CrashSuspect, 0)
 			return
 		}
--- a/internal/router/promptcrash_test.go
+++ b/internal/router/promptcrash_test.go
@@ -27,8 +27,12 @@
 	return parts
 }
 
-// crashingFleet starts routers and engines that crash when they are about to answer a prompt with the deadly part.
-func crashingFleet(t *testing.T, routerCount, targetCount int) (*fleet, func() int) {
+// partRefusedMessage is the log message of a router that refuses a prompt part from then on.
+const partRefusedMessage = "prompt part crashes targets and is refused"
+
+// crashingFleet starts routers and engines that call crash when they are about to answer a prompt with the deadly part,
+// and then close its connection. It returns the number of such prompts that engines have received.
+func crashingFleet(t *testing.T, routerCount, targetCount int, crash func(*platformtest.Target)) (*fleet, func() int) {
 	t.Helper()
 	f := newFleet(t, routerCount)
 	var all []*platformtest.Target
@@ -36,7 +40,7 @@
 		target := f.target(fmt.Sprint("e-", i), "llm", platformtest.Behavior{})
 		target.SetBehavior(func(r *http.Request) platformtest.Behavior {
 			if hasPart(r, deadlyPart) {
-				go target.Stop()
+				crash(target)
 				return platformtest.Behavior{Break: true}
 			}
 			return platformtest.Behavior{Events: 3, Work: time.Millisecond}
@@ -61,20 +65,22 @@
 	}
 }
 
+// sendPrompt sends a prompt of the parts and one of its own through one of the routers.
+func (f *fleet) sendPrompt(i int, parts ...string) result {
+	own := fmt.Sprint("own", i)
+	return f.routers[i%len(f.routers)].send(context.Background(), call{
+		method: http.MethodPost, path: "/chat/", id: fmt.Sprint("p", i, parts), body: own, prompt: promptOf(append(parts, own)...),
+	})
+}
+
 // Guards against different requests that share a prompt part crashing one engine after another.
 func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
 	const engines, calls, allowed = 14, 24, 5
-	f, deadlyRuns := crashingFleet(t, 3, engines)
-	send := func(i int, parts ...string) result {
-		inst := f.routers[i%len(f.routers)]
-		own := fmt.Sprint("own", i)
-		return inst.send(context.Background(), call{
-			method: http.MethodPost, path: "/chat/", id: fmt.Sprint("p", i, parts), body: own, prompt: promptOf(append(parts, own)...),
-		})
-	}
+	f, deadlyRuns := crashingFleet(t, 3, engines, func(target *platformtest.Target) { go target.Stop() })
+	send := f.sendPrompt
 	refused := func() bool {
 		for _, inst := range f.routers {
-			if !strings.Contains(inst.output.String(), "prompt part crashes targets and is refused") {
+			if !strings.Contains(inst.output.String(), partRefusedMessage) {
 				return false
 			}
 		}
@@ -110,3 +116,44 @@
 		}
 	}
 }
+
+// Guards against a restarted router that forgets which prompt parts crash engines.
+func TestRestartedRouterRefusesPromptPart(t *testing.T) {
+	f, deadlyRuns := crashingFleet(t, 2, 6, func(target *platformtest.Target) { go target.Stop() })
+	for i := range 3 {
+		f.sendPrompt(i, "head", deadlyPart)
+		time.Sleep(300 * time.Millisecond)
+	}
+	last := f.routers[1]
+	await(t, "the part is refused", func() bool { return strings.Contains(last.output.String(), partRefusedMessage) })
+	before := deadlyRuns()
+	last.stop()
+	<-last.ended
+	f.start(last)
+	f.awaitReady()
+	await(t, "the restarted router refuses the part", func() bool { return strings.Contains(last.output.String(), partRefusedMessage) })
+	if got := f.sendPrompt(1, "head", deadlyPart); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, %s", got.status, got.body)
+	}
+	if count := deadlyRuns(); count != before {
+		t.Errorf("%d prompts reached engines after the restart", count-before)
+	}
+}
+
+// Guards against refusing a prompt part because engines close connections while they go on.
+func TestClosedConnectionsAreNotTakenForCrashes(t *testing.T) {
+	const calls = 12
+	f, deadlyRuns := crashingFleet(t, 2, 4, func(*platformtest.Target) {})
+	for i := range calls {
+		f.sendPrompt(i, "head", deadlyPart)
+		time.Sleep(150 * time.Millisecond)
+	}
+	if count := deadlyRuns(); count != calls {
+		t.Errorf("%d of %d prompts reached an engine", count, calls)
+	}
+	for _, inst := range f.routers {
+		if strings.Contains(inst.output.String(), partRefusedMessage) {
+			t.Errorf("%s refuses the part", inst.config.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/promptcrashes.go
@@ -0,0 +1,243 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
+	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/routes"
+	"github.com/amaranthlb/amaranthlb/internal/wire"
+)
+
+const (
+	// answerSettlingTime is the time from the first event of a response after which its prompt counts as answered. A target
+	// that crashes as it begins to answer may still have sent that event.
+	answerSettlingTime = 250 * time.Millisecond
+	// crashCheckDelay is the time from a closed connection to the check whether its target still listens: the kernel closes
+	// the connections of a process that ends one after the other.
+	crashCheckDelay = 50 * time.Millisecond
+	// maxPromptCrashesPerDatagram bounds the crash reports in a datagram, so that it fits into a packet.
+	maxPromptCrashesPerDatagram = 4
+	// maxRefusedPromptsPerDigest bounds the refused prompts in a digest, so that it fits into a packet.
+	maxRefusedPromptsPerDigest = 8
+)
+
+// promptCrashTracker finds the prompt parts that crash targets. Each router reports the crashes that it sees to all
+// others; each decides on its own which parts to refuse, and repeats its decisions in the regular digests.
+type promptCrashTracker struct {
+	// hasRefusals is set while any prompt is refused; until then no prompts are compared.
+	hasRefusals atomic.Bool
+	mu          sync.Mutex
+	guard       *crashguard.PartGuard
+	// unconfirmed holds the prompts whose connections closed, by target, until it is known whether that has crashed.
+	unconfirmed map[string][][]crashguard.Part
+}
+
+func newPromptCrashTracker() *promptCrashTracker {
+	return &promptCrashTracker{guard: crashguard.NewPartGuard(), unconfirmed: make(map[string][][]crashguard.Part)}
+}
+
+// sharedParts returns the parts of a prompt that other requests may share: all but the last one.
+func sharedParts(prompt []routes.Part) []crashguard.Part {
+	if len(prompt) < 2 {
+		return nil
+	}
+	parts := make([]crashguard.Part, 0, len(prompt)-1)
+	for _, part := range prompt[:len(prompt)-1] {
+		parts = append(parts, crashguard.Part(promptKey(part)))
+	}
+	return parts
+}
+
+// promptRefused reports whether the request's prompt has a part that crashes targets.
+func (x *exchange) promptRefused() bool {
+	crashes := x.router.promptCrashes
+	if !crashes.hasRefusals.Load() {
+		return false
+	}
+	parts := sharedParts(x.request.Prompt)
+	crashes.mu.Lock()
+	defer crashes.mu.Unlock()
+	return crashes.guard.Refuses(x.router.now(), parts)
+}
+
+// recordPromptAnswered records once per attempt that the target has answered the prompt.
+func (x *exchange) recordPromptAnswered() {
+	if x.promptAnswered {
+		return
+	}
+	x.promptAnswered = true
+	parts := sharedParts(x.request.Prompt)
+	if len(parts) == 0 {
+		return
+	}
+	r := x.router
+	r.promptCrashes.mu.Lock()
+	answers := r.promptCrashes.guard.Answered(r.now(), parts)
+	r.promptCrashes.updateHasRefusals(r.now())
+	r.promptCrashes.mu.Unlock()
+	if len(answers) > 0 {
+		r.meters.Event("prompt_part_cleared")
+		r.log.WithFields(logrus.Fields{"request": x.request.ID, "parts": formatAnswers(answers)}).Info("prompt parts of crashed targets were answered")
+		r.sendCrashReport(&pb.Digest{AnsweredParts: wire.AnsweredParts(answers)}, r.crashReportRecipients())
+	}
+}
+
+// recordPromptCrash records that a target closed its connection before it had answered the prompt, and finds out whether
+// the target has crashed.
+func (x *exchange) recordPromptCrash(target routes.Target) {
+	parts := sharedParts(x.request.Prompt)
+	if len(parts) == 0 || x.promptAnswered {
+		return
+	}
+	crashes := x.router.promptCrashes
+	crashes.mu.Lock()
+	defer crashes.mu.Unlock()
+	waiting, checking := crashes.unconfirmed[target.ID]
+	crashes.unconfirmed[target.ID] = append(waiting, parts)
+	if !checking {
+		go x.router.confirmCrash(target, x.router.now())
+	}
+}
+
+// confirmCrash reports a crash if the target no longer accepts connections. Targets in trouble also close connections
+// while they go on.
+func (r *Router) confirmCrash(target routes.Target, closedAt time.Duration) {
+	time.Sleep(crashCheckDelay)
+	err := r.pool.CheckListening(context.Background(), target.Address)
+	r.promptCrashes.mu.Lock()
+	prompts := r.promptCrashes.unconfirmed[target.ID]
+	delete(r.promptCrashes.unconfirmed, target.ID)
+	r.promptCrashes.mu.Unlock()
+	fields := logrus.Fields{"target": target.ID, "prompts": len(prompts)}
+	if err == nil {
+		r.meters.Event("closed_without_crash")
+		r.log.WithFields(fields).Debug("target closed connections but still listens")
+		return
+	}
+	r.meters.Event("crash_confirmed")
+	r.log.WithFields(fields).WithError(err).Info("target has crashed before it answered")
+	slices.SortFunc(prompts, slices.Compare)
+	prompts = slices.CompactFunc(prompts, slices.Equal)
+	for chunk := range slices.Chunk(prompts, maxPromptCrashesPerDatagram) {
+		var reports []crashguard.PartCrash
+		for _, parts := range chunk {
+			reports = append(reports, crashguard.PartCrash{Target: target.ID, Parts: parts, Age: r.now() - closedAt})
+		}
+		r.applyPromptCrashes(reports)
+		r.sendCrashReport(&pb.Digest{PromptCrashes: wire.PromptCrashes(reports)}, r.crashReportRecipients())
+	}
+}
+
+func (r *Router) applyPromptCrashes(reports []crashguard.PartCrash) {
+	now := r.now()
+	var added []crashguard.PartRefusal
+	r.promptCrashes.mu.Lock()
+	for _, report := range reports {
+		added = append(added, r.promptCrashes.guard.Crashed(now, report)...)
+	}
+	r.promptCrashes.updateHasRefusals(now)
+	r.promptCrashes.mu.Unlock()
+	r.logRefusedPrompts(added, "")
+}
+
+// applyRefusedPrompts records the refusals of another router, and tells it which of the parts have been answered since.
+func (r *Router) applyRefusedPrompts(refusals []crashguard.PartRefusal, peer string) {
+	now := r.now()
+	var added []crashguard.PartRefusal
+	var answers []crashguard.PartAnswer
+	r.promptCrashes.mu.Lock()
+	for _, refusal := range refusals {
+		answered, isNew := r.promptCrashes.guard.Refused(now, refusal)
+		answers = append(answers, answered...)
+		if isNew {
+			added = append(added, refusal)
+		}
+	}
+	r.promptCrashes.updateHasRefusals(now)
+	r.promptCrashes.mu.Unlock()
+	r.logRefusedPrompts(added, peer)
+	if len(answers) > 0 {
+		answers = answers[:min(len(answers), crashguard.MaxPromptParts)]
+		r.sendCrashReport(&pb.Digest{AnsweredParts: wire.AnsweredParts(answers)}, []string{peer})
+	}
+}
+
+func (r *Router) applyAnsweredParts(answers []crashguard.PartAnswer) {
+	now := r.now()
+	r.promptCrashes.mu.Lock()
+	defer r.promptCrashes.mu.Unlock()
+	for _, answer := range answers {
+		r.promptCrashes.guard.AnsweredElsewhere(now, answer)
+	}
+	r.promptCrashes.updateHasRefusals(now)
+}
+
+// handleCrashReport processes a crash report from a peer.
+func (r *Router) handleCrashReport(digest *pb.Digest) {
+	r.applyPromptCrashes(wire.PromptCrashesFrom(digest.PromptCrashes))
+	r.applyAnsweredParts(wire.AnsweredPartsFrom(digest.AnsweredParts))
+}
+
+func (r *Router) refusedPrompts(now time.Duration) []crashguard.PartRefusal {
+	r.promptCrashes.mu.Lock()
+	defer r.promptCrashes.mu.Unlock()
+	return r.promptCrashes.guard.Refusals(now, maxRefusedPromptsPerDigest)
+}
+
+// updateHasRefusals updates hasRefusals. The caller holds mu.
+func (c *promptCrashTracker) updateHasRefusals(now time.Duration) {
+	c.hasRefusals.Store(len(c.guard.Refusals(now, 1)) > 0)
+}
+
+func (r *Router) logRefusedPrompts(refusals []crashguard.PartRefusal, peer string) {
+	for _, refusal := range refusals {
+		r.meters.Event("prompt_part_refused")
+		fields := logrus.Fields{"parts": formatParts(refusal.Parts), "crash_age_ms": refusal.Age.Milliseconds()}
+		if peer != "" {
+			fields["peer"] = peer
+		}
+		r.log.WithFields(fields).Warn("prompt part crashes targets and is refused")
+	}
+}
+
+func (r *Router) crashReportRecipients() []string {
+	r.controlMu.Lock()
+	defer r.controlMu.Unlock()
+	return r.members.Recipients(r.now(), readerFanout)
+}
+
+func (r *Router) sendCrashReport(digest *pb.Digest, recipients []string) {
+	digest.Address, digest.CrashReport = r.config.PeerAddress, true
+	if err := r.link.Send(digest, recipients); err != nil {
+		r.meters.Event("digest_not_sent")
+		r.log.WithError(err).Info("failed to send crash report to peers")
+	}
+}
+
+// formatParts returns the hashes of parts for a log line.
+func formatParts(parts []crashguard.Part) string {
+	text := ""
+	for i, part := range parts {
+		if i > 0 {
+			text += ","
+		}
+		text += fmt.Sprintf("%016x", uint64(part))
+	}
+	return text
+}
+
+func formatAnswers(answers []crashguard.PartAnswer) string {
+	parts := make([]crashguard.Part, len(answers))
+	for i, answer := range answers {
+		parts[i] = answer.Part
+	}
+	return formatParts(parts)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -98,6 +98,8 @@
 	stopAt   atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 	crashes  *crashTracker
+	// promptCrashes finds prompt parts that crash targets.
+	promptCrashes *promptCrashTracker
 
 	// controlMu guards the state that is updated by the store and by peers.
 	controlMu  sync.Mutex
@@ -145,6 +147,7 @@
 		forceRead:      make(map[directory.Range]bool),
 		confirmedAt:    make(map[directory.Range]time.Duration),
 		crashes:        newCrashTracker(),
+		promptCrashes:  newPromptCrashTracker(),
 		noticesPending: make(chan struct{}, 1),
 		loadTracker:    place.New(config.LoadMultiple, random()),
 		budget:         retry.NewBudget(config.RetryRatio*budgetShare, config.RetrySlack*budgetShare/initialRouters, config.RetryWindow),
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -266,6 +266,16 @@
 	}
 }
 
+// CheckListening returns an error if the address does not accept connections.
+func (p *Pool) CheckListening(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: DialTimeout}
+	c, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // Close closes all idle connections.
 func (p *Pool) Close() { p.CloseExpired(time.Now().Add(24 * time.Hour)) }
 
