Charge requests only with confirmed crashes

Cause: the guard of equal requests took each closed connection for a crash. Targets in trouble close connections and go on.

Change: both guards use one check. A target that closes a connection has crashed if it accepts no new one 50 ms later.

TestRequestIsNotRefusedForClosedConnections failed before.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -65,8 +65,7 @@
 	r.loadTracker.End(choice.Target.ID, now, result.outcome, time.Since(startedAt))
 	r.trafficMu.Unlock()
 	if result.outcome == place.Crashed {
-		x.recordCrash(choice.Target.ID, choice.Target.StartedAt)
-		x.recordPromptCrash(choice.Target)
+		x.recordClosed(choice.Target)
 	}
 	if result.mayHaveRun {
 		x.mayHaveRun = true
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
+	"github.com/amaranthlb/amaranthlb/internal/routes"
 	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
@@ -19,6 +21,10 @@
 // requests is still served.
 const crashRefusalThreshold = 3
 
+// crashCheckDelay is the time from a closed connection to the check whether its target still listens: the kernel closes
+// the connections of a process that ends one after the other.
+const crashCheckDelay = 50 * time.Millisecond
+
 // crashTracker counts the target crashes that occurred while a request was running. A router reports each crash to the
 // router that ranks first for the request's digest, which notifies all others once a request has caused too many.
 type crashTracker struct {
@@ -26,12 +32,14 @@
 	hasCharges atomic.Bool
 	mu         sync.Mutex
 	guard      *crashguard.Guard
+	// unconfirmed holds the requests whose connections closed, by target, until it is known whether that has crashed.
+	unconfirmed map[string][]crashSuspect
 	// announced holds the digests that all routers have been notified of.
 	announced map[crashguard.Digest]bool
 }
 
 func newCrashTracker() *crashTracker {
-	return &crashTracker{guard: crashguard.New(), announced: make(map[crashguard.Digest]bool)}
+	return &crashTracker{guard: crashguard.New(), unconfirmed: make(map[string][]crashSuspect), announced: make(map[crashguard.Digest]bool)}
 }
 
 // shouldRefuse reports whether the request has crashed too many targets.
@@ -86,17 +94,68 @@
 	return ok && x.router.crashes.shouldRefuse(x.router.now(), digest)
 }
 
-// recordCrash records that a target closed its connection while it was running the request.
-func (x *exchange) recordCrash(target string, incarnation int64) {
-	digest, ok := x.requestDigest()
-	if !ok {
+// crashSuspect is a request that was running at a target when that closed the connection.
+type crashSuspect struct {
+	digest    crashguard.Digest
+	hasDigest bool
+	// parts are the shared parts of its prompt, if the target had not answered it yet.
+	parts []crashguard.Part
+}
+
+// recordClosed records that a target closed its connection while it was running the request. Whether it has crashed is
+// not known yet.
+func (x *exchange) recordClosed(target routes.Target) {
+	suspect := crashSuspect{}
+	suspect.digest, suspect.hasDigest = x.requestDigest()
+	if !x.promptAnswered {
+		suspect.parts = sharedParts(x.request.Prompt)
+	}
+	if !suspect.hasDigest && len(suspect.parts) == 0 {
 		return
 	}
-	x.router.reportCrash(crashguard.Charge{
-		Digest:    digest,
-		Crash:     crashguard.Crash{Target: target, Incarnation: uint64(incarnation)},
-		Remaining: crashguard.Lifetime,
-	})
+	r := x.router
+	r.crashes.mu.Lock()
+	defer r.crashes.mu.Unlock()
+	suspects, checking := r.crashes.unconfirmed[target.ID]
+	r.crashes.unconfirmed[target.ID] = append(suspects, suspect)
+	if !checking {
+		go r.checkCrash(target, r.now())
+	}
+}
+
+// checkCrash charges the requests that were running at a target if it no longer accepts connections. Targets in trouble
+// also close connections while they go on.
+func (r *Router) checkCrash(target routes.Target, closedAt time.Duration) {
+	time.Sleep(crashCheckDelay)
+	err := r.pool.CheckListening(context.Background(), target.Address)
+	r.crashes.mu.Lock()
+	suspects := r.crashes.unconfirmed[target.ID]
+	delete(r.crashes.unconfirmed, target.ID)
+	r.crashes.mu.Unlock()
+	fields := logrus.Fields{"target": target.ID, "requests": len(suspects)}
+	if err == nil {
+		r.meters.Event("closed_without_crash")
+		r.log.WithFields(fields).Debug("target closed connections but still listens")
+		return
+	}
+	r.meters.Event("crash_confirmed")
+	r.log.WithFields(fields).WithError(err).Info("target has crashed")
+	var prompts [][]crashguard.Part
+	charged := make(map[crashguard.Digest]bool)
+	for _, suspect := range suspects {
+		if suspect.hasDigest && !charged[suspect.digest] {
+			charged[suspect.digest] = true
+			r.reportCrash(crashguard.Charge{
+				Digest:    suspect.digest,
+				Crash:     crashguard.Crash{Target: target.ID, Incarnation: uint64(target.StartedAt)},
+				Remaining: crashguard.Lifetime,
+			})
+		}
+		if len(suspect.parts) > 0 {
+			prompts = append(prompts, suspect.parts)
+		}
+	}
+	r.reportPromptCrashes(target.ID, prompts, closedAt)
 }
 
 // reportCrash records a crash and sends it to the router that ranks first for the digest.
--- a/internal/router/crashes_test.go
+++ b/internal/router/crashes_test.go
@@ -82,3 +82,32 @@
 		}
 	}
 }
+
+// Guards against refusing a request because targets close connections while they go on.
+func TestRequestIsNotRefusedForClosedConnections(t *testing.T) {
+	const targets, calls = 6, 18
+	f := newFleet(t, 2)
+	var all []*platformtest.Target
+	for i := range targets {
+		all = append(all, f.target(fmt.Sprint("i-", i), "app", platformtest.Behavior{Break: true}))
+	}
+	f.awaitReady()
+	for _, inst := range f.routers {
+		await(t, "all targets are known", func() bool { return strings.Count(inst.output.String(), "target_listed") >= targets })
+	}
+	for i := range calls {
+		inst := f.routers[i%len(f.routers)]
+		got := inst.send(context.Background(), call{method: http.MethodPost, path: "/order/1", id: fmt.Sprint("c", i), body: "the same"})
+		if strings.Contains(got.body, "crash_suspect") {
+			t.Errorf("call %d: status %d, %s", i, got.status, got.body)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	count := 0
+	for _, target := range all {
+		count += len(target.Runs())
+	}
+	if count != calls {
+		t.Errorf("%d of %d requests reached a target", count, calls)
+	}
+}
--- a/internal/router/promptcrashes.go
+++ b/internal/router/promptcrashes.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"sync"
@@ -20,9 +19,6 @@
 	// answerSettlingTime is the time from the first event of a response after which its prompt counts as answered. A target
 	// that crashes as it begins to answer may still have sent that event.
 	answerSettlingTime = 250 * time.Millisecond
-	// crashCheckDelay is the time from a closed connection to the check whether its target still listens: the kernel closes
-	// the connections of a process that ends one after the other.
-	crashCheckDelay = 50 * time.Millisecond
 	// maxPromptCrashesPerDatagram bounds the crash reports in a datagram, so that it fits into a packet.
 	maxPromptCrashesPerDatagram = 4
 	// maxRefusedPromptsPerDigest bounds the refused prompts in a digest, so that it fits into a packet.
@@ -36,12 +32,10 @@
 	hasRefusals atomic.Bool
 	mu          sync.Mutex
 	guard       *crashguard.PartGuard
-	// unconfirmed holds the prompts whose connections closed, by target, until it is known whether that has crashed.
-	unconfirmed map[string][][]crashguard.Part
 }
 
 func newPromptCrashTracker() *promptCrashTracker {
-	return &promptCrashTracker{guard: crashguard.NewPartGuard(), unconfirmed: make(map[string][][]crashguard.Part)}
+	return &promptCrashTracker{guard: crashguard.NewPartGuard()}
 }
 
 // sharedParts returns the parts of a prompt that other requests may share: all but the last one.
@@ -90,46 +84,14 @@
 	}
 }
 
-// recordPromptCrash records that a target closed its connection before it had answered the prompt, and finds out whether
-// the target has crashed.
-func (x *exchange) recordPromptCrash(target routes.Target) {
-	parts := sharedParts(x.request.Prompt)
-	if len(parts) == 0 || x.promptAnswered {
-		return
-	}
-	crashes := x.router.promptCrashes
-	crashes.mu.Lock()
-	defer crashes.mu.Unlock()
-	waiting, checking := crashes.unconfirmed[target.ID]
-	crashes.unconfirmed[target.ID] = append(waiting, parts)
-	if !checking {
-		go x.router.confirmCrash(target, x.router.now())
-	}
-}
-
-// confirmCrash reports a crash if the target no longer accepts connections. Targets in trouble also close connections
-// while they go on.
-func (r *Router) confirmCrash(target routes.Target, closedAt time.Duration) {
-	time.Sleep(crashCheckDelay)
-	err := r.pool.CheckListening(context.Background(), target.Address)
-	r.promptCrashes.mu.Lock()
-	prompts := r.promptCrashes.unconfirmed[target.ID]
-	delete(r.promptCrashes.unconfirmed, target.ID)
-	r.promptCrashes.mu.Unlock()
-	fields := logrus.Fields{"target": target.ID, "prompts": len(prompts)}
-	if err == nil {
-		r.meters.Event("closed_without_crash")
-		r.log.WithFields(fields).Debug("target closed connections but still listens")
-		return
-	}
-	r.meters.Event("crash_confirmed")
-	r.log.WithFields(fields).WithError(err).Info("target has crashed before it answered")
+// reportPromptCrashes reports the prompts that a target had not answered when it crashed.
+func (r *Router) reportPromptCrashes(target string, prompts [][]crashguard.Part, crashedAt time.Duration) {
 	slices.SortFunc(prompts, slices.Compare)
 	prompts = slices.CompactFunc(prompts, slices.Equal)
 	for chunk := range slices.Chunk(prompts, maxPromptCrashesPerDatagram) {
 		var reports []crashguard.PartCrash
 		for _, parts := range chunk {
-			reports = append(reports, crashguard.PartCrash{Target: target.ID, Parts: parts, Age: r.now() - closedAt})
+			reports = append(reports, crashguard.PartCrash{Target: target, Parts: parts, Age: r.now() - crashedAt})
 		}
 		r.applyPromptCrashes(reports)
 		r.sendCrashReport(&pb.Digest{PromptCrashes: wire.PromptCrashes(reports)}, r.crashReportRecipients())
