Decode and log the rate limit that targets state

What callers saw: engines that ask for fewer requests get as many as before, 8 times what they ask for in all. The logs could not tell whether the limit is unknown, known to one router only, or known and not kept.

Change: the platform's decoder reads the header into routes.Answer; the line of a try has the limit. Callers can't set the header.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -52,7 +52,7 @@
 	}
 	x.lastTarget = choice.Target.ID
 	x.choice, x.promptRead = choice, false
-	x.promptAnswered, x.answeringSince = false, time.Time{}
+	x.promptAnswered, x.answeringSince, x.answer = false, time.Time{}, routes.Answer{}
 	x.reserved = ""
 	moved := x.moved
 	result := x.sendToTarget(ctx, choice)
@@ -95,6 +95,9 @@
 		fields["gap_ms"] = x.maxGap.Milliseconds()
 	}
 	fields["route"] = x.route.Name
+	if x.answer.HasRateLimit {
+		fields["rate_limit"] = x.answer.RateLimit
+	}
 	if result.outcome == place.Crashed && len(x.request.Prompt) > 0 {
 		fields["prompt"] = loggedPrompt(x.request.Prompt)
 		fields["answering"] = !x.answeringSince.IsZero()
@@ -181,6 +184,7 @@
 		return x.classifyFailure(ctx, err)
 	}
 	defer response.Close()
+	x.answer = response.Answer
 	x.report(target, response.Answer)
 	return x.forwardResponse(ctx, response)
 }
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -80,6 +80,8 @@
 	promptRead     bool
 	promptAnswered bool
 	answeringSince time.Time
+	// answer is what the header of the current attempt's response states.
+	answer routes.Answer
 	// firstAt and lastAt are the times of the first and the latest part of the response; maxGap is the longest pause
 	// between two parts.
 	firstAt time.Time
--- a/internal/routes/message.go
+++ b/internal/routes/message.go
@@ -77,6 +77,10 @@
 	// Load is the target's load, if HasLoad is set.
 	Load    Load
 	HasLoad bool
+	// RateLimit is the number of requests a second that the target takes from all routers together, if HasRateLimit is
+	// set. It holds for as long as the target's responses state it.
+	RateLimit    float64
+	HasRateLimit bool
 	// KeepAlive is how long the target keeps an idle connection open; zero if not stated.
 	KeepAlive time.Duration
 }
