--- a/internal/router/promptcrash_test.go
+++ b/internal/router/promptcrash_test.go
@@ -65,11 +65,14 @@
 	}
 }
 
-// sendPrompt sends a prompt of the parts and one of its own through one of the routers.
-func (f *fleet) sendPrompt(i int, parts ...string) result {
+// sendPrompt sends a chat of the parts and one of its own through one of the routers.
+func (f *fleet) sendPrompt(i int, parts ...string) result { return f.sendTo(i, "/chat/", parts...) }
+
+// sendTo sends a prompt of the parts and one of its own to a path through one of the routers.
+func (f *fleet) sendTo(i int, path string, parts ...string) result {
 	own := fmt.Sprint("own", i)
 	return f.routers[i%len(f.routers)].send(context.Background(), call{
-		method: http.MethodPost, path: "/chat/", id: fmt.Sprint("p", i, parts), body: own, prompt: promptOf(append(parts, own)...),
+		method: http.MethodPost, path: path, id: fmt.Sprint("p", i, parts), body: own, prompt: promptOf(append(parts, own)...),
 	})
 }
 
