Break streams off that end inside an event or continue with an error

What callers saw: a stream whose target ended it inside an event arrived as a complete response, with the cut event; where a resumable stream broke off and the next target answered with a text, callers found it in their stream, which ended as complete.

Cause: the end of a response counted as the end of the stream, and any successful response could continue one. Streams that can neither be resumed nor moved were copied as bytes.

Change: all streams are forwarded in complete events; what is left at the end is never sent and makes the response a broken one, which is resumed or cut. Only an event stream continues another one.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strings"
 	"time"
@@ -253,10 +254,8 @@
 		return x.bufferFailure(response)
 	case x.headerSent:
 		return x.forwardEvents(ctx, response, true)
-	case x.route.Kind == routes.Stream && response.Status == http.StatusOK && (x.route.Resumable || x.movableRuns):
-		return x.forwardEvents(ctx, response, false)
 	case x.route.Kind == routes.Stream && response.Status == http.StatusOK:
-		return x.forwardStream(response, nil)
+		return x.forwardEvents(ctx, response, false)
 	default:
 		return x.forwardBuffered(response)
 	}
@@ -389,7 +388,7 @@
 // forwardEvents forwards a stream in complete events, so that another target can resume it after the last one. The
 // parameter continued means that the client already has the beginning.
 func (x *exchange) forwardEvents(ctx context.Context, response *upstream.Response, continued bool) attemptResult {
-	if continued && response.Status != http.StatusOK {
+	if continued && (response.Status != http.StatusOK || !isEventStream(response.Header)) {
 		return attemptResult{reason: reason.StreamGone, outcome: place.Failed, mayHaveRun: true, reachedTarget: true}
 	}
 	var pending []byte
@@ -431,19 +430,25 @@
 	}
 }
 
-// finishEvents completes a stream that its target has ended.
+var errEndedInsideEvent = errors.New("stream ended inside an event")
+
+// finishEvents completes a stream that its target has ended, unless it has ended inside an event.
 func (x *exchange) finishEvents(response *upstream.Response, pending []byte) attemptResult {
+	if len(bytes.TrimSpace(pending)) > 0 {
+		x.lastErr = errEndedInsideEvent
+		return brokenResult(errEndedInsideEvent)
+	}
 	if !x.headerSent {
 		x.writeStreamHeader(response)
 	}
-	if len(pending) > 0 {
-		if failure := x.writeChunk(pending); failure != nil {
-			return *failure
-		}
-	}
 	return attemptResult{completed: true, outcome: place.Good, mayHaveRun: true, reachedTarget: true}
 }
 
+func isEventStream(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
