Let targets that took over finish before they get prompts again

Cause: the engines without a limit still ran the long chats that they had taken over, and routers of a large fleet know loads too late.

Change: if most targets of a service had a limit until 5 s ago, these precede the others for prompts.

--- a/internal/backpressure/tracker.go
+++ b/internal/backpressure/tracker.go
@@ -199,10 +199,13 @@
 	return 0, 0, false
 }
 
-// Recovering reports whether the target stated a limit until recently.
-func (t *Tracker) Recovering(now time.Duration, target uint64) bool {
+// Recovering reports whether the target stated a limit until recently, and how long ago that has ended.
+func (t *Tracker) Recovering(now time.Duration, target uint64) (since time.Duration, recovering bool) {
 	l := t.limits[target]
-	return l != nil && !l.limited && now-l.changedAt < recoveryTime
+	if l == nil || l.limited || now-l.changedAt >= recoveryTime {
+		return 0, false
+	}
+	return now - l.changedAt, true
 }
 
 // Count returns the number of targets with a limit in force.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -168,6 +168,8 @@
 	waiting map[uint64]time.Duration
 	// limited is set while the target states a rate limit, recovering for a while after it; both are updated by candidates.
 	limited, recovering bool
+	// sinceLimit is the time since the end of the limit of a recovering target.
+	sinceLimit time.Duration
 
 	failures   float64
 	failuresAt time.Duration
@@ -518,7 +520,7 @@
 	for _, state := range svc.targets {
 		rate := state.failuresNow(now)
 		_, _, state.limited = p.limits.Limit(now, state.hash)
-		state.recovering = p.limits.Recovering(now, state.hash)
+		state.sinceLimit, state.recovering = p.limits.Recovering(now, state.hash)
 		others := (sum - rate) / float64(max(len(svc.targets)-1, 1))
 		switch {
 		case slices.Contains(exclude, state.target.ID) || state.target.Draining:
--- a/internal/place/prompt.go
+++ b/internal/place/prompt.go
@@ -35,6 +35,9 @@
 	// localCopyRatio is the number of prompt tokens for each token of the answer up to which a prompt is cached in each
 	// zone.
 	localCopyRatio = 4
+	// takeoverDrainTime is the time after the end of most rate limits in which targets that had none finish what they have
+	// taken over.
+	takeoverDrainTime = 5 * time.Second
 	// warmupPeriod is how long a newly listed target is assumed to have an empty cache, while others still have the
 	// prompts that it takes over.
 	warmupPeriod = 15 * time.Second
@@ -94,7 +97,7 @@
 			best = i
 		}
 	}
-	order := limitedLast(rankTargets(open, prompt), open)
+	order := byRateLimit(rankTargets(open, prompt), open)
 	home := order[0].index
 	localCopy := query.AnswerTokens > 0 && prompt.Tokens <= localCopyRatio*query.AnswerTokens
 	var inZone []ranked
@@ -134,16 +137,22 @@
 	return least, len(order)
 }
 
-// limitedLast moves the targets with rate limits to the end of an order. The few requests that they take are for prompts
-// that they have cached, which would have to be copied elsewhere otherwise.
-func limitedLast(order []ranked, open []*targetState) []ranked {
-	isLimited := func(candidate ranked) bool { return open[candidate.index].limited }
-	if !slices.ContainsFunc(order, isLimited) {
-		return order
-	}
-	slices.SortStableFunc(order, func(a, b ranked) int {
-		return cmp.Compare(boolToInt(isLimited(a)), boolToInt(isLimited(b)))
-	})
+// byRateLimit moves the targets with rate limits to the end of an order. The few requests that they take are for prompts
+// that they have cached, which would have to be copied elsewhere otherwise. If most targets had a limit until recently,
+// they precede the others, which still run what they have taken over.
+func byRateLimit(order []ranked, open []*targetState) []ranked {
+	idle := func(candidate ranked) bool {
+		return open[candidate.index].recovering && open[candidate.index].sinceLimit < takeoverDrainTime
+	}
+	count := 0
+	for _, candidate := range order {
+		count += boolToInt(idle(candidate))
+	}
+	mostIdle := 2*count >= len(order)
+	class := func(candidate ranked) int {
+		return boolToInt(open[candidate.index].limited) - boolToInt(mostIdle && idle(candidate))
+	}
+	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(class(a), class(b)) })
 	return order
 }
 
