Forward responses to stream requests that are no streams as they are

Such a response is read whole and forwarded as on other routes.

Also: tests ask platformtest for prompt parts, so that the platform's header stays in its folder, and place.Choice has a Number.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -117,8 +117,8 @@
 	Rank int
 	// Prefill is the weight that the request adds to the target's load until its prompt is prefilled.
 	Prefill float64
-	// Ticket identifies the request in the target's list of requests without a response.
-	Ticket uint64
+	// Number identifies the request among those that the target has not begun to answer.
+	Number uint64
 	// Limited is the number of targets that were passed over because of their rate limits.
 	Limited int
 	// Source is the address of a target that probably has the prompt cached while the chosen one does not; empty if
@@ -197,8 +197,8 @@
 	// cachesKnown is set once the prompts placed before this process started are known, or known not to exist.
 	cachesKnown bool
 	rng         *rand.Rand
-	// lastTicket is the latest ticket of a choice.
-	lastTicket uint64
+	// lastNumber is the latest number of a choice.
+	lastNumber uint64
 	// limits holds the rate limits that targets have stated.
 	limits *backpressure.Tracker
 	// multiple is the contract's limit on a target's load, as a multiple of the mean.
@@ -278,8 +278,8 @@
 	state.own++
 	state.prefill += choice.Prefill
 	p.limits.Took(now, state.hash)
-	if choice.Ticket != 0 {
-		state.waiting[choice.Ticket] = now
+	if choice.Number != 0 {
+		state.waiting[choice.Number] = now
 	}
 	if prompt.Key == 0 {
 		return
@@ -290,7 +290,7 @@
 // PromptRead records that the target has begun to answer a request, or will not.
 func (p *LoadTracker) PromptRead(choice Choice) {
 	if state := p.byID[choice.Target.ID]; state != nil {
-		delete(state.waiting, choice.Ticket)
+		delete(state.waiting, choice.Number)
 		state.prefill = max(state.prefill-choice.Prefill, 0)
 	}
 }
@@ -470,8 +470,8 @@
 	if wait := expectedWait(open[best], loads[best].total(), svc.meanDuration); wait > time.Duration(queueShare*float64(query.Remaining)) {
 		return Choice{}, &Refusal{Reason: reason.OverLimit, RetryAfter: wait / 2}
 	}
-	p.lastTicket++
-	return Choice{Ticket: p.lastTicket, Prefill: prefill, Target: open[best].target, LoadAge: open[best].loadAge(now), Load: loads[best], Mean: mean.Requests, Rank: rank, Source: source, Limited: len(limited)}, nil
+	p.lastNumber++
+	return Choice{Number: p.lastNumber, Prefill: prefill, Target: open[best].target, LoadAge: open[best].loadAge(now), Load: loads[best], Mean: mean.Requests, Rank: rank, Source: source, Limited: len(limited)}, nil
 }
 
 // loadsOf returns the loads of targets and their mean. Targets with rate limits have less load than the others could
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -254,7 +254,7 @@
 		return x.bufferFailure(response)
 	case x.headerSent:
 		return x.forwardEvents(ctx, response, true)
-	case x.route.Kind == routes.Stream && response.Status == http.StatusOK:
+	case x.route.Kind == routes.Stream && response.Status == http.StatusOK && isEventStream(response.Header):
 		return x.forwardEvents(ctx, response, false)
 	default:
 		return x.forwardBuffered(response)
@@ -444,9 +444,11 @@
 	return attemptResult{completed: true, outcome: place.Good, mayHaveRun: true, reachedTarget: true}
 }
 
+// isEventStream reports whether a response to a stream request holds events. One without a type does.
 func isEventStream(header http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-	return err == nil && mediaType == "text/event-stream"
+	value := header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(value)
+	return value == "" || err == nil && mediaType == "text/event-stream"
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -125,7 +125,7 @@
 
 // reserve counts the moved run in the load of the target that is to continue it. The caller holds trafficMu.
 func (x *exchange) reserve(now time.Duration, choice place.Choice) {
-	choice.Ticket = 0 // the run has begun already
+	choice.Number = 0 // the run has begun already
 	x.router.loadTracker.Start(now, choice, place.Prompt{})
 	x.reserved = choice.Target.ID
 }
--- a/internal/router/promptcrash_test.go
+++ b/internal/router/promptcrash_test.go
@@ -14,10 +14,6 @@
 
 const deadlyPart = "dead"
 
-func hasPart(r *http.Request, id string) bool {
-	return strings.Contains(r.Header.Get("Amaranthlb-Prompt-Prefix"), id+":")
-}
-
 // promptOf returns a prompt of the parts, the last of which is the request's own.
 func promptOf(ids ...string) []routes.Part {
 	var parts []routes.Part
@@ -39,7 +35,7 @@
 	for i := range targetCount {
 		target := f.target(fmt.Sprint("e-", i), "llm", platformtest.Behavior{})
 		target.SetBehavior(func(r *http.Request) platformtest.Behavior {
-			if hasPart(r, deadlyPart) {
+			if platformtest.HasPromptPart(r.Header, deadlyPart) {
 				crash(target)
 				return platformtest.Behavior{Break: true}
 			}
@@ -56,7 +52,7 @@
 		count := 0
 		for _, target := range all {
 			for _, run := range target.Runs() {
-				if strings.Contains(run.Header.Get("Amaranthlb-Prompt-Prefix"), deadlyPart+":") {
+				if platformtest.HasPromptPart(run.Header, deadlyPart) {
 					count++
 				}
 			}
