Test stated rate limits with targets that have prompts cached

Cause, from the routers' logs of both runs: the targets with a limit stated it from their first response, so that they had cached only one to three of the 20 prompts. Limited targets get only prompts that they have cached, and the fourth target, which had cached all of them and was idle half of the time, was as good a choice. Routers had an allowance for the limited target 14 times and did not need it. No request waited or was refused. So the lower bound was checked under a load that does not ask for the limited targets.

Limits now begin after two seconds in which each target caches its part of the prompts, requests overlap at the target without a limit, and the plain service gets requests without prompts. Both bounds are unchanged.

--- a/internal/router/ratelimit_test.go
+++ b/internal/router/ratelimit_test.go
@@ -6,9 +6,11 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/amaranthlb/amaranthlb/platform"
 	"github.com/amaranthlb/amaranthlb/platform/platformtest"
 )
 
@@ -40,36 +42,49 @@
 
 // Guards against a target that gets more requests from all routers together than it has stated to take.
 func TestStatedRateLimitIsKeptByAllRouters(t *testing.T) {
-	const limit, targets, limited = 2.0, 4, 3
-	const interval, load, settling = 25 * time.Millisecond, 8 * time.Second, 1500 * time.Millisecond
-	for _, service := range []struct{ name, path string }{{"llm", "/chat/"}, {"app", "/look/"}} {
+	const limit, targets, limited, subjects = 2.0, 4, 3, 20
+	const interval, load, settling = 25 * time.Millisecond, 10 * time.Second, 1500 * time.Millisecond
+	// Requests overlap at the target without a limit, so that idle targets with a limit are the better choice.
+	const work = 100 * time.Millisecond
+	// Limits begin when each target has cached its part of the prompts.
+	const cachingTime = 2 * time.Second
+	for _, service := range []struct {
+		name, path string
+		prompts    bool
+	}{{"llm", "/chat/", true}, {"app", "/look/", false}} {
 		t.Run(service.name, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t, 3)
+			var stating atomic.Bool
 			var all []*platformtest.Target
 			for i := range targets {
-				behavior := platformtest.Behavior{Work: 20 * time.Millisecond}
-				if i < limited {
-					behavior.RateLimit = fmt.Sprint(limit)
-				}
-				all = append(all, f.target(fmt.Sprint("e-", i), service.name, behavior))
+				target := platformtest.StartTarget(t, fmt.Sprint("e-", i), func(*http.Request) platformtest.Behavior {
+					behavior := platformtest.Behavior{Work: work}
+					if i < limited && stating.Load() {
+						behavior.RateLimit = fmt.Sprint(limit)
+					}
+					return behavior
+				})
+				f.store.Put(platform.TargetPrefix+target.ID, target.Entry(service.name, "ready"))
+				all = append(all, target)
 			}
 			f.awaitReady()
 			for _, inst := range f.routers {
 				await(t, "all targets are known", func() bool { return strings.Count(inst.output.String(), "target_listed") >= targets })
 			}
-			start := time.Now()
+			begin := time.Now()
+			limitsFrom := begin.Add(cachingTime)
 			var clients sync.WaitGroup
-			var mu sync.Mutex
-			served := 0
-			for i := 0; time.Since(start) < load; i++ {
+			for i := 0; time.Since(begin) < load; i++ {
+				if !stating.Load() && !time.Now().Before(limitsFrom) {
+					stating.Store(true)
+				}
+				var parts []string
+				if service.prompts {
+					parts = []string{fmt.Sprint("subject", i%subjects)}
+				}
 				clients.Go(func() {
-					got := f.sendTo(i, service.path, fmt.Sprint("subject", i%20))
-					mu.Lock()
-					defer mu.Unlock()
-					if got.status == http.StatusOK {
-						served++
-					} else {
+					if got := f.sendTo(i, service.path, parts...); got.status != http.StatusOK {
 						t.Errorf("request %d: status %d, %s, %v", i, got.status, got.body, got.err)
 					}
 				})
@@ -78,12 +93,12 @@
 			clients.Wait()
 			allowed := int(limitRatio*limit*limitWindow.Seconds()) + limitSlack
 			for _, target := range all[:limited] {
-				count := maxInWindow(target.Runs(), start.Add(settling), limitWindow)
+				count := maxInWindow(target.Runs(), limitsFrom.Add(settling), limitWindow)
 				if count > allowed {
 					t.Errorf("%s got %d requests in %v, want at most %d", target.ID, count, limitWindow, allowed)
 				}
-				if used := maxInWindow(target.Runs(), start.Add(settling), limitWindow); used < int(limit*limitWindow.Seconds())/2 {
-					t.Errorf("%s got %d requests in %v although it takes %v a second", target.ID, used, limitWindow, limit)
+				if count < int(limit*limitWindow.Seconds())/2 {
+					t.Errorf("%s got %d requests in %v although it takes %v a second", target.ID, count, limitWindow, limit)
 				}
 			}
 		})
