Send nothing to targets that state that they leave

Callers: a target that leaves says so in its responses before the store's list does, and at times the list never does. Requests that reach it later than the platform's 2 s may be cut off.

Cause: the header Server-Leaving was not decoded; only the store's list decided.

Change: backpressure.Tracker, which already holds stated rate limits, records the statement, and its Admission is the one question that each choice of a target asks. The statement is never revoked, since responses without it may be older; it belongs to an instance (ID and start) instead of an ID, so that a successor is not bound, also not by a late message. With that, an entry that disappears and comes back no longer lifts a rate limit either. Routers tell each other in the digests that carry rate limits. Requests in progress go on.

--- a/internal/backpressure/doc.go
+++ b/internal/backpressure/doc.go
@@ -9,5 +9,12 @@
 // seen, with its age; the latest response counts. A router that restarts knows no limits until the first response or
 // message. Routers that do not know of each other may exceed the limit, by as many parts as there are groups of them.
 //
+// A target that leaves gets no requests from the first response that states it. This is never revoked: a target that
+// starts again is another instance. Routers tell each other for a minute; one that has missed all messages learns it from
+// its own first request.
+//
+// Statements belong to an instance, which is a target's ID and start, so that a message about an instance that is gone
+// has no effect on its successor.
+//
 // The package does no I/O, reads no clock and is not safe for concurrent use.
 package backpressure
--- a/internal/backpressure/tracker.go
+++ b/internal/backpressure/tracker.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
@@ -32,10 +33,12 @@
 	resendInterval = 4 * time.Second
 )
 
-// Update is what a target has stated, as routers tell each other.
+// Update is what an instance of a target has stated, as routers tell each other.
 type Update struct {
-	// Target is the hash of the target's ID.
-	Target uint64
+	// Instance is the key of the instance.
+	Instance uint64
+	// Leaving is set if the instance leaves. Rate and Limited have no meaning then.
+	Leaving bool
 	// Rate is the stated limit in requests a second, if Limited is set. Otherwise an earlier limit has ended.
 	Rate    float64
 	Limited bool
@@ -60,17 +63,48 @@
 	sentAt time.Duration
 }
 
-// Tracker tracks the limits of targets and this router's requests to them.
+// Tracker tracks what instances of targets have stated, and this router's requests to them.
 type Tracker struct {
 	self    uint64
 	routers []uint64
 	limits  map[uint64]*limit
+	leaving map[uint64]*departure
 	rng     *rand.Rand
 }
 
-// New returns a Tracker that knows no limits and no other routers.
+// New returns a Tracker that knows no statements and no other routers.
 func New(rng *rand.Rand) *Tracker {
-	return &Tracker{limits: make(map[uint64]*limit), rng: rng}
+	return &Tracker{limits: make(map[uint64]*limit), leaving: make(map[uint64]*departure), rng: rng}
+}
+
+// Key returns the key of an instance of a target. A target that starts again is another instance, even if it has the same
+// ID, and is not bound by what the earlier one has stated.
+func Key(targetID string, startedAt int64) uint64 {
+	return rendezvous.Hash(targetID + "@" + strconv.FormatInt(startedAt, 10))
+}
+
+// Admission is whether this router may send a request to a target.
+type Admission int
+
+// Admissions, in the order of precedence.
+const (
+	// Open targets take requests.
+	Open Admission = iota
+	// Limited targets have a rate limit of which this router may use no more at present.
+	Limited
+	// Leaving targets have stated that they leave.
+	Leaving
+)
+
+// Admission reports whether this router may send a request to the instance now. Each choice of a target depends on it.
+func (t *Tracker) Admission(now time.Duration, instance uint64) Admission {
+	if t.isLeaving(now, instance) {
+		return Leaving
+	}
+	if wait, mine := t.Wait(now, instance); !mine || wait > 0 {
+		return Limited
+	}
+	return Open
 }
 
 // SetRouters sets the addresses of this router and of the others that share the limits.
@@ -85,32 +119,37 @@
 		return
 	}
 	t.self, t.routers = own, routers
-	for target, l := range t.limits {
-		t.divide(now, target, l)
+	for instance, l := range t.limits {
+		t.divide(now, instance, l)
 	}
 }
 
-// Stated records what a response of the target states. It reports whether a limit has begun, ended or changed much.
-func (t *Tracker) Stated(now time.Duration, target uint64, rate float64, limited bool) bool {
-	return t.apply(now, now, target, rate, limited)
+// StatedLimit records whether a response of the instance states a rate limit. It reports whether a limit has begun, ended
+// or changed much.
+func (t *Tracker) StatedLimit(now time.Duration, instance uint64, rate float64, limited bool) bool {
+	return t.apply(now, now, instance, rate, limited)
 }
 
-// Merge records what another router has seen. It reports whether a limit has begun, ended or changed much.
+// Merge records what another router has seen. It reports whether the instance has begun to leave, or its limit has begun,
+// ended or changed much.
 func (t *Tracker) Merge(now time.Duration, update Update) bool {
-	if update.Age < 0 || update.Age >= lifetime || update.Limited && !(update.Rate >= 0) {
+	switch {
+	case update.Leaving:
+		return update.Age >= 0 && update.Age < leavingResendTime && t.leave(now-update.Age, update.Instance)
+	case update.Age < 0 || update.Age >= lifetime || update.Limited && !(update.Rate >= 0):
 		return false
 	}
-	return t.apply(now, now-update.Age, update.Target, update.Rate, update.Limited)
+	return t.apply(now, now-update.Age, update.Instance, update.Rate, update.Limited)
 }
 
-func (t *Tracker) apply(now, statedAt time.Duration, target uint64, rate float64, limited bool) bool {
-	l := t.limits[target]
+func (t *Tracker) apply(now, statedAt time.Duration, instance uint64, rate float64, limited bool) bool {
+	l := t.limits[instance]
 	if l == nil {
 		if !limited {
 			return false
 		}
 		l = &limit{filledAt: now, tokens: t.rng.Float64()}
-		t.limits[target] = l
+		t.limits[instance] = l
 	} else if statedAt <= l.statedAt {
 		return false
 	}
@@ -118,7 +157,7 @@
 	changed := l.limited != limited || limited && math.Abs(rate-l.reportedRate) > reportedChange*l.reportedRate
 	if limited && l.rate != rate {
 		l.rate = rate
-		t.divide(now, target, l)
+		t.divide(now, instance, l)
 	}
 	l.statedAt, l.limited = statedAt, limited
 	if changed {
@@ -128,13 +167,13 @@
 }
 
 // divide determines this router's part of a limit.
-func (t *Tracker) divide(now time.Duration, target uint64, l *limit) {
+func (t *Tracker) divide(now time.Duration, instance uint64, l *limit) {
 	l.fill(now)
 	count := min(max(int(l.rate/minShareRate), 1), len(t.routers)+1)
-	own := rendezvous.Score(target, t.self)
+	own := rendezvous.Score(instance, t.self)
 	ahead := 0
 	for _, router := range t.routers {
-		if score := rendezvous.Score(target, router); score > own || score == own && router < t.self {
+		if score := rendezvous.Score(instance, router); score > own || score == own && router < t.self {
 			ahead++
 		}
 	}
@@ -156,8 +195,8 @@
 func (l *limit) inForce(now time.Duration) bool { return l.limited && now-l.statedAt < lifetime }
 
 // inForce returns the limit of a target, or nil if it has none.
-func (t *Tracker) inForce(now time.Duration, target uint64) *limit {
-	if l := t.limits[target]; l != nil && l.inForce(now) {
+func (t *Tracker) inForce(now time.Duration, instance uint64) *limit {
+	if l := t.limits[instance]; l != nil && l.inForce(now) {
 		return l
 	}
 	return nil
@@ -165,8 +204,8 @@
 
 // Wait returns the time until this router may send a request to the target; 0 if it may now. It returns false if other
 // routers have the whole limit.
-func (t *Tracker) Wait(now time.Duration, target uint64) (time.Duration, bool) {
-	l := t.inForce(now, target)
+func (t *Tracker) Wait(now time.Duration, instance uint64) (time.Duration, bool) {
+	l := t.inForce(now, instance)
 	if l == nil {
 		return 0, true
 	}
@@ -177,31 +216,25 @@
 	return max(time.Duration((1-l.tokens)/l.share*float64(time.Second)), 0), true
 }
 
-// MayTake reports whether this router may send a request to the target now.
-func (t *Tracker) MayTake(now time.Duration, target uint64) bool {
-	wait, mine := t.Wait(now, target)
-	return mine && wait == 0
-}
-
 // Took records a request to the target.
-func (t *Tracker) Took(now time.Duration, target uint64) {
-	if l := t.inForce(now, target); l != nil {
+func (t *Tracker) Took(now time.Duration, instance uint64) {
+	if l := t.inForce(now, instance); l != nil {
 		l.fill(now)
 		l.tokens = max(l.tokens-1, -l.burst())
 	}
 }
 
 // Limit returns the limit that the target has stated and this router's part of it.
-func (t *Tracker) Limit(now time.Duration, target uint64) (rate, share float64, limited bool) {
-	if l := t.inForce(now, target); l != nil {
+func (t *Tracker) Limit(now time.Duration, instance uint64) (rate, share float64, limited bool) {
+	if l := t.inForce(now, instance); l != nil {
 		return l.rate, l.share, true
 	}
 	return 0, 0, false
 }
 
 // Recovering reports whether the target stated a limit until recently, and how long ago that has ended.
-func (t *Tracker) Recovering(now time.Duration, target uint64) (since time.Duration, recovering bool) {
-	l := t.limits[target]
+func (t *Tracker) Recovering(now time.Duration, instance uint64) (since time.Duration, recovering bool) {
+	l := t.limits[instance]
 	if l == nil || l.limited || now-l.changedAt >= recoveryTime {
 		return 0, false
 	}
@@ -219,28 +252,37 @@
 	return count
 }
 
-// Forget drops what the target has stated, as when another process takes its place.
-func (t *Tracker) Forget(target uint64) { delete(t.limits, target) }
-
 // TakeUpdates returns what other routers are to be told, those first that were told longest ago.
 func (t *Tracker) TakeUpdates(now time.Duration, most int) []Update {
-	var due []uint64
-	for target, l := range t.limits {
+	type dueUpdate struct {
+		Update
+		sentAt *time.Duration
+	}
+	var due []dueUpdate
+	for instance, l := range t.limits {
 		switch {
 		case now-l.statedAt >= lifetime || !l.limited && now-l.changedAt >= lifetime:
-			delete(t.limits, target)
+			delete(t.limits, instance)
 		case l.sentAt == 0 || now-l.sentAt >= resendInterval:
-			due = append(due, target)
+			update := Update{Instance: instance, Rate: l.rate, Limited: l.limited, Age: now - l.statedAt}
+			due = append(due, dueUpdate{update, &l.sentAt})
+		}
+	}
+	for instance, d := range t.leaving {
+		switch {
+		case now-d.statedAt >= leavingLifetime:
+			delete(t.leaving, instance)
+		case now-d.statedAt < leavingResendTime && (d.sentAt == 0 || now-d.sentAt >= resendInterval):
+			due = append(due, dueUpdate{Update{Instance: instance, Leaving: true, Age: now - d.statedAt}, &d.sentAt})
 		}
 	}
-	slices.SortFunc(due, func(a, b uint64) int {
-		return cmp.Or(cmp.Compare(t.limits[a].sentAt, t.limits[b].sentAt), cmp.Compare(a, b))
+	slices.SortFunc(due, func(a, b dueUpdate) int {
+		return cmp.Or(cmp.Compare(*a.sentAt, *b.sentAt), cmp.Compare(a.Instance, b.Instance))
 	})
 	updates := make([]Update, 0, min(len(due), most))
-	for _, target := range due[:min(len(due), most)] {
-		l := t.limits[target]
-		l.sentAt = now
-		updates = append(updates, Update{Target: target, Rate: l.rate, Limited: l.limited, Age: now - l.statedAt})
+	for _, d := range due[:min(len(due), most)] {
+		*d.sentAt = now
+		updates = append(updates, d.Update)
 	}
 	return updates
 }
--- a/internal/backpressure/tracker_test.go
+++ b/internal/backpressure/tracker_test.go
@@ -47,9 +47,9 @@
 		tracker := newTracker(1)
 		for _, e := range test.events {
 			if e.age < 0 {
-				tracker.Stated(e.at, target, e.rate, e.limited)
+				tracker.StatedLimit(e.at, target, e.rate, e.limited)
 			} else {
-				tracker.Merge(e.at, Update{Target: target, Rate: e.rate, Limited: e.limited, Age: e.age})
+				tracker.Merge(e.at, Update{Instance: target, Rate: e.rate, Limited: e.limited, Age: e.age})
 			}
 		}
 		rate, _, limited := tracker.Limit(test.at, target)
@@ -63,27 +63,64 @@
 func TestEndedLimitDoesNotReturn(t *testing.T) {
 	const s = time.Second
 	a, b := newTracker(1), newTracker(2)
-	a.Stated(1*s, target, 3, true)
-	b.Stated(1*s, target, 3, true)
-	a.Stated(2*s, target, 0, false)
+	a.StatedLimit(1*s, target, 3, true)
+	b.StatedLimit(1*s, target, 3, true)
+	a.StatedLimit(2*s, target, 0, false)
 	for now := 3 * s; now < 60*s; now += s {
 		for _, update := range b.TakeUpdates(now, fleetUpdates) {
 			a.Merge(now, update)
 		}
 		a.TakeUpdates(now, fleetUpdates)
-		if !a.MayTake(now, target) {
+		if a.Admission(now, target) != Open {
 			t.Fatalf("the limit is in force again %v after its end", now-2*s)
 		}
 	}
 }
 
-// Guards against a new process that is held to what its predecessor stated.
-func TestForgottenLimitDoesNotHold(t *testing.T) {
+// Guards against a new process that is held to what its predecessor stated, at the same address and under the same ID.
+func TestStatementsDoNotBindTheNextInstance(t *testing.T) {
+	const s = time.Second
+	old, next := Key("t", 1), Key("t", 2)
 	tracker := newTracker(1)
-	tracker.Stated(time.Second, target, 1, true)
-	tracker.Forget(target)
-	if !tracker.MayTake(2*time.Second, target) {
-		t.Error("the limit still holds")
+	tracker.StatedLimit(1*s, old, 1, true)
+	tracker.StatedLeaving(1*s, old)
+	tracker.Merge(2*s, Update{Instance: old, Leaving: true, Age: s})
+	if got := tracker.Admission(2*s, next); got != Open {
+		t.Errorf("admission %v", got)
+	}
+	if got := tracker.Admission(2*s, old); got != Leaving {
+		t.Errorf("admission of the earlier instance %v", got)
+	}
+}
+
+// Guards against a target that gets requests again although it leaves: its later responses may have been sent before, and
+// messages of other routers may be late.
+func TestLeavingIsNotRevoked(t *testing.T) {
+	const s = time.Second
+	for _, test := range []struct {
+		name  string
+		learn func(*Tracker)
+		at    time.Duration
+		want  Admission
+	}{
+		{"stated", func(tr *Tracker) { tr.StatedLeaving(1*s, target) }, 2 * s, Leaving},
+		{"then a response without it", func(tr *Tracker) { tr.StatedLeaving(1*s, target); tr.StatedLimit(2*s, target, 0, false) }, 3 * s, Leaving},
+		{"then the end of a limit", func(tr *Tracker) {
+			tr.StatedLimit(1*s, target, 2, true)
+			tr.StatedLeaving(2*s, target)
+			tr.Merge(3*s, Update{Instance: target, Age: 500 * time.Millisecond})
+		}, 4 * s, Leaving},
+		{"learned", func(tr *Tracker) { tr.Merge(1*s, Update{Instance: target, Leaving: true, Age: 3 * s}) }, 2 * s, Leaving},
+		{"for long", func(tr *Tracker) { tr.StatedLeaving(1*s, target); tr.TakeUpdates(500*s, 9) }, 1000 * s, Leaving},
+		{"beyond its lifetime", func(tr *Tracker) { tr.StatedLeaving(1*s, target) }, 1*s + leavingLifetime, Open},
+		{"old message", func(tr *Tracker) { tr.Merge(100*s, Update{Instance: target, Leaving: true, Age: leavingResendTime}) }, 101 * s, Open},
+		{"message from the future", func(tr *Tracker) { tr.Merge(100*s, Update{Instance: target, Leaving: true, Age: -s}) }, 101 * s, Open},
+	} {
+		tracker := newTracker(1)
+		test.learn(tracker)
+		if got := tracker.Admission(test.at, target); got != test.want {
+			t.Errorf("%s: admission %v, want %v", test.name, got, test.want)
+		}
 	}
 }
 
@@ -105,7 +142,7 @@
 					}
 				}
 				tracker.SetRouters(0, self, others)
-				tracker.Stated(1, target, rate, true)
+				tracker.StatedLimit(1, target, rate, true)
 				_, share, _ := tracker.Limit(2, target)
 				if share > 0 && count > 1 && rate >= minShareRate && share < minShareRate {
 					t.Errorf("%d routers, %v a second: a part of %v", count, rate, share)
@@ -119,7 +156,7 @@
 	}
 }
 
-// The fleet of TestFleetKeepsLimits has the size of the hanamichi-rose-large deployment.
+// The fleet of the tests in played time has the size of the hanamichi-rose-large deployment.
 const (
 	fleetRouters = 195
 	fleetTargets = 78
@@ -190,13 +227,13 @@
 			sent := false
 			for k := range fleetTargets {
 				i := (first + k) % fleetTargets
-				if !router.MayTake(now, hashes[i]) {
+				if router.Admission(now, hashes[i]) != Open {
 					continue
 				}
 				router.Took(now, hashes[i])
 				arrivals[i] = append(arrivals[i], now)
 				limited := now >= begin && i < fleetLimited
-				router.Stated(now, hashes[i], fleetLimit, limited)
+				router.StatedLimit(now, hashes[i], fleetLimit, limited)
 				sent = true
 				break
 			}
@@ -232,3 +269,58 @@
 		t.Errorf("%d requests turned away although a third of the targets has no limit", turnedAway)
 	}
 }
+
+// Guards against routers of a large fleet that send requests to leaving targets beyond the platform's bound, because no
+// router tells them, while datagrams are lost and routers restart.
+func TestFleetLearnsWhichTargetsLeave(t *testing.T) {
+	const drainTime, interval, duration, loss = 2 * time.Second, 250 * time.Millisecond, 10 * time.Second, 0.05
+	const leavingTargets, restartAt = 20, 4 * time.Second
+	rng := rand.New(rand.NewPCG(7, 7))
+	routers := make([]*Tracker, fleetRouters)
+	for i := range routers {
+		routers[i] = newTracker(uint64(i))
+	}
+	// One router each has seen a response of a leaving target.
+	for i := range uint64(leavingTargets) {
+		routers[rng.IntN(fleetRouters)].StatedLeaving(time.Millisecond, i)
+	}
+	unaware := func(now time.Duration) int {
+		count := 0
+		for _, router := range routers {
+			for i := range uint64(leavingTargets) {
+				if router.Admission(now, i) == Open {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	sent, knownAt := 0, time.Duration(0)
+	for now := interval; now < duration; now += interval {
+		if now == restartAt {
+			for i := range fleetRouters / 10 {
+				routers[i] = newTracker(uint64(i))
+			}
+		}
+		for _, router := range routers {
+			updates := router.TakeUpdates(now, fleetUpdates)
+			for range fleetFanout {
+				sent += len(updates)
+				if other := routers[rng.IntN(fleetRouters)]; rng.Float64() >= loss {
+					for _, update := range updates {
+						other.Merge(now, update)
+					}
+				}
+			}
+		}
+		missing := unaware(now)
+		if missing == 0 && knownAt == 0 {
+			knownAt = now
+		}
+		if sinceRestart := now - restartAt; missing > 0 && (now >= drainTime && now < restartAt || sinceRestart >= resendInterval) {
+			t.Errorf("%d pairs of a router and a leaving target are unaware of each other at %v", missing, now)
+		}
+	}
+	perRouter := float64(sent) * updateBytes / fleetRouters / duration.Seconds()
+	t.Logf("all routers know after %v, %.0f bytes a second sent by each router for %d leaving targets", knownAt, perRouter, leavingTargets)
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -153,6 +153,8 @@
 type targetState struct {
 	target routes.Target
 	hash   uint64
+	// instance is the key of the current instance in the statements of targets.
+	instance uint64
 	// listed is when the current instance was first listed.
 	listed time.Duration
 	own    int
@@ -199,8 +201,8 @@
 	rng         *rand.Rand
 	// lastNumber is the latest number of a choice.
 	lastNumber uint64
-	// limits holds the rate limits that targets have stated.
-	limits *backpressure.Tracker
+	// statements holds what targets have stated about the requests that they take.
+	statements *backpressure.Tracker
 	// multiple is the contract's limit on a target's load, as a multiple of the mean.
 	multiple float64
 }
@@ -208,14 +210,14 @@
 // New returns an empty LoadTracker. The load of a target is limited to multiple times the mean of its service.
 func New(multiple float64, rng *rand.Rand) *LoadTracker {
 	return &LoadTracker{
-		byID:     make(map[string]*targetState),
-		byHash:   make(map[uint64]*targetState),
-		services: make(map[string]*service),
-		caches:   newCacheIndex(),
-		heads:    make(headIndex),
-		rng:      rng,
-		limits:   backpressure.New(rng),
-		multiple: multiple,
+		byID:       make(map[string]*targetState),
+		byHash:     make(map[uint64]*targetState),
+		services:   make(map[string]*service),
+		caches:     newCacheIndex(),
+		heads:      make(headIndex),
+		rng:        rng,
+		statements: backpressure.New(rng),
+		multiple:   multiple,
 	}
 }
 
@@ -233,9 +235,9 @@
 		} else if state.target.StartedAt != target.StartedAt || state.withdrawn {
 			state.blocked, state.blocks, state.failures = 0, 0, 0
 			state.listed = now
-			p.limits.Forget(state.hash)
 		}
 		state.target = target
+		state.instance = instanceKey(target)
 		state.withdrawn = false
 	}
 	for id, state := range p.byID {
@@ -248,7 +250,6 @@
 			delete(p.byID, id)
 			delete(p.byHash, state.hash)
 			p.heads.forget(state.hash)
-			p.limits.Forget(state.hash)
 		}
 	}
 	p.initial.expire(now)
@@ -277,7 +278,7 @@
 	}
 	state.own++
 	state.prefill += choice.Prefill
-	p.limits.Took(now, state.hash)
+	p.statements.Took(now, state.instance)
 	if choice.Number != 0 {
 		state.waiting[choice.Number] = now
 	}
@@ -329,14 +330,42 @@
 	}
 }
 
-// Limits returns the rate limits that targets have stated, for updates from responses and from other processes.
-func (p *LoadTracker) Limits() *backpressure.Tracker { return p.limits }
+// Statements returns what targets have stated, for updates from other processes.
+func (p *LoadTracker) Statements() *backpressure.Tracker { return p.statements }
 
-// RateLimitStated records whether a response of a target states a rate limit. It reports whether a limit has begun,
-// ended or changed much.
-func (p *LoadTracker) RateLimitStated(id string, now time.Duration, rate float64, limited bool) bool {
-	state := p.byID[id]
-	return state != nil && p.limits.Stated(now, state.hash, rate, limited)
+// StatementChange tells which statements of a target a response has changed.
+type StatementChange struct {
+	// RateLimit is set if a limit has begun, ended or changed much.
+	RateLimit bool
+	// Leaving is set if the target was not known to leave.
+	Leaving bool
+}
+
+// Stated records what a response of the target states about the requests that it takes.
+func (p *LoadTracker) Stated(now time.Duration, target routes.Target, answer routes.Answer) StatementChange {
+	instance := instanceKey(target)
+	return StatementChange{
+		RateLimit: p.statements.StatedLimit(now, instance, answer.RateLimit, answer.HasRateLimit),
+		Leaving:   answer.Leaving && p.statements.StatedLeaving(now, instance),
+	}
+}
+
+// RateLimit returns the rate limit that the target has stated and this process's part of it.
+func (p *LoadTracker) RateLimit(now time.Duration, target routes.Target) (rate, share float64, limited bool) {
+	return p.statements.Limit(now, instanceKey(target))
+}
+
+func instanceKey(target routes.Target) uint64 { return backpressure.Key(target.ID, target.StartedAt) }
+
+// Admissions returns the number of listed targets for each admission other than backpressure.Open.
+func (p *LoadTracker) Admissions(now time.Duration) map[backpressure.Admission]int {
+	counts := make(map[backpressure.Admission]int)
+	for _, state := range p.byID {
+		if admission := p.statements.Admission(now, state.instance); admission != backpressure.Open && !state.withdrawn {
+			counts[admission]++
+		}
+	}
+	return counts
 }
 
 // PeerLoads records the load that another process has at each target, by the hash of the target's ID. A target that is
@@ -369,13 +398,18 @@
 			continue
 		}
 		listed++
-		if !state.target.Draining && now >= state.blocked {
+		if !p.leaves(now, state) && now >= state.blocked {
 			usable++
 		}
 	}
 	return usable, listed
 }
 
+// leaves reports whether the target leaves, by its entry or by its own statement.
+func (p *LoadTracker) leaves(now time.Duration, state *targetState) bool {
+	return state.target.Draining || p.statements.Admission(now, state.instance) == backpressure.Leaving
+}
+
 func (s *targetState) failuresNow(now time.Duration) float64 {
 	age := float64(now-s.failuresAt) / float64(failureHalfLife)
 	return s.failures * math.Exp2(-age)
@@ -501,7 +535,7 @@
 func (p *LoadTracker) limitRetryAfter(now time.Duration, limited []*targetState) time.Duration {
 	shortest, found := time.Duration(0), false
 	for _, state := range limited {
-		if wait, mine := p.limits.Wait(now, state.hash); mine && (!found || wait < shortest) {
+		if wait, mine := p.statements.Wait(now, state.instance); mine && (!found || wait < shortest) {
 			shortest, found = wait, true
 		}
 	}
@@ -519,12 +553,13 @@
 	}
 	for _, state := range svc.targets {
 		rate := state.failuresNow(now)
-		_, _, state.limited = p.limits.Limit(now, state.hash)
-		state.sinceLimit, state.recovering = p.limits.Recovering(now, state.hash)
+		_, _, state.limited = p.statements.Limit(now, state.instance)
+		state.sinceLimit, state.recovering = p.statements.Recovering(now, state.instance)
+		admission := p.statements.Admission(now, state.instance)
 		others := (sum - rate) / float64(max(len(svc.targets)-1, 1))
 		switch {
-		case slices.Contains(exclude, state.target.ID) || state.target.Draining:
-		case !p.limits.MayTake(now, state.hash):
+		case slices.Contains(exclude, state.target.ID) || state.target.Draining || admission == backpressure.Leaving:
+		case admission == backpressure.Limited:
 			limited = append(limited, state)
 		case state.withdrawn:
 			if now < state.dropAt {
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -7,42 +7,44 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
+	"github.com/amaranthlb/amaranthlb/internal/routes"
 )
 
 // limitedTracker returns a tracker of targets, the first of which state a rate limit.
 func limitedTracker(now time.Duration, count, limited int, rate float64) *LoadTracker {
 	tracker := New(2, rand.New(rand.NewPCG(1, 2)))
 	tracker.SetTargets(now, targets(count, 64), second)
-	tracker.Limits().SetRouters(now, "router", nil)
+	tracker.Statements().SetRouters(now, "router", nil)
 	for _, target := range targets(count, 64)[:limited] {
-		tracker.RateLimitStated(target.ID, now, rate, true)
+		tracker.Stated(now, target, routes.Answer{RateLimit: rate, HasRateLimit: true})
 	}
 	return tracker
 }
 
-// Guards against requests beyond a stated limit by any way on which a target is chosen: prompts that it has cached,
-// plain requests, and runs that move.
+// choiceWays are the ways on which a target is chosen: for prompts, for plain requests, and for runs that move.
+var choiceWays = map[string]func(p *LoadTracker, now time.Duration) (Choice, bool){
+	"prompt": func(p *LoadTracker, now time.Duration) (Choice, bool) {
+		choice, refusal := p.Choose(now, Query{Service: "s", Prompt: Prompt{Key: 1, Tokens: 8000}, PromptTokens: 9000, Remaining: second})
+		return choice, refusal == nil
+	},
+	"plain": func(p *LoadTracker, now time.Duration) (Choice, bool) {
+		choice, refusal := p.Choose(now, Query{Service: "s", Remaining: second})
+		return choice, refusal == nil
+	},
+	"move": func(p *LoadTracker, now time.Duration) (Choice, bool) {
+		return p.ChooseDestination(now, p.byID["t2"].target, "a", nil)
+	},
+}
+
+// Guards against requests beyond a stated limit by any way on which a target is chosen.
 func TestEveryChoiceAsksForTheLimit(t *testing.T) {
 	const rate, seconds = 2.0, 5
-	ways := map[string]func(p *LoadTracker, now time.Duration, i int) (Choice, bool){
-		"prompt": func(p *LoadTracker, now time.Duration, _ int) (Choice, bool) {
-			choice, refusal := p.Choose(now, Query{Service: "s", Prompt: Prompt{Key: 1, Tokens: 8000}, PromptTokens: 9000, Remaining: second})
-			return choice, refusal == nil
-		},
-		"plain": func(p *LoadTracker, now time.Duration, _ int) (Choice, bool) {
-			choice, refusal := p.Choose(now, Query{Service: "s", Remaining: second})
-			return choice, refusal == nil
-		},
-		"move": func(p *LoadTracker, now time.Duration, _ int) (Choice, bool) {
-			return p.ChooseDestination(now, p.byID["t2"].target, "a", nil)
-		},
-	}
-	for name, choose := range ways {
+	for name, choose := range choiceWays {
 		p := limitedTracker(0, 3, 2, rate)
 		sent := map[string]int{}
 		for i := range 500 {
 			now := time.Duration(i) * seconds * second / 500
-			choice, ok := choose(p, now, i)
+			choice, ok := choose(p, now)
 			if !ok {
 				continue
 			}
@@ -59,6 +61,53 @@
 	}
 }
 
+// Guards against a choice of a target that has stated that it leaves, by any way and whatever the list of targets says
+// later, and against a successor that is passed over for it.
+func TestEveryChoicePassesOverLeavingTargets(t *testing.T) {
+	for name, choose := range choiceWays {
+		for _, test := range []struct {
+			name string
+			then func(p *LoadTracker, leaving routes.Target)
+			want bool
+		}{
+			{"stated", func(*LoadTracker, routes.Target) {}, false},
+			{"later response without it", func(p *LoadTracker, leaving routes.Target) { p.Stated(3*second, leaving, routes.Answer{}) }, false},
+			{"entry gone and back", func(p *LoadTracker, _ routes.Target) {
+				p.SetTargets(3*second, targets(3, 64)[1:], 0)
+				p.SetTargets(4*second, targets(3, 64)[1:], 0)
+				p.SetTargets(5*second, targets(3, 64), 0)
+			}, false},
+			{"started again", func(p *LoadTracker, leaving routes.Target) {
+				list := targets(3, 64)
+				list[0].StartedAt++
+				p.SetTargets(3*second, list, 0)
+				p.Stated(4*second, leaving, routes.Answer{Leaving: true})
+			}, true},
+			{"other target at the address", func(p *LoadTracker, _ routes.Target) {
+				list := targets(3, 64)
+				list[0].ID = "next"
+				p.SetTargets(3*second, list, 0)
+			}, true},
+		} {
+			p := limitedTracker(0, 3, 0, 0)
+			leaving := targets(3, 64)[0]
+			p.Stated(2*second, leaving, routes.Answer{Leaving: true})
+			test.then(p, leaving)
+			chosen := map[string]bool{}
+			for i := range 200 {
+				now := 6*second + time.Duration(i)*10*time.Millisecond
+				if choice, ok := choose(p, now); ok {
+					p.Start(now, choice, Prompt{}) // stays in progress, so that the load passes through all targets
+					chosen[choice.Target.Address] = true
+				}
+			}
+			if chosen[leaving.Address] != test.want || len(chosen) == 0 {
+				t.Errorf("%s, %s: chosen %v, want the address of the leaving target: %v", name, test.name, chosen, test.want)
+			}
+		}
+	}
+}
+
 // Guards against requests that wait for a target although none may take them, and against clients that all return at
 // the same time.
 func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
@@ -149,7 +198,7 @@
 	}
 	before := place(second)
 	for _, target := range targets(count, 64)[:limited] {
-		p.RateLimitStated(target.ID, 2*second, 0, false)
+		p.Stated(2*second, target, routes.Answer{})
 	}
 	after := place(3 * second)
 	share := func(holders map[string]int) int {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -194,18 +194,16 @@
 	r := x.router
 	// Another instance at the address says nothing about the target, and neither does a response that is not from it.
 	stated := !answer.Misdirected && (answer.Sealed || answer.NotRun)
-	changed := false
+	var change place.StatementChange
 	r.trafficMu.Lock()
 	if answer.HasLoad {
 		r.loadTracker.Report(target.ID, r.now(), answer.Load)
 	}
 	if stated {
-		changed = r.loadTracker.RateLimitStated(target.ID, r.now(), answer.RateLimit, answer.HasRateLimit)
+		change = r.loadTracker.Stated(r.now(), target, answer)
 	}
 	r.trafficMu.Unlock()
-	if changed {
-		r.logRateLimit(target.ID, answer)
-	}
+	r.logStatements(target, answer, change)
 }
 
 // classifyFailure returns the result of an attempt without a response.
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -23,8 +23,8 @@
 	digestFanout = 12
 	// maxPlacementsPerDigest bounds the placements of each kind in a digest, so that it fits into a packet.
 	maxPlacementsPerDigest = 24
-	// maxLimitsPerDigest bounds the rate limits in a digest, so that it fits into a packet beside the loads.
-	maxLimitsPerDigest = 16
+	// maxStatementsPerDigest bounds the statements of targets in a digest, so that it fits into a packet beside the loads.
+	maxStatementsPerDigest = 16
 	// maxNoticesPerDatagram bounds the placements in a notice datagram, so that it fits into a packet.
 	maxNoticesPerDatagram = 40
 	// maxChangeBytes bounds the store changes in a digest, so that it fits into a packet.
@@ -84,7 +84,7 @@
 	}
 	r.trafficMu.Lock()
 	defer r.trafficMu.Unlock()
-	r.loadTracker.Limits().SetRouters(now, r.config.PeerAddress, current)
+	r.loadTracker.Statements().SetRouters(now, r.config.PeerAddress, current)
 	r.budget.SetSlack(r.config.RetrySlack * budgetShare / float64(count))
 }
 
@@ -202,7 +202,7 @@
 		placements := r.loadTracker.TakePlacements(maxPlacementsPerDigest)
 		digest.PromptHashes, digest.HolderHashes = peers.EncodePlacements(slices.Concat(placements.Own, placements.Relayed))
 		digest.RelayedPlacements = uint32(len(placements.Relayed))
-		digest.TargetLimits = wire.TargetLimits(r.loadTracker.Limits().TakeUpdates(now, maxLimitsPerDigest))
+		digest.TargetStatements = wire.TargetStatements(r.loadTracker.Statements().TakeUpdates(now, maxStatementsPerDigest))
 	}
 	r.trafficMu.Unlock()
 	r.controlMu.Lock()
@@ -247,17 +247,8 @@
 	r.trafficMu.Lock()
 	r.loadTracker.PlacementsFromPeer(now, placements)
 	r.loadTracker.PeerLoads(digest.Address, now, loads)
-	limitChanges := 0
-	for _, update := range wire.TargetLimitsFrom(digest.TargetLimits) {
-		if r.loadTracker.Limits().Merge(now, update) {
-			limitChanges++
-		}
-	}
 	r.trafficMu.Unlock()
-	if limitChanges > 0 {
-		r.meters.Event("rate_limit_learned")
-		r.log.WithFields(logrus.Fields{"peer": digest.Address, "targets": limitChanges}).Info("rate limits of targets learned from a peer")
-	}
+	r.mergeStatements(digest.Address, wire.TargetStatementsFrom(digest.TargetStatements))
 	sightings := make([]peers.Sighting, 0, len(digest.Members))
 	for _, member := range digest.Members {
 		sightings = append(sightings, peers.Sighting{Address: member.Address, Age: time.Duration(member.AgeMs) * time.Millisecond})
--- /dev/null
+++ b/internal/router/statements.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/amaranthlb/amaranthlb/internal/backpressure"
+	"github.com/amaranthlb/amaranthlb/internal/place"
+	"github.com/amaranthlb/amaranthlb/internal/routes"
+)
+
+// logStatements logs what a target has begun or ceased to state about the requests that it takes.
+func (r *Router) logStatements(target routes.Target, answer routes.Answer, change place.StatementChange) {
+	if change.Leaving {
+		r.meters.Event("leaving_stated")
+		r.log.WithField("target", target.ID).Info("target states that it leaves")
+	}
+	switch {
+	case !change.RateLimit:
+	case !answer.HasRateLimit:
+		r.meters.Event("rate_limit_ended")
+		r.log.WithField("target", target.ID).Info("target no longer states a rate limit")
+	default:
+		r.trafficMu.Lock()
+		_, share, _ := r.loadTracker.RateLimit(r.now(), target)
+		r.trafficMu.Unlock()
+		r.meters.Event("rate_limit_stated")
+		r.log.WithFields(logrus.Fields{"target": target.ID, "rate_limit": answer.RateLimit, "share": share}).Info("target states a rate limit")
+	}
+}
+
+// mergeStatements records what a peer has learned about targets.
+func (r *Router) mergeStatements(peer string, updates []backpressure.Update) {
+	leaving, limits := 0, 0
+	r.trafficMu.Lock()
+	now := r.now()
+	for _, update := range updates {
+		switch {
+		case !r.loadTracker.Statements().Merge(now, update):
+		case update.Leaving:
+			leaving++
+		default:
+			limits++
+		}
+	}
+	r.trafficMu.Unlock()
+	if limits > 0 {
+		r.meters.Event("rate_limit_learned")
+		r.log.WithFields(logrus.Fields{"peer": peer, "targets": limits}).Info("rate limits of targets learned from a peer")
+	}
+	if leaving > 0 {
+		r.meters.Event("leaving_learned")
+		r.log.WithFields(logrus.Fields{"peer": peer, "targets": leaving}).Info("leaving targets learned from a peer")
+	}
+}
+
+// admissions returns the number of listed targets that are passed over, by cause.
+func (r *Router) admissions() map[string]int64 {
+	r.trafficMu.Lock()
+	defer r.trafficMu.Unlock()
+	counts := r.loadTracker.Admissions(r.now())
+	return map[string]int64{
+		"rate_limit": int64(counts[backpressure.Limited]),
+		"leaving":    int64(counts[backpressure.Leaving]),
+	}
+}
+
+// limitedTargets returns the number of targets with a limit in force.
+func (r *Router) limitedTargets() int64 {
+	r.trafficMu.Lock()
+	defer r.trafficMu.Unlock()
+	return int64(r.loadTracker.Statements().Count(r.now()))
+}
--- a/internal/routes/message.go
+++ b/internal/routes/message.go
@@ -81,6 +81,8 @@
 	// set. It holds for as long as the target's responses state it.
 	RateLimit    float64
 	HasRateLimit bool
+	// Leaving is set if the target states that it leaves.
+	Leaving bool
 	// KeepAlive is how long the target keeps an idle connection open; zero if not stated.
 	KeepAlive time.Duration
 }
