Keep the pauses that targets ask for

Callers: a target that turns requests away with 503 and Retry-After got the same requests again from the same router, at once and by tries of others. Each such try cost time and retry budget; callers whose targets had all asked for a pause were told to return after 0.1 s.

Cause: Retry-After of a target's rejection was not decoded.

Change: backpressure.Tracker keeps the pause, and Admission is Paused until its end. Then one request goes first, and others follow its response. A run that was stopped elsewhere may continue there once, since its stream would be cut. Calls that move runs or list caches ask as well. Malformed and negative values are ignored and counted, longer ones than 10 minutes are cut to that. A rejection whose targets are all passed over tells the caller the shortest wait, spread over up to a second more. Other routers are not told: the target has asked this one.

--- a/internal/backpressure/doc.go
+++ b/internal/backpressure/doc.go
@@ -13,6 +13,10 @@
 // starts again is another instance. Routers tell each other for a minute; one that has missed all messages learns it from
 // its own first request.
 //
+// A target that rejects a request may ask this router alone for a pause. Until its end the router sends nothing there, but
+// for one run that was stopped elsewhere and would be lost. Then one request goes first, and others follow its response.
+// Other routers are not told, since the target has not asked them. A restart forgets pauses.
+//
 // Statements belong to an instance, which is a target's ID and start, so that a message about an instance that is gone
 // has no effect on its successor.
 //
--- a/internal/backpressure/tracker.go
+++ b/internal/backpressure/tracker.go
@@ -69,12 +69,18 @@
 	routers []uint64
 	limits  map[uint64]*limit
 	leaving map[uint64]*departure
+	pauses  map[uint64]*pause
 	rng     *rand.Rand
 }
 
 // New returns a Tracker that knows no statements and no other routers.
 func New(rng *rand.Rand) *Tracker {
-	return &Tracker{limits: make(map[uint64]*limit), leaving: make(map[uint64]*departure), rng: rng}
+	return &Tracker{
+		limits:  make(map[uint64]*limit),
+		leaving: make(map[uint64]*departure),
+		pauses:  make(map[uint64]*pause),
+		rng:     rng,
+	}
 }
 
 // Key returns the key of an instance of a target. A target that starts again is another instance, even if it has the same
@@ -92,6 +98,8 @@
 	Open Admission = iota
 	// Limited targets have a rate limit of which this router may use no more at present.
 	Limited
+	// Paused targets have asked this router for a pause, or have not responded since to its first request.
+	Paused
 	// Leaving targets have stated that they leave.
 	Leaving
 )
@@ -101,7 +109,10 @@
 	if t.isLeaving(now, instance) {
 		return Leaving
 	}
-	if wait, mine := t.Wait(now, instance); !mine || wait > 0 {
+	if t.pauses[instance].rest(now) > 0 {
+		return Paused
+	}
+	if wait, mine := t.limitWait(now, instance); !mine || wait > 0 {
 		return Limited
 	}
 	return Open
@@ -202,9 +213,19 @@
 	return nil
 }
 
-// Wait returns the time until this router may send a request to the target; 0 if it may now. It returns false if other
-// routers have the whole limit.
+// Wait returns the time until this router may send a request to the instance; 0 if it may now. It returns false if the
+// instance leaves, or if other routers have its whole rate limit.
 func (t *Tracker) Wait(now time.Duration, instance uint64) (time.Duration, bool) {
+	if t.isLeaving(now, instance) {
+		return 0, false
+	}
+	wait, mine := t.limitWait(now, instance)
+	return max(wait, t.pauses[instance].rest(now)), mine
+}
+
+// limitWait returns the time until the rate limit of the instance leaves room for a request of this router, or false if
+// other routers have the whole limit.
+func (t *Tracker) limitWait(now time.Duration, instance uint64) (time.Duration, bool) {
 	l := t.inForce(now, instance)
 	if l == nil {
 		return 0, true
@@ -222,6 +243,9 @@
 		l.fill(now)
 		l.tokens = max(l.tokens-1, -l.burst())
 	}
+	if p := t.pauses[instance]; p != nil && now >= p.until {
+		p.probedAt = now
+	}
 }
 
 // Limit returns the limit that the target has stated and this router's part of it.
@@ -268,6 +292,11 @@
 			due = append(due, dueUpdate{update, &l.sentAt})
 		}
 	}
+	for instance, p := range t.pauses {
+		if now-p.until >= lifetime {
+			delete(t.pauses, instance)
+		}
+	}
 	for instance, d := range t.leaving {
 		switch {
 		case now-d.statedAt >= leavingLifetime:
--- a/internal/place/destination.go
+++ b/internal/place/destination.go
@@ -21,7 +21,7 @@
 	if svc == nil {
 		return Choice{}, false
 	}
-	open, _ := p.candidates(now, svc, append(slices.Clone(exclude), source.ID))
+	open, _, _ := p.candidates(now, svc, append(slices.Clone(exclude), source.ID))
 	open = slices.DeleteFunc(open, func(candidate *targetState) bool {
 		return candidate.withdrawn || now < candidate.blocked || candidate.target.WarmupRemaining > 0
 	})
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -55,6 +55,8 @@
 	// minLimitRetryAfter is the minimum Retry-After of a request that targets with rate limits can't take: a few round
 	// trips, after which another router may have a part of a limit left.
 	minLimitRetryAfter = 100 * time.Millisecond
+	// maxReturnSpread is the time over which requests return whose targets are passed over for long.
+	maxReturnSpread = time.Second
 	// takeoverWait is the longest time that a request may wait for the first part of its response at a target that takes
 	// over requests of targets with rate limits. Callers abandon a stream that has not begun after 2 s.
 	takeoverWait = 400 * time.Millisecond
@@ -121,6 +123,8 @@
 	Number uint64
 	// Limited is the number of targets that were passed over because of their rate limits.
 	Limited int
+	// Paused is the number of targets that were passed over because they have asked for a pause.
+	Paused int
 	// Source is the address of a target that probably has the prompt cached while the chosen one does not; empty if
 	// there is none.
 	Source string
@@ -339,15 +343,33 @@
 	RateLimit bool
 	// Leaving is set if the target was not known to leave.
 	Leaving bool
+	// PauseBegun and PauseEnded are set if the target has asked for a pause, or has responded to the first request after it.
+	PauseBegun, PauseEnded bool
 }
 
 // Stated records what a response of the target states about the requests that it takes.
 func (p *LoadTracker) Stated(now time.Duration, target routes.Target, answer routes.Answer) StatementChange {
 	instance := instanceKey(target)
-	return StatementChange{
+	change := StatementChange{
 		RateLimit: p.statements.StatedLimit(now, instance, answer.RateLimit, answer.HasRateLimit),
 		Leaving:   answer.Leaving && p.statements.StatedLeaving(now, instance),
 	}
+	if answer.RetryAfter > 0 {
+		change.PauseBegun = p.statements.StatedPause(now, instance, answer.RetryAfter)
+	} else {
+		change.PauseEnded = p.statements.Responded(now, instance)
+	}
+	return change
+}
+
+// MayCall reports whether the target may get calls other than requests of clients: it has not asked for a pause.
+func (p *LoadTracker) MayCall(now time.Duration, target routes.Target) bool {
+	return p.statements.Admission(now, instanceKey(target)) != backpressure.Paused
+}
+
+// MayContinue reports whether a moved run may continue at the target, and counts it if the target has asked for a pause.
+func (p *LoadTracker) MayContinue(now time.Duration, target routes.Target) bool {
+	return p.statements.Continue(now, instanceKey(target))
 }
 
 // RateLimit returns the rate limit that the target has stated and this process's part of it.
@@ -472,14 +494,14 @@
 	if svc == nil {
 		return Choice{}, &Refusal{Reason: reason.NoTarget, RetryAfter: blockBase}
 	}
-	open, limited := p.candidates(now, svc, query.Exclude)
+	open, limited, paused := p.candidates(now, svc, query.Exclude)
 	if len(limited) > 0 {
 		open = slices.DeleteFunc(open, func(state *targetState) bool { return state.overloaded(now) })
 	}
 	switch {
 	case len(open) > 0:
-	case len(limited) > 0:
-		return Choice{}, &Refusal{Reason: reason.OverLimit, RetryAfter: p.limitRetryAfter(now, limited)}
+	case len(limited)+len(paused) > 0:
+		return Choice{}, &Refusal{Reason: reason.OverLimit, RetryAfter: p.passedOverRetryAfter(now, slices.Concat(limited, paused))}
 	default:
 		return Choice{}, &Refusal{Reason: reason.NoTarget, RetryAfter: blockBase}
 	}
@@ -505,7 +527,7 @@
 		return Choice{}, &Refusal{Reason: reason.OverLimit, RetryAfter: wait / 2}
 	}
 	p.lastNumber++
-	return Choice{Number: p.lastNumber, Prefill: prefill, Target: open[best].target, LoadAge: open[best].loadAge(now), Load: loads[best], Mean: mean.Requests, Rank: rank, Source: source, Limited: len(limited)}, nil
+	return Choice{Number: p.lastNumber, Prefill: prefill, Target: open[best].target, LoadAge: open[best].loadAge(now), Load: loads[best], Mean: mean.Requests, Rank: rank, Source: source, Limited: len(limited), Paused: len(paused)}, nil
 }
 
 // loadsOf returns the loads of targets and their mean. Targets with rate limits have less load than the others could
@@ -530,22 +552,37 @@
 	return loads, Load{Requests: unlimited.Requests / count, Prefill: unlimited.Prefill / count}
 }
 
-// limitRetryAfter returns when a request that only targets with rate limits could take is to return. Requests are spread
-// so that they do not all return at the same time.
-func (p *LoadTracker) limitRetryAfter(now time.Duration, limited []*targetState) time.Duration {
+// passedOverRetryAfter returns when a request is to return that only targets could take which are passed over because of
+// what they state. Requests are spread so that they do not all return at the same time.
+func (p *LoadTracker) passedOverRetryAfter(now time.Duration, passedOver []*targetState) time.Duration {
 	shortest, found := time.Duration(0), false
-	for _, state := range limited {
+	for _, state := range passedOver {
 		if wait, mine := p.statements.Wait(now, state.instance); mine && (!found || wait < shortest) {
 			shortest, found = wait, true
 		}
 	}
 	shortest = max(shortest, minLimitRetryAfter)
-	return shortest + time.Duration(p.rng.Float64()*float64(shortest))
+	return shortest + time.Duration(p.rng.Float64()*float64(min(shortest, maxReturnSpread)))
+}
+
+// RejectedRetryAfter returns when a request that targets have rejected is to return, if all targets of the service are
+// passed over because of what they state.
+func (p *LoadTracker) RejectedRetryAfter(now time.Duration, serviceName string) (time.Duration, bool) {
+	svc := p.services[serviceName]
+	if svc == nil {
+		return 0, false
+	}
+	open, limited, paused := p.candidates(now, svc, nil)
+	if len(open) > 0 || len(limited)+len(paused) == 0 {
+		return 0, false
+	}
+	return p.passedOverRetryAfter(now, slices.Concat(limited, paused)), true
 }
 
 // candidates returns the targets that may receive the request: the healthy ones, else those with recent failures, else
-// those that are blocked or were just withdrawn. It also returns those that are passed over because of their rate limits.
-func (p *LoadTracker) candidates(now time.Duration, svc *service, exclude []string) (open, limited []*targetState) {
+// those that are blocked or were just withdrawn. It also returns those that are passed over because of their rate limits,
+// or because they have asked for a pause.
+func (p *LoadTracker) candidates(now time.Duration, svc *service, exclude []string) (open, limited, paused []*targetState) {
 	var healthy, failing, last []*targetState
 	sum := 0.0
 	for _, state := range svc.targets {
@@ -561,6 +598,8 @@
 		case slices.Contains(exclude, state.target.ID) || state.target.Draining || admission == backpressure.Leaving:
 		case admission == backpressure.Limited:
 			limited = append(limited, state)
+		case admission == backpressure.Paused:
+			paused = append(paused, state)
 		case state.withdrawn:
 			if now < state.dropAt {
 				last = append(last, state)
@@ -574,12 +613,12 @@
 		}
 	}
 	if len(healthy) > 0 {
-		return healthy, limited
+		return healthy, limited, paused
 	}
 	if len(failing) > 0 {
-		return failing, limited
+		return failing, limited, paused
 	}
-	return last, limited
+	return last, limited, paused
 }
 
 // leastLoaded returns the index of the target with the least load relative to its slots, plus zone and warm-up costs.
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -108,6 +108,60 @@
 	}
 }
 
+// Guards against a choice of a target that has asked for a pause, by any way, and against a burst at its end.
+func TestEveryChoicePassesOverPausedTargets(t *testing.T) {
+	const pause, step = 3 * second, 10 * time.Millisecond
+	for name, choose := range choiceWays {
+		p := limitedTracker(0, 3, 0, 0)
+		paused := targets(3, 64)[0]
+		p.Stated(second, paused, routes.Answer{RetryAfter: pause})
+		choicesUntil := func(from, until time.Duration) int {
+			count := 0
+			for now := from; now < until; now += step {
+				if choice, ok := choose(p, now); ok {
+					p.Start(now, choice, Prompt{}) // stays in progress, so that the load passes through all targets
+					if choice.Target.ID == paused.ID {
+						count++
+					}
+				}
+			}
+			return count
+		}
+		if count := choicesUntil(second, second+pause); count > 0 {
+			t.Errorf("%s: chosen %d times during the pause", name, count)
+		}
+		if count := choicesUntil(second+pause, second+pause+second/2); count != 1 {
+			t.Errorf("%s: chosen %d times before the first response after the pause, want 1", name, count)
+		}
+		p.Stated(second+pause+second/2, paused, routes.Answer{})
+		if count := choicesUntil(second+pause+second/2, 2*second+pause); count < 2 {
+			t.Errorf("%s: chosen %d times after the first response", name, count)
+		}
+	}
+}
+
+// Guards against clients that return before any target takes requests, or after a pause that only some have asked for.
+func TestRetryAfterIsTheShortestPause(t *testing.T) {
+	p := limitedTracker(0, 3, 0, 0)
+	list := targets(3, 64)
+	p.Stated(0, list[0], routes.Answer{RetryAfter: 5 * second})
+	p.Stated(0, list[1], routes.Answer{RetryAfter: 3 * second})
+	if wait, passedOver := p.RejectedRetryAfter(second, "s"); passedOver {
+		t.Errorf("Retry-After %v although a target takes requests", wait)
+	}
+	p.Stated(0, list[2], routes.Answer{RetryAfter: 8 * second})
+	wait, passedOver := p.RejectedRetryAfter(second, "s")
+	_, refusal := p.Choose(second, Query{Service: "s", Remaining: 6 * second})
+	if refusal == nil {
+		t.Fatal("a target that has asked for a pause was chosen")
+	}
+	for _, wait := range []time.Duration{wait, refusal.RetryAfter} {
+		if wait < 2*second || wait > 2*second+maxReturnSpread || !passedOver {
+			t.Errorf("Retry-After %v, want 2 s and up to %v more", wait, maxReturnSpread)
+		}
+	}
+}
+
 // Guards against requests that wait for a target although none may take them, and against clients that all return at
 // the same time.
 func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -99,6 +99,12 @@
 	if choice.Limited > 0 {
 		fields["limited"] = choice.Limited
 	}
+	if choice.Paused > 0 {
+		fields["paused"] = choice.Paused
+	}
+	if x.answer.InvalidRetryAfter != "" {
+		fields["retry_after_invalid"] = x.answer.InvalidRetryAfter
+	}
 	if x.answer.HasRateLimit {
 		fields["rate_limit"] = x.answer.RateLimit
 	}
--- a/internal/router/caches.go
+++ b/internal/router/caches.go
@@ -118,6 +118,9 @@
 	slots := make(chan struct{}, maxConcurrentLists)
 	var group sync.WaitGroup
 	for _, engine := range assigned {
+		if !r.mayCall(engine) {
+			continue
+		}
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
@@ -148,6 +151,13 @@
 	return assigned
 }
 
+// mayCall reports whether the target may get calls other than requests of clients.
+func (r *Router) mayCall(target routes.Target) bool {
+	r.trafficMu.Lock()
+	defer r.trafficMu.Unlock()
+	return r.loadTracker.MayCall(r.now(), target)
+}
+
 // listEngineCache queries one engine for its cached prompts and broadcasts them.
 func (r *Router) listEngineCache(ctx context.Context, engine routes.Target) {
 	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -286,12 +286,23 @@
 			continue
 		}
 		if code := x.checkRetry(result); code != "" {
-			x.finish(code, failureRetryAfter)
+			x.finish(code, x.rejectedRetryAfter())
 			return
 		}
 	}
 }
 
+// rejectedRetryAfter returns the Retry-After of a request that targets rejected or that could not reach a target.
+func (x *exchange) rejectedRetryAfter() time.Duration {
+	r := x.router
+	r.trafficMu.Lock()
+	defer r.trafficMu.Unlock()
+	if wait, passedOver := r.loadTracker.RejectedRetryAfter(r.now(), x.service); passedOver {
+		return wait
+	}
+	return failureRetryAfter
+}
+
 // failureRetryAfter is the Retry-After for requests that targets refused or that could not reach a target. It is short
 // because the next router is likely to choose another target.
 const failureRetryAfter = 100 * time.Millisecond
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/amaranthlb/amaranthlb/internal/place"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
 )
 
@@ -72,6 +73,11 @@
 		r.meters.Event("stream_slow")
 		return false
 	}
+	if !r.loadTracker.MayCall(now, x.choice.Target) {
+		r.trafficMu.Unlock()
+		x.skipMove("target asked for a pause")
+		return false
+	}
 	x.moves++
 	destination, found := r.loadTracker.ChooseDestination(now, x.choice.Target, r.config.Zone, x.triedTargets)
 	allowed := found && r.budget.AllowOptional(now, x.service)
@@ -84,8 +90,7 @@
 		if !found {
 			cause = "no target with room"
 		}
-		r.meters.Event("stream_move_skipped")
-		r.log.WithFields(logrus.Fields{"request": x.request.ID, "target": x.choice.Target.ID, "cause": cause}).Info("stalled stream not moved")
+		x.skipMove(cause)
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
@@ -114,6 +119,11 @@
 	return true
 }
 
+func (x *exchange) skipMove(cause string) {
+	x.router.meters.Event("stream_move_skipped")
+	x.router.log.WithFields(logrus.Fields{"request": x.request.ID, "target": x.choice.Target.ID, "cause": cause}).Info("stalled stream not moved")
+}
+
 // startAtSource makes the target that stopped the run its next one.
 func (x *exchange) startAtSource() {
 	r := x.router
@@ -145,10 +155,28 @@
 
 // nextTarget returns the target of the next attempt: the one to which the run was moved, or a newly chosen one.
 func (x *exchange) nextTarget() (place.Choice, *place.Refusal) {
-	if x.moved != nil {
+	if x.moved == nil {
+		return x.chooseTarget()
+	}
+	if x.mayContinue() {
 		return x.moved.destination, nil
 	}
-	return x.chooseTarget()
+	if !x.moved.triedDestination {
+		x.releaseReserved()
+		x.startAtSource()
+		if x.mayContinue() {
+			return x.moved.destination, nil
+		}
+	}
+	return place.Choice{}, &place.Refusal{Reason: reason.TargetRefused}
+}
+
+// mayContinue reports whether the moved run may continue at its destination, which may have asked for a pause meanwhile.
+func (x *exchange) mayContinue() bool {
+	r := x.router
+	r.trafficMu.Lock()
+	defer r.trafficMu.Unlock()
+	return r.loadTracker.MayContinue(r.now(), x.moved.destination.Target)
 }
 
 // continueMoved decides what follows an attempt to continue a moved run. It returns true if the next attempt is due
--- a/internal/router/statements.go
+++ b/internal/router/statements.go
@@ -14,6 +14,19 @@
 		r.meters.Event("leaving_stated")
 		r.log.WithField("target", target.ID).Info("target states that it leaves")
 	}
+	if answer.InvalidRetryAfter != "" {
+		r.meters.Event("retry_after_invalid")
+	}
+	if change.PauseBegun {
+		r.meters.Event("pause_begun")
+		r.log.WithFields(logrus.Fields{
+			"target": target.ID, "retry_after_ms": answer.RetryAfter.Milliseconds(), "pause_ms": min(answer.RetryAfter, backpressure.MaxPause).Milliseconds(),
+		}).Info("target asks for a pause")
+	}
+	if change.PauseEnded {
+		r.meters.Event("pause_ended")
+		r.log.WithField("target", target.ID).Info("target has responded after its pause")
+	}
 	switch {
 	case !change.RateLimit:
 	case !answer.HasRateLimit:
@@ -60,6 +73,7 @@
 	counts := r.loadTracker.Admissions(r.now())
 	return map[string]int64{
 		"rate_limit": int64(counts[backpressure.Limited]),
+		"pause":      int64(counts[backpressure.Paused]),
 		"leaving":    int64(counts[backpressure.Leaving]),
 	}
 }
--- a/internal/routes/message.go
+++ b/internal/routes/message.go
@@ -83,6 +83,10 @@
 	HasRateLimit bool
 	// Leaving is set if the target states that it leaves.
 	Leaving bool
+	// RetryAfter is how long the target wants no requests from this router, in a rejection; zero if not stated.
+	// InvalidRetryAfter is the beginning of a value that is no number of seconds.
+	RetryAfter        time.Duration
+	InvalidRetryAfter string
 	// KeepAlive is how long the target keeps an idle connection open; zero if not stated.
 	KeepAlive time.Duration
 }
