Play leaving and paused targets in the soak

The soak's targets now also state that they leave, while the store lists them as ready, and ask for pauses, with values that are no number among them. What was stated, and what reached the target afterwards, is checked from the targets' records; a statement counts only if neither the router nor its link to the target was disturbed. A generator of its own draws them, so that the seeds of the regression cases keep their schedules.

--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -44,8 +44,8 @@
 // requestsSince returns the number of requests that reached a target after a time.
 func requestsSince(target *platformtest.Target, from time.Time) int {
 	count := 0
-	for _, at := range target.Arrivals() {
-		if at.After(from) {
+	for _, arrival := range target.Arrivals() {
+		if arrival.At.After(from) {
 			count++
 		}
 	}
--- a/internal/router/pause_test.go
+++ b/internal/router/pause_test.go
@@ -67,11 +67,11 @@
 				t.Fatal("the target was never asked")
 			}
 			during, after := 0, 0
-			for _, at := range paused.Arrivals() {
+			for _, arrival := range paused.Arrivals() {
 				switch {
-				case at.After(rejectedAt.Add(pause)):
+				case arrival.At.After(rejectedAt.Add(pause)):
 					after++
-				case at.After(rejectedAt.Add(pauseReaction)):
+				case arrival.At.After(rejectedAt.Add(pauseReaction)):
 					during++
 				}
 			}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -46,8 +47,13 @@
 	recovery   = 8 * time.Second
 	callers    = 24
 	stopGrace  = 8 * time.Second
-	streamLen  = 12
-	subjects   = 5
+	// drainTime is the platform's bound on requests to a target that states that it leaves. From pauseReaction after a
+	// target has asked a router for a pause to the pause's end, at most maxPausedRequests of that router may reach it.
+	drainTime         = 2 * time.Second
+	pauseReaction     = 500 * time.Millisecond
+	maxPausedRequests = 2
+	streamLen         = 12
+	subjects          = 5
 )
 
 var binary string
@@ -98,6 +104,7 @@
 type record struct {
 	id     string
 	kind   string
+	router int
 	status int
 	body   string
 	whole  bool
@@ -114,13 +121,28 @@
 	routers []*process
 	version uint64
 
+	// statements draws what targets state about themselves, apart from rng, so that seeds draw the same schedules as ever.
+	statements *rand.Rand
+
 	mu      sync.Mutex
 	records []record
 	next    int
+	// starts counts the starts of each target.
+	starts map[string]int
+	// interruptions are the times in which a router, or the link to a target, may not have passed on what targets state.
+	interruptions []interruption
+}
+
+// interruption is a fault of a router, or of the link to a target if router is negative.
+type interruption struct {
+	router   int
+	target   string
+	from, to time.Time
 }
 
 // process is a router.
 type process struct {
+	number               int
 	front, settings, log string
 	mu                   sync.Mutex
 	command              *exec.Cmd
@@ -130,7 +152,8 @@
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 0)), store: platformtest.StartStore(t), service: map[string]string{}}
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 0)), store: platformtest.StartStore(t), service: map[string]string{}, starts: map[string]int{}}
+	w.statements = rand.New(rand.NewPCG(seed, 1))
 	var config link.Config
 	for i := range 7 {
 		id, service := fmt.Sprint("llm-", i), "llm"
@@ -188,6 +211,9 @@
 func (w *world) list(target *platformtest.Target, state string) {
 	entry := target.Entry(w.service[target.ID], state)
 	entry["addr"] = w.links.RouteAddress(target.ID)
+	w.mu.Lock()
+	entry["born"] = 1 + w.starts[target.ID]
+	w.mu.Unlock()
 	w.store.Put(platform.TargetPrefix+target.ID, entry)
 }
 
@@ -243,7 +269,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
-	return &process{front: ports[0], settings: path, log: strings.TrimSuffix(path, ".toml") + ".log"}
+	return &process{number: i, front: ports[0], settings: path, log: strings.TrimSuffix(path, ".toml") + ".log"}
 }
 
 // start starts the router, unless it runs.
@@ -333,6 +359,7 @@
 	running.Wait()
 	w.checkFinalState()
 	w.checkRecords()
+	w.checkStatements()
 	if w.t.Failed() {
 		w.keepLogs()
 	}
@@ -357,7 +384,7 @@
 	w.mu.Lock()
 	w.next++
 	number := w.next
-	r := record{id: fmt.Sprintf("%s-%d", kind, number), kind: kind, at: time.Now()}
+	r := record{id: fmt.Sprintf("%s-%d", kind, number), kind: kind, router: router.number, at: time.Now()}
 	w.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callerWait+500*time.Millisecond)
 	defer cancel()
@@ -432,26 +459,40 @@
 	case 0:
 		behavior = platformtest.Behavior{Break: true, Events: streamLen, BreakAfter: 1 + w.rng.IntN(streamLen-1)}
 	case 1:
-		behavior = platformtest.Behavior{NotRun: true}
+		behavior = platformtest.Behavior{NotRun: true, RetryAfter: []string{"", "1", "1.5", "soon"}[w.statements.IntN(4)]}
 	case 2:
 		behavior = platformtest.Behavior{Unsealed: true}
 	}
 	extra := fmt.Sprint("extra", w.rng.IntN(1000))
+	// interrupted records the time of a fault that keeps statements of targets from a router.
+	interrupted := func(i interruption, begin, undo func()) (func(), func()) {
+		return func() { i.from = time.Now(); begin() }, func() {
+			undo()
+			i.to = time.Now()
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.interruptions = append(w.interruptions, i)
+		}
+	}
 	switch w.rng.IntN(9) {
 	case 0:
-		return linkFault(target.ID, condition)
+		begin, undo := linkFault(target.ID, condition)
+		return interrupted(interruption{router: -1, target: target.ID}, begin, undo)
 	case 1:
 		return linkFault(storeLink, condition)
 	case 2:
-		return func() { router.signal(syscall.SIGSTOP) }, func() { router.signal(syscall.SIGCONT) }
+		return interrupted(interruption{router: number}, func() { router.signal(syscall.SIGSTOP) }, func() { router.signal(syscall.SIGCONT) })
 	case 3:
-		return router.kill, func() { router.start(w.t) }
+		return interrupted(interruption{router: number}, router.kill, func() { router.start(w.t) })
 	case 4:
-		return func() { w.terminate(router) }, func() { w.restart(router) }
+		return interrupted(interruption{router: number}, func() { w.terminate(router) }, func() { w.restart(router) })
 	case 5:
 		return func() { target.SetBehavior(func(*http.Request) platformtest.Behavior { return behavior }) },
 			func() { target.SetBehavior(w.calm(w.service[target.ID])) }
 	case 6:
+		if w.statements.IntN(2) == 0 {
+			return func() { w.announceLeaving(target) }, func() { time.Sleep(drainTime); w.replace(target) }
+		}
 		return func() { w.list(target, "draining") }, func() { w.list(target, "ready") }
 	case 7:
 		status := []int{-1, http.StatusServiceUnavailable, http.StatusTooManyRequests}[w.rng.IntN(3)]
@@ -461,6 +502,25 @@
 	}
 }
 
+// announceLeaving makes a target state that it leaves, which the store does not list.
+func (w *world) announceLeaving(target *platformtest.Target) {
+	calm := w.calm(w.service[target.ID])
+	target.SetBehavior(func(r *http.Request) platformtest.Behavior {
+		behavior := calm(r)
+		behavior.Leaving = true
+		return behavior
+	})
+}
+
+// replace lets the next instance of a target take over.
+func (w *world) replace(target *platformtest.Target) {
+	w.mu.Lock()
+	w.starts[target.ID]++
+	w.mu.Unlock()
+	target.SetBehavior(w.calm(w.service[target.ID]))
+	w.list(target, "ready")
+}
+
 func (w *world) terminate(router *process) {
 	router.signal(syscall.SIGTERM)
 	router.mu.Lock()
@@ -581,6 +641,61 @@
 	}
 }
 
+// checkStatements checks that targets get no requests that they have stated not to take.
+func (w *world) checkStatements() {
+	sent := map[string]record{}
+	for _, r := range w.records {
+		sent[r.id] = r
+	}
+	pauses, departures := 0, 0
+	for _, target := range w.targets {
+		arrivals := target.Arrivals()
+		for i, stated := range arrivals {
+			router := sent[stated.RequestID].router
+			pause, err := strconv.ParseFloat(stated.Behavior.RetryAfter, 64)
+			until := stated.At.Add(time.Duration(pause * float64(time.Second)))
+			if err == nil && w.heard(router, target.ID, stated.At, until) {
+				pauses++
+				count := 0
+				for _, later := range arrivals[i:] {
+					if sent[later.RequestID].router == router && later.At.After(stated.At.Add(pauseReaction)) && later.At.Before(until) {
+						count++
+					}
+				}
+				if count > maxPausedRequests {
+					w.t.Errorf("%d requests of router %d reached %s during a pause of %v s", count, router, target.ID, pause)
+				}
+			}
+			if !stated.Behavior.Leaving {
+				continue
+			}
+			departures++
+			for _, later := range arrivals[i:] {
+				if !later.Behavior.Leaving {
+					break // the next instance
+				}
+				r := sent[later.RequestID]
+				if r.router == router && r.at.After(stated.At.Add(drainTime)) && w.heard(router, target.ID, stated.At, later.At) {
+					w.t.Errorf("%s reached %s %v after it had stated to router %d that it leaves", r.id, target.ID, later.At.Sub(stated.At), router)
+				}
+			}
+		}
+	}
+	w.t.Logf("%d requests for a pause and %d statements of leaving targets checked", pauses, departures)
+}
+
+// heard reports whether a router has received what a target stated, and has remembered it until a time: neither was
+// disturbed, nor was the link between them.
+func (w *world) heard(router int, target string, at, until time.Time) bool {
+	for _, i := range w.interruptions {
+		concerns := i.router == router || i.router < 0 && i.target == target
+		if concerns && i.from.Before(until) && i.to.After(at.Add(-callerWait)) {
+			return false
+		}
+	}
+	return true
+}
+
 func checkRecord(r record, all []platformtest.Run) error {
 	once := r.kind == "order" || r.kind == "chat"
 	// A run that another target continues after a move is the same run.
