--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -21,8 +21,8 @@
 	return tracker
 }
 
-// choiceWays are the ways on which a target is chosen: for prompts, for plain requests, and for runs that move.
-var choiceWays = map[string]func(p *LoadTracker, now time.Duration) (Choice, bool){
+// choosers are all ways in which a target is chosen: for prompts, for plain requests, and for runs that move.
+var choosers = map[string]func(p *LoadTracker, now time.Duration) (Choice, bool){
 	"prompt": func(p *LoadTracker, now time.Duration) (Choice, bool) {
 		choice, refusal := p.Choose(now, Query{Service: "s", Prompt: Prompt{Key: 1, Tokens: 8000}, PromptTokens: 9000, Remaining: second})
 		return choice, refusal == nil
@@ -39,7 +39,7 @@
 // Guards against requests beyond a stated limit by any way on which a target is chosen.
 func TestEveryChoiceAsksForTheLimit(t *testing.T) {
 	const rate, seconds = 2.0, 5
-	for name, choose := range choiceWays {
+	for name, choose := range choosers {
 		p := limitedTracker(0, 3, 2, rate)
 		sent := map[string]int{}
 		for i := range 500 {
@@ -64,7 +64,7 @@
 // Guards against a choice of a target that has stated that it leaves, by any way and whatever the list of targets says
 // later, and against a successor that is passed over for it.
 func TestEveryChoicePassesOverLeavingTargets(t *testing.T) {
-	for name, choose := range choiceWays {
+	for name, choose := range choosers {
 		for _, test := range []struct {
 			name string
 			then func(p *LoadTracker, leaving routes.Target)
@@ -111,7 +111,7 @@
 // Guards against a choice of a target that has asked for a pause, by any way, and against a burst at its end.
 func TestEveryChoicePassesOverPausedTargets(t *testing.T) {
 	const pause, step = 3 * second, 10 * time.Millisecond
-	for name, choose := range choiceWays {
+	for name, choose := range choosers {
 		p := limitedTracker(0, 3, 0, 0)
 		paused := targets(3, 64)[0]
 		p.Stated(second, paused, routes.Answer{RetryAfter: pause})
--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -52,6 +52,23 @@
 	return count
 }
 
+// startStream sends a prompt and returns the target that runs it, and the channel that delivers the response.
+func (f *fleet) startStream(targets []*platformtest.Target) (*platformtest.Target, <-chan result) {
+	f.t.Helper()
+	done := make(chan result, 1)
+	go func() { done <- f.sendPrompt(0, "subject") }()
+	var source *platformtest.Target
+	await(f.t, "the stream runs", func() bool {
+		for _, target := range targets {
+			if len(target.Runs()) > 0 {
+				source = target
+			}
+		}
+		return source != nil
+	})
+	return source, done
+}
+
 // Guards against requests to a target that states that it leaves, while the store lists it as ready or says nothing.
 func TestTargetThatStatesItLeavesGetsNothing(t *testing.T) {
 	for _, test := range []struct {
@@ -94,18 +111,7 @@
 func TestStreamOfLeavingTargetGoesOn(t *testing.T) {
 	const events = 20
 	f, targets := statingFleet(t, 1, 2, "llm", platformtest.Behavior{Events: events, Work: 50 * time.Millisecond})
-	done := make(chan result)
-	go func() { done <- f.sendPrompt(0, "subject") }()
-	running := func() *platformtest.Target {
-		for _, target := range targets {
-			if len(target.Runs()) > 0 {
-				return target
-			}
-		}
-		return nil
-	}
-	await(t, "the stream runs", func() bool { return running() != nil })
-	leaving := running()
+	leaving, done := f.startStream(targets)
 	leaving.SetBehavior(func(*http.Request) platformtest.Behavior {
 		return platformtest.Behavior{Events: 1, Leaving: true}
 	})
--- a/internal/router/pause_test.go
+++ b/internal/router/pause_test.go
@@ -143,18 +143,7 @@
 	const count, stall = 30, time.Second
 	behavior := platformtest.Behavior{Events: count, Work: 10 * time.Millisecond, StallAfter: 20, Stall: stall, Move: http.StatusOK}
 	f, targets := statingFleet(t, 1, 2, "llm", behavior)
-	done := make(chan result)
-	go func() { done <- f.sendPrompt(0, "subject") }()
-	running := func() *platformtest.Target {
-		for _, target := range targets {
-			if len(target.Runs()) > 0 {
-				return target
-			}
-		}
-		return nil
-	}
-	await(t, "the stream runs", func() bool { return running() != nil })
-	source := running()
+	source, done := f.startStream(targets)
 	pauseAll([]*platformtest.Target{source}, "10")
 	f.sendPrompt(1, "subject")
 	if got := <-done; got.err != nil || got.body != events(count) {
