Keep rate limits that no response has confirmed

Callers: none seen; found by reading. Routers forgot a stated limit 20 s after the last response that had stated it. In a large fleet other targets have room, so that such responses may stay away. Then every router sends requests at the same time, before the first response tells it that the limit still holds.

Cause: the age of a statement served two purposes: when to stop to prefer other targets, and when to stop to keep the limit. The platform's contract lets only a later response end a limit.

Change: after 20 s a limit no longer makes other targets preferable, but it is kept for an hour, or until a response ends it.

TestFleetKeepsLimitThatWasNotConfirmed failed before: 24 requests and more in 4 s at a target that takes 3 a second (23 allowed by the contract).

--- a/internal/backpressure/tracker.go
+++ b/internal/backpressure/tracker.go
@@ -20,9 +20,12 @@
 	minRate = 0.1
 	// burstTime is the time in which an unused part accumulates.
 	burstTime = 500 * time.Millisecond
-	// lifetime is how long a limit holds that no response confirms, and how long its end is remembered. Targets with a
-	// limit usually get requests, so it only ends limits of targets that nobody asks.
+	// lifetime is how long a limit is told to other routers that no response confirms, and how long its end is remembered.
+	// An older limit does not make other targets preferable any more, so that requests show whether it still holds. They
+	// keep to it, since all routers would send some at the same time otherwise.
 	lifetime = 20 * time.Second
+	// limitRetention is how long a limit is kept that no response confirms. It only bounds the memory.
+	limitRetention = time.Hour
 	// reportedChange is the relative change of a limit that is reported.
 	reportedChange = 0.2
 	// recoveryTime is how long after the end of its limit a target counts as recovering. Within it most prompts are asked
@@ -203,7 +206,9 @@
 	l.filledAt = now
 }
 
-func (l *limit) inForce(now time.Duration) bool { return l.limited && now-l.statedAt < lifetime }
+func (l *limit) inForce(now time.Duration) bool { return l.limited && now-l.statedAt < limitRetention }
+
+func (l *limit) isConfirmed(now time.Duration) bool { return l.limited && now-l.statedAt < lifetime }
 
 // inForce returns the limit of a target, or nil if it has none.
 func (t *Tracker) inForce(now time.Duration, instance uint64) *limit {
@@ -248,9 +253,9 @@
 	}
 }
 
-// Limit returns the limit that the target has stated and this router's part of it.
+// Limit returns the limit that the target has stated within its lifetime, and this router's part of it.
 func (t *Tracker) Limit(now time.Duration, instance uint64) (rate, share float64, limited bool) {
-	if l := t.inForce(now, instance); l != nil {
+	if l := t.limits[instance]; l != nil && l.isConfirmed(now) {
 		return l.rate, l.share, true
 	}
 	return 0, 0, false
@@ -265,11 +270,11 @@
 	return now - l.changedAt, true
 }
 
-// Count returns the number of targets with a limit in force.
+// Count returns the number of targets that have stated a limit within its lifetime.
 func (t *Tracker) Count(now time.Duration) int {
 	count := 0
 	for _, l := range t.limits {
-		if l.inForce(now) {
+		if l.isConfirmed(now) {
 			count++
 		}
 	}
@@ -285,8 +290,9 @@
 	var due []dueUpdate
 	for instance, l := range t.limits {
 		switch {
-		case now-l.statedAt >= lifetime || !l.limited && now-l.changedAt >= lifetime:
+		case now-l.statedAt >= limitRetention || !l.limited && (now-l.statedAt >= lifetime || now-l.changedAt >= lifetime):
 			delete(t.limits, instance)
+		case now-l.statedAt >= lifetime:
 		case l.sentAt == 0 || now-l.sentAt >= resendInterval:
 			update := Update{Instance: instance, Rate: l.rate, Limited: l.limited, Age: now - l.statedAt}
 			due = append(due, dueUpdate{update, &l.sentAt})
--- a/internal/backpressure/tracker_test.go
+++ b/internal/backpressure/tracker_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -270,6 +271,60 @@
 	}
 }
 
+// Guards against all routers of a fleet that send requests at once to a target whose limit no response has confirmed for
+// long, because other targets had room for them.
+func TestFleetKeepsLimitThatWasNotConfirmed(t *testing.T) {
+	const window, ratio, slack = 4 * time.Second, 1.5, 5
+	const step, interval, duration = 2 * time.Millisecond, 250 * time.Millisecond, 50 * time.Second
+	const resumeAt, demandPerRouter = 15 * time.Second, 3.0
+	rng := rand.New(rand.NewPCG(5, 5))
+	addresses := make([]string, fleetRouters)
+	for i := range addresses {
+		addresses[i] = fmt.Sprint("router-", i)
+	}
+	routers := make([]*Tracker, fleetRouters)
+	for i := range routers {
+		routers[i] = newTracker(uint64(i))
+		routers[i].SetRouters(0, addresses[i], slices.Delete(slices.Clone(addresses), i, i+1))
+	}
+	routers[0].StatedLimit(0, target, fleetLimit, true)
+	var arrivals []time.Duration
+	for now := time.Duration(0); now < duration; now += step {
+		if now%interval == 0 {
+			for _, router := range routers {
+				updates := router.TakeUpdates(now, fleetUpdates)
+				for range fleetFanout {
+					other := routers[rng.IntN(fleetRouters)]
+					for _, update := range updates {
+						other.Merge(now, update)
+					}
+				}
+			}
+		}
+		for _, router := range routers {
+			// The first requests come once the limit has not been confirmed for its lifetime.
+			if now < resumeAt+lifetime || rng.Float64() >= demandPerRouter*step.Seconds() || router.Admission(now, target) != Open {
+				continue
+			}
+			router.Took(now, target)
+			router.StatedLimit(now, target, fleetLimit, true)
+			arrivals = append(arrivals, now)
+		}
+	}
+	if len(arrivals) == 0 {
+		t.Error("no request reached the target, so that the end of its limit would not be noticed")
+	}
+	allowed := int(ratio*fleetLimit*window.Seconds()) + slack
+	for i, first := 0, 0; i < len(arrivals); i++ {
+		for arrivals[i]-arrivals[first] >= window {
+			first++
+		}
+		if got := i - first + 1; got > allowed {
+			t.Fatalf("the target got %d requests in %v, want at most %d", got, window, allowed)
+		}
+	}
+}
+
 // Guards against routers of a large fleet that send requests to leaving targets beyond the platform's bound, because no
 // router tells them, while datagrams are lost and routers restart.
 func TestFleetLearnsWhichTargetsLeave(t *testing.T) {
