Confirm rate limits that no other request confirms

Cause, from the log of all routers: a limit ends with a response that does not state it, and no router had a reason to send limited engines a request. They got 5 to 11 requests a second together of the 165 that they took, since each limit is divided among 3 of 195 routers and prompts had been copied elsewhere. 8 engines had shown the end after 1.2 s, 31 after 9.7 s. Meanwhile the other 23 engines kept half of all requests, with 30 in progress each.

Ruled out: loads that are known too late. They are (about half of the actual ones), but with the end known the load spreads within the 3 s of the contract.

Change: the first router in rank for a target sends it a request, within the limit, if no response has stated the limit for 2 s. One that has the prompt cached comes first, then one of the zone. The line "tried" has confirms_limit.

--- a/internal/backpressure/tracker.go
+++ b/internal/backpressure/tracker.go
@@ -31,6 +31,9 @@
 	// recoveryTime is how long after the end of its limit a target counts as recovering. Within it most prompts are asked
 	// for again.
 	recoveryTime = 15 * time.Second
+	// confirmInterval is how old the latest statement of a limit may get before one router sends a request that shows
+	// whether it still holds. Otherwise limits outlive their end at targets to which no router has a reason to send.
+	confirmInterval = 2 * time.Second
 	// resendInterval is how often each router tells others of a limit that has not changed. It informs routers that have
 	// restarted or have missed a message.
 	resendInterval = 4 * time.Second
@@ -62,6 +65,9 @@
 	share    float64
 	tokens   float64
 	filledAt time.Duration
+	// first is set if this router ranks first among those that share the limit; tookAt is when it last sent a request.
+	first  bool
+	tookAt time.Duration
 	// sentAt is when other routers were last told; 0 if they were not since the latest change.
 	sentAt time.Duration
 }
@@ -195,7 +201,7 @@
 	if ahead < count {
 		share = l.rate / float64(count)
 	}
-	l.share = share
+	l.share, l.first = share, ahead == 0
 	l.tokens = min(l.tokens, l.burst())
 }
 
@@ -247,12 +253,20 @@
 	if l := t.inForce(now, instance); l != nil {
 		l.fill(now)
 		l.tokens = max(l.tokens-1, -l.burst())
+		l.tookAt = now
 	}
 	if p := t.pauses[instance]; p != nil && now >= p.until {
 		p.probedAt = now
 	}
 }
 
+// ConfirmationDue reports whether this router is the one that ought to send the instance a request now, so that its response
+// shows whether the limit still holds.
+func (t *Tracker) ConfirmationDue(now time.Duration, instance uint64) bool {
+	l := t.inForce(now, instance)
+	return l != nil && l.first && now-max(l.statedAt, l.tookAt) >= confirmInterval
+}
+
 // Limit returns the limit that the target has stated within its lifetime, and this router's part of it.
 func (t *Tracker) Limit(now time.Duration, instance uint64) (rate, share float64, limited bool) {
 	if l := t.limits[instance]; l != nil && l.isConfirmed(now) {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -125,6 +125,8 @@
 	Limited int
 	// Paused is the number of targets that were passed over because they have asked for a pause.
 	Paused int
+	// ConfirmsLimit is set if the target was chosen to learn whether its rate limit still holds.
+	ConfirmsLimit bool
 	// Source is the address of a target that probably has the prompt cached while the chosen one does not; empty if
 	// there is none.
 	Source string
@@ -509,9 +511,13 @@
 	var best, rank int
 	var source string
 	prefill := 0.0
+	confirms := false
 	if query.Prompt.Key != 0 {
 		cachedAt := p.targetsWith(now, query.Prompt.Key)
-		best, rank = chooseForPrompt(open, loads, mean, p.multiple, query, cachedAt)
+		best = p.confirmLimit(now, open, loads, query.Zone, cachedAt)
+		if confirms = best >= 0; !confirms {
+			best, rank = chooseForPrompt(open, loads, mean, p.multiple, query, cachedAt)
+		}
 		savedTokens := query.Prompt.Tokens
 		if !slices.Contains(cachedAt, open[best]) {
 			source, savedTokens = p.source(now, svc.targets, open[best], query.Prompt, cachedAt)
@@ -527,7 +533,23 @@
 		return Choice{}, &Refusal{Reason: reason.OverLimit, RetryAfter: wait / 2}
 	}
 	p.lastNumber++
-	return Choice{Number: p.lastNumber, Prefill: prefill, Target: open[best].target, LoadAge: open[best].loadAge(now), Load: loads[best], Mean: mean.Requests, Rank: rank, Source: source, Limited: len(limited), Paused: len(paused)}, nil
+	return Choice{Number: p.lastNumber, Prefill: prefill, Target: open[best].target, LoadAge: open[best].loadAge(now), Load: loads[best], Mean: mean.Requests, Rank: rank, Source: source, Limited: len(limited), Paused: len(paused), ConfirmsLimit: confirms}, nil
+}
+
+// confirmLimit returns the index of a target that is to get the request so that its response shows whether its rate limit
+// still holds, or -1. Targets that have the prompt cached come first, then those of the local zone.
+func (p *LoadTracker) confirmLimit(now time.Duration, open []*targetState, loads []Load, zone string, cachedAt []*targetState) int {
+	best, bestCost := -1, 0
+	for i, candidate := range open {
+		if loads[i].total()+1 > candidate.slots() || !p.statements.ConfirmationDue(now, candidate.instance) {
+			continue
+		}
+		cost := 2*boolToInt(!slices.Contains(cachedAt, candidate)) + boolToInt(candidate.target.Zone != zone)
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
 }
 
 // loadsOf returns the loads of targets and their mean. Targets with rate limits have less load than the others could
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -1,7 +1,10 @@
 package place
 
 import (
+	"cmp"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -266,3 +269,166 @@
 		t.Errorf("the targets without a limit had %d of %d prompts during the limits, %d after them", share(before), prompts, share(after))
 	}
 }
+
+// Load parameters of the hanamichi-rose-large deployment, of whose engines most state a rate limit for some seconds.
+const (
+	largeRouters = 195
+	largeEngines = 78
+	largeLimited = 55
+	largeSlots   = 64
+	// largeLimit is the stated limit in requests a second, about half of what an engine gets without it.
+	largeLimit   = 3.0
+	largeRate    = 550
+	largePrompts = 1500
+	largeTokens  = 7000
+	// Answers take largeAnswer on average, a tenth of them ten times as long as the others.
+	largeAnswer = 800 * time.Millisecond
+)
+
+// limitedFleetResult holds the outcome of a simulation of a fleet with rate limits.
+type limitedFleetResult struct {
+	// overloaded is the largest fraction of the requests in any window of the platform's rule on loads that reached an
+	// engine above the load limit.
+	overloaded float64
+	// noticedAfter is the time from the end of the limits until every engine has got a request.
+	noticedAfter time.Duration
+	// mostAtLimited is the largest number of requests that a limited engine got in a window of the rule on limits.
+	mostAtLimited int
+}
+
+// simulateLimitedFleet simulates a fleet whose engines state limits from begin to end.
+func simulateLimitedFleet(t *testing.T, seed uint64) limitedFleetResult {
+	t.Helper()
+	const begin, end, duration = 1 * second, 6 * second, 14 * second
+	const stableWindow, loadWindow, limitWindow = 3 * second, 5 * second, 4 * second
+	rng := rand.New(rand.NewPCG(seed, 0))
+	list := targets(largeEngines, largeSlots)
+	index := map[string]int{}
+	for i, target := range list {
+		index[target.ID] = i
+	}
+	addresses := make([]string, largeRouters)
+	for i := range addresses {
+		addresses[i] = fmt.Sprint("router-", i)
+	}
+	routers := make([]*LoadTracker, largeRouters)
+	for i := range routers {
+		routers[i] = New(2, rand.New(rand.NewPCG(seed, uint64(i)+1)))
+		routers[i].SetTargets(0, list, second)
+		routers[i].Statements().SetRouters(0, addresses[i], slices.Delete(slices.Clone(addresses), i, i+1))
+		routers[i].SetCachesKnown()
+	}
+	type event struct {
+		at time.Duration
+		do func(now time.Duration)
+	}
+	var scheduled []event
+	schedule := func(at time.Duration, do func(time.Duration)) {
+		i, _ := slices.BinarySearchFunc(scheduled, at, func(e event, at time.Duration) int { return cmp.Compare(e.at, at) })
+		scheduled = slices.Insert(scheduled, i, event{at, do})
+	}
+	load := make([]int, largeEngines)
+	atLimited := make([][]time.Duration, largeLimited)
+	asked := make([]bool, largeEngines)
+	running, missing := 0, largeLimited
+	var result limitedFleetResult
+	var requests, overloaded []time.Duration
+	lastExchange := time.Duration(0)
+	for now := time.Duration(0); now < duration; now += time.Duration(rng.ExpFloat64() * float64(second) / largeRate) {
+		if now-lastExchange >= fleetInterval {
+			lastExchange = now
+			exchangeReports(rng, now, routers, fleetExchange{relays: true})
+			for _, sender := range routers {
+				updates := sender.Statements().TakeUpdates(now, 16)
+				for _, i := range rng.Perm(largeRouters)[:fleetFanout] {
+					for _, update := range updates {
+						routers[i].Statements().Merge(now, update)
+					}
+				}
+			}
+		}
+		for len(scheduled) > 0 && scheduled[0].at <= now {
+			next := scheduled[0]
+			scheduled = scheduled[1:]
+			next.do(next.at)
+		}
+		router := routers[rng.IntN(largeRouters)]
+		q := query(rng.Uint64N(largePrompts)+1, largeTokens)
+		choice, refusal := router.Choose(now, q)
+		if refusal != nil {
+			t.Fatalf("refused at %v: %+v", now, refusal)
+		}
+		router.Start(now, choice, q.Prompt)
+		i := index[choice.Target.ID]
+		if now >= end+stableWindow {
+			requests = append(requests, now)
+			if mean := float64(running) / largeEngines; float64(load[i]) > 2*mean+3 {
+				overloaded = append(overloaded, now)
+			}
+		}
+		load[i]++
+		running++
+		limited := i < largeLimited && now >= begin && now < end
+		if limited && now >= begin+stableWindow {
+			atLimited[i] = append(atLimited[i], now)
+		}
+		if now >= end && i < largeLimited && !asked[i] {
+			asked[i] = true
+			if missing--; missing == 0 {
+				result.noticedAfter = now - end
+			}
+		}
+		answer := time.Duration(rng.ExpFloat64() * float64(largeAnswer) / 1.9)
+		if rng.IntN(10) == 0 {
+			answer *= 10
+		}
+		schedule(now+50*time.Millisecond, func(at time.Duration) {
+			router.PromptRead(choice)
+			router.Report(choice.Target.ID, at, routes.Load{Running: load[i], Slots: largeSlots})
+			router.Stated(at, choice.Target, routes.Answer{RateLimit: largeLimit, HasRateLimit: limited})
+		})
+		schedule(now+50*time.Millisecond+answer, func(at time.Duration) {
+			router.End(choice.Target.ID, at, Good, at-now)
+			load[i]--
+			running--
+		})
+	}
+	if missing > 0 {
+		result.noticedAfter = duration
+	}
+	for _, at := range requests {
+		if over := countWithin(overloaded, at, loadWindow); over >= 20 {
+			result.overloaded = max(result.overloaded, float64(over)/float64(countWithin(requests, at, loadWindow)))
+		}
+	}
+	for _, times := range atLimited {
+		for _, at := range times {
+			result.mostAtLimited = max(result.mostAtLimited, countWithin(times, at, limitWindow))
+		}
+	}
+	return result
+}
+
+// countWithin returns the number of sorted times in the window that begins at from.
+func countWithin(times []time.Duration, from, window time.Duration) int {
+	first, _ := slices.BinarySearch(times, from)
+	last, _ := slices.BinarySearch(times, from+window)
+	return last - first
+}
+
+// Guards against engines that get far more requests than the others after the limits of those have ended: no router knows
+// the end while no router has a reason to ask them.
+func TestLargeFleetSpreadsLoadAfterLimits(t *testing.T) {
+	// Of the requests in five seconds 3 in 100 may reach engines above the load limit. A limited engine may get 1.5 times
+	// what its limit allows in four seconds, and 5 more.
+	const mostOverloaded, mostAtLimited = 0.03, 1.5*4*largeLimit + 5
+	result := simulateLimitedFleet(t, 1)
+	t.Logf("%.3f of the requests at engines above the load limit, each engine asked within %v, at most %d requests at a limited engine",
+		result.overloaded, result.noticedAfter, result.mostAtLimited)
+	if result.overloaded > mostOverloaded {
+		t.Errorf("%.3f of the requests reached engines above the load limit, want at most %v", result.overloaded, mostOverloaded)
+	}
+	if result.mostAtLimited > mostAtLimited {
+		t.Errorf("a limited engine got %d requests in 4 s, want at most %v", result.mostAtLimited, mostAtLimited)
+	}
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -102,6 +102,9 @@
 	if choice.Paused > 0 {
 		fields["paused"] = choice.Paused
 	}
+	if choice.ConfirmsLimit {
+		fields["confirms_limit"] = true
+	}
 	if x.answer.InvalidRetryAfter != "" {
 		fields["retry_after_invalid"] = x.answer.InvalidRetryAfter
 	}
