Record what targets state in responses to calls

Cause: only the responses to requests were decoded for statements.

Change: Engines returns the statements of each response, also with an error. As such a response may leave out what still holds, it ends neither a rate limit nor a pause. routes.Statements is the one type for them.

TestPauseStatedInCallIsKept failed before: 20 requests reached the target during its pause, 2 are allowed. TestCallsReturnStatements does not compile before.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -349,21 +349,30 @@
 	PauseBegun, PauseEnded bool
 }
 
-// Stated records what a response of the target states about the requests that it takes.
-func (p *LoadTracker) Stated(now time.Duration, target routes.Target, answer routes.Answer) StatementChange {
+// Stated records what the response to a request states. What it does not state has ended.
+func (p *LoadTracker) Stated(now time.Duration, target routes.Target, stated routes.Statements) StatementChange {
 	instance := instanceKey(target)
-	change := StatementChange{
-		RateLimit: p.statements.StatedLimit(now, instance, answer.RateLimit, answer.HasRateLimit),
-		Leaving:   answer.Leaving && p.statements.StatedLeaving(now, instance),
+	change := p.StatedInCall(now, target, stated)
+	if !stated.HasRateLimit {
+		change.RateLimit = p.statements.StatedLimit(now, instance, 0, false)
 	}
-	if answer.RetryAfter > 0 {
-		change.PauseBegun = p.statements.StatedPause(now, instance, answer.RetryAfter)
-	} else {
+	if stated.RetryAfter <= 0 {
 		change.PauseEnded = p.statements.Responded(now, instance)
 	}
 	return change
 }
 
+// StatedInCall records what the response to a call other than a request states. The target may leave statements out there
+// that still hold.
+func (p *LoadTracker) StatedInCall(now time.Duration, target routes.Target, stated routes.Statements) StatementChange {
+	instance := instanceKey(target)
+	return StatementChange{
+		RateLimit:  stated.HasRateLimit && p.statements.StatedLimit(now, instance, stated.RateLimit, true),
+		Leaving:    stated.Leaving && p.statements.StatedLeaving(now, instance),
+		PauseBegun: p.statements.StatedPause(now, instance, stated.RetryAfter),
+	}
+}
+
 // MayCall reports whether the target may get calls other than requests of clients: it has not asked for a pause.
 func (p *LoadTracker) MayCall(now time.Duration, target routes.Target) bool {
 	return p.statements.Admission(now, instanceKey(target)) != backpressure.Paused
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -19,7 +19,7 @@
 	tracker.SetTargets(now, targets(count, 64), second)
 	tracker.Statements().SetRouters(now, "router", nil)
 	for _, target := range targets(count, 64)[:limited] {
-		tracker.Stated(now, target, routes.Answer{RateLimit: rate, HasRateLimit: true})
+		tracker.Stated(now, target, routes.Statements{RateLimit: rate, HasRateLimit: true})
 	}
 	return tracker
 }
@@ -74,7 +74,7 @@
 			want bool
 		}{
 			{"stated", func(*LoadTracker, routes.Target) {}, false},
-			{"later response without it", func(p *LoadTracker, leaving routes.Target) { p.Stated(3*second, leaving, routes.Answer{}) }, false},
+			{"later response without it", func(p *LoadTracker, leaving routes.Target) { p.Stated(3*second, leaving, routes.Statements{}) }, false},
 			{"entry gone and back", func(p *LoadTracker, _ routes.Target) {
 				p.SetTargets(3*second, targets(3, 64)[1:], 0)
 				p.SetTargets(4*second, targets(3, 64)[1:], 0)
@@ -84,7 +84,7 @@
 				list := targets(3, 64)
 				list[0].StartedAt++
 				p.SetTargets(3*second, list, 0)
-				p.Stated(4*second, leaving, routes.Answer{Leaving: true})
+				p.Stated(4*second, leaving, routes.Statements{Leaving: true})
 			}, true},
 			{"other target at the address", func(p *LoadTracker, _ routes.Target) {
 				list := targets(3, 64)
@@ -94,7 +94,7 @@
 		} {
 			p := limitedTracker(0, 3, 0, 0)
 			leaving := targets(3, 64)[0]
-			p.Stated(2*second, leaving, routes.Answer{Leaving: true})
+			p.Stated(2*second, leaving, routes.Statements{Leaving: true})
 			test.then(p, leaving)
 			chosen := map[string]bool{}
 			for i := range 200 {
@@ -117,7 +117,7 @@
 	for name, choose := range choosers {
 		p := limitedTracker(0, 3, 0, 0)
 		paused := targets(3, 64)[0]
-		p.Stated(second, paused, routes.Answer{RetryAfter: pause})
+		p.Stated(second, paused, routes.Statements{RetryAfter: pause})
 		choicesUntil := func(from, until time.Duration) int {
 			count := 0
 			for now := from; now < until; now += step {
@@ -136,7 +136,7 @@
 		if count := choicesUntil(second+pause, second+pause+second/2); count != 1 {
 			t.Errorf("%s: chosen %d times before the first response after the pause, want 1", name, count)
 		}
-		p.Stated(second+pause+second/2, paused, routes.Answer{})
+		p.Stated(second+pause+second/2, paused, routes.Statements{})
 		if count := choicesUntil(second+pause+second/2, 2*second+pause); count < 2 {
 			t.Errorf("%s: chosen %d times after the first response", name, count)
 		}
@@ -147,12 +147,12 @@
 func TestRetryAfterIsTheShortestPause(t *testing.T) {
 	p := limitedTracker(0, 3, 0, 0)
 	list := targets(3, 64)
-	p.Stated(0, list[0], routes.Answer{RetryAfter: 5 * second})
-	p.Stated(0, list[1], routes.Answer{RetryAfter: 3 * second})
+	p.Stated(0, list[0], routes.Statements{RetryAfter: 5 * second})
+	p.Stated(0, list[1], routes.Statements{RetryAfter: 3 * second})
 	if wait, passedOver := p.RejectedRetryAfter(second, "s"); passedOver {
 		t.Errorf("Retry-After %v although a target takes requests", wait)
 	}
-	p.Stated(0, list[2], routes.Answer{RetryAfter: 8 * second})
+	p.Stated(0, list[2], routes.Statements{RetryAfter: 8 * second})
 	wait, passedOver := p.RejectedRetryAfter(second, "s")
 	_, refusal := p.Choose(second, Query{Service: "s", Remaining: 6 * second})
 	if refusal == nil {
@@ -255,7 +255,7 @@
 	}
 	before := place(second)
 	for _, target := range targets(count, 64)[:limited] {
-		p.Stated(2*second, target, routes.Answer{})
+		p.Stated(2*second, target, routes.Statements{})
 	}
 	after := place(3 * second)
 	share := func(holders map[string]int) int {
@@ -385,7 +385,7 @@
 		schedule(now+50*time.Millisecond, func(at time.Duration) {
 			router.PromptRead(choice)
 			router.Report(choice.Target.ID, at, routes.Load{Running: load[i], Slots: largeSlots})
-			router.Stated(at, choice.Target, routes.Answer{RateLimit: largeLimit, HasRateLimit: limited})
+			router.Stated(at, choice.Target, routes.Statements{RateLimit: largeLimit, HasRateLimit: limited})
 		})
 		schedule(now+50*time.Millisecond+answer, func(at time.Duration) {
 			router.End(choice.Target.ID, at, Good, at-now)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -209,10 +209,10 @@
 		r.loadTracker.Report(target.ID, r.now(), answer.Load)
 	}
 	if stated {
-		change = r.loadTracker.Stated(r.now(), target, answer)
+		change = r.loadTracker.Stated(r.now(), target, answer.Statements)
 	}
 	r.trafficMu.Unlock()
-	r.logStatements(target, answer, change)
+	r.logStatements(target, answer.Statements, change)
 }
 
 // classifyFailure returns the result of an attempt without a response.
--- a/internal/router/caches.go
+++ b/internal/router/caches.go
@@ -162,7 +162,8 @@
 func (r *Router) listEngineCache(ctx context.Context, engine routes.Target) {
 	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
 	defer cancel()
-	parts, err := r.engines.Cached(ctx, engine.Address)
+	parts, stated, err := r.engines.Cached(ctx, engine.Address)
+	r.recordCallStatements(engine, stated)
 	if err != nil {
 		r.meters.ControlCall("cache_list", "failed")
 		r.log.WithError(err).WithField("target", engine.ID).Info("cache not listed")
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -96,7 +96,8 @@
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	startedAt := time.Now()
-	run, err := r.engines.Move(ctx, x.choice.Target.Address, x.request.ID, destination.Target.Address)
+	run, stated, err := r.engines.Move(ctx, x.choice.Target.Address, x.request.ID, destination.Target.Address)
+	r.recordCallStatements(x.choice.Target, stated)
 	fields := logrus.Fields{
 		"request": x.request.ID, "target": x.choice.Target.ID, "to": destination.Target.ID, "route": x.route.Name,
 		"silent_ms": startedAt.Sub(x.lastAt).Milliseconds(), "ms": time.Since(startedAt).Milliseconds(), "after": x.resumeAfter,
--- a/internal/router/pause_test.go
+++ b/internal/router/pause_test.go
@@ -156,3 +156,44 @@
 		t.Error("the stream was not considered for a move")
 	}
 }
+
+// Guards against requests to a target that has asked for a pause in its response to a call that moves a stalled stream.
+func TestPauseStatedInCallIsKept(t *testing.T) {
+	const count = 30
+	f, targets := statingFleet(t, 1, 2, "llm", platformtest.Behavior{})
+	for _, target := range targets {
+		target.SetBehavior(func(r *http.Request) platformtest.Behavior {
+			if platformtest.ContinuesRun(r) {
+				return platformtest.Behavior{Events: count, Work: 10 * time.Millisecond}
+			}
+			return platformtest.Behavior{
+				Events: count, Work: 10 * time.Millisecond, StallAfter: 6, Stall: time.Second,
+				Move: http.StatusServiceUnavailable, RetryAfter: "10",
+			}
+		})
+	}
+	source, done := f.startStream(targets)
+	await(t, "the run is stopped", func() bool { return source.Runs()[0].Moved })
+	stopped := time.Now()
+	for _, target := range targets {
+		target.SetBehavior(func(*http.Request) platformtest.Behavior { return platformtest.Behavior{Events: count} })
+	}
+	if got := <-done; got.err != nil || got.body != events(count) {
+		t.Errorf("the stream was cut: %v, %q", got.err, got.body)
+	}
+	time.Sleep(pauseReaction)
+	for i := range 20 {
+		if got := f.sendPrompt(1+i, "subject"); got.status != http.StatusOK {
+			t.Errorf("status %d, %v", got.status, got.err)
+		}
+	}
+	during := 0
+	for _, arrival := range source.Arrivals() {
+		if arrival.At.After(stopped.Add(pauseReaction)) {
+			during++
+		}
+	}
+	if during > maxPausedRequests {
+		t.Errorf("%d requests reached the target during its pause, want at most %d", during, maxPausedRequests)
+	}
+}
--- a/internal/router/reserve_test.go
+++ b/internal/router/reserve_test.go
@@ -15,9 +15,11 @@
 	err error
 }
 
-func (moveStub) Cached(context.Context, string) ([]routes.Part, error) { return nil, nil }
-func (s moveStub) Move(context.Context, string, string, string) (routes.MovedRun, error) {
-	return s.run, s.err
+func (moveStub) Cached(context.Context, string) ([]routes.Part, routes.Statements, error) {
+	return nil, routes.Statements{}, nil
+}
+func (s moveStub) Move(context.Context, string, string, string) (routes.MovedRun, routes.Statements, error) {
+	return s.run, routes.Statements{}, s.err
 }
 
 // Guards against load that stays with a target for good because a run was to move there and did not: the call failed,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,10 +44,11 @@
 
 // Engines makes control calls to engines.
 type Engines interface {
-	// Cached returns the prompt parts that an engine has cached.
-	Cached(ctx context.Context, address string) ([]routes.Part, error)
-	// Move stops a request's run on an engine and copies its memory to another one.
-	Move(ctx context.Context, address, requestID, to string) (routes.MovedRun, error)
+	// Cached returns the prompt parts that an engine has cached. Its statements are valid also with an error.
+	Cached(ctx context.Context, address string) ([]routes.Part, routes.Statements, error)
+	// Move stops a request's run on an engine and copies its memory to another one. Its statements are valid also with an
+	// error.
+	Move(ctx context.Context, address, requestID, to string) (routes.MovedRun, routes.Statements, error)
 }
 
 // Config holds the settings of a router.
--- a/internal/router/statements.go
+++ b/internal/router/statements.go
@@ -9,18 +9,18 @@
 )
 
 // logStatements logs what a target has begun or ceased to state about the requests that it takes.
-func (r *Router) logStatements(target routes.Target, answer routes.Answer, change place.StatementChange) {
+func (r *Router) logStatements(target routes.Target, stated routes.Statements, change place.StatementChange) {
 	if change.Leaving {
 		r.meters.Event("leaving_stated")
 		r.log.WithField("target", target.ID).Info("target states that it leaves")
 	}
-	if answer.InvalidRetryAfter != "" {
+	if stated.InvalidRetryAfter != "" {
 		r.meters.Event("retry_after_invalid")
 	}
 	if change.PauseBegun {
 		r.meters.Event("pause_begun")
 		r.log.WithFields(logrus.Fields{
-			"target": target.ID, "retry_after_ms": answer.RetryAfter.Milliseconds(), "pause_ms": min(answer.RetryAfter, backpressure.MaxPause).Milliseconds(),
+			"target": target.ID, "retry_after_ms": stated.RetryAfter.Milliseconds(), "pause_ms": min(stated.RetryAfter, backpressure.MaxPause).Milliseconds(),
 		}).Info("target asks for a pause")
 	}
 	if change.PauseEnded {
@@ -29,7 +29,7 @@
 	}
 	switch {
 	case !change.RateLimit:
-	case !answer.HasRateLimit:
+	case !stated.HasRateLimit:
 		r.meters.Event("rate_limit_ended")
 		r.log.WithField("target", target.ID).Info("target no longer states a rate limit")
 	default:
@@ -37,10 +37,18 @@
 		_, share, _ := r.loadTracker.RateLimit(r.now(), target)
 		r.trafficMu.Unlock()
 		r.meters.Event("rate_limit_stated")
-		r.log.WithFields(logrus.Fields{"target": target.ID, "rate_limit": answer.RateLimit, "share": share}).Info("target states a rate limit")
+		r.log.WithFields(logrus.Fields{"target": target.ID, "rate_limit": stated.RateLimit, "share": share}).Info("target states a rate limit")
 	}
 }
 
+// recordCallStatements records what the response to a call other than a request states.
+func (r *Router) recordCallStatements(target routes.Target, stated routes.Statements) {
+	r.trafficMu.Lock()
+	change := r.loadTracker.StatedInCall(r.now(), target, stated)
+	r.trafficMu.Unlock()
+	r.logStatements(target, stated, change)
+}
+
 // mergeStatements records what a peer has learned about targets.
 func (r *Router) mergeStatements(peer string, updates []backpressure.Update) {
 	leaving, limits := 0, 0
--- a/internal/routes/message.go
+++ b/internal/routes/message.go
@@ -62,8 +62,24 @@
 	Slots   int
 }
 
+// Statements holds what a response header states about the requests that its target takes.
+type Statements struct {
+	// RateLimit is the number of requests a second that the target takes from all routers together, if HasRateLimit is
+	// set. It holds for as long as the target's responses state it.
+	RateLimit    float64
+	HasRateLimit bool
+	// Leaving is set if the target states that it leaves.
+	Leaving bool
+	// RetryAfter is how long the target wants no requests from this router, in a rejection; zero if not stated.
+	// InvalidRetryAfter is the beginning of a value that is no number of seconds.
+	RetryAfter        time.Duration
+	InvalidRetryAfter string
+}
+
 // Answer holds the properties of a target's response header that the router uses.
 type Answer struct {
+	Statements
+
 	// ID is the request ID echoed by the target; empty if there is none.
 	ID string
 	// Sealed is set if the response comes from the target itself; it is passed on unchanged.
@@ -77,16 +93,6 @@
 	// Load is the target's load, if HasLoad is set.
 	Load    Load
 	HasLoad bool
-	// RateLimit is the number of requests a second that the target takes from all routers together, if HasRateLimit is
-	// set. It holds for as long as the target's responses state it.
-	RateLimit    float64
-	HasRateLimit bool
-	// Leaving is set if the target states that it leaves.
-	Leaving bool
-	// RetryAfter is how long the target wants no requests from this router, in a rejection; zero if not stated.
-	// InvalidRetryAfter is the beginning of a value that is no number of seconds.
-	RetryAfter        time.Duration
-	InvalidRetryAfter string
 	// KeepAlive is how long the target keeps an idle connection open; zero if not stated.
 	KeepAlive time.Duration
 }
