Bound the load of the test of paused targets

Cause, from the log of 16 runs at the same time, 8 and 9 of which failed: the test started 12 requests every 50 ms whether or not earlier ones had ended. At the time of the first refusal the two targets that took requests had 30 requests in progress each at 8 slots, and responses took up to 870 ms. The router refused what could not be served in time, as it is to; no target rejected a request and none was paused but the one. Without competing processes responses take 1 ms.

The test now waits for each burst before it starts the next one. All checks and bounds are as before.

--- a/internal/router/pause_test.go
+++ b/internal/router/pause_test.go
@@ -51,8 +51,9 @@
 				}
 				return platformtest.Behavior{}
 			})
-			var clients sync.WaitGroup
 			for i, start := 0, time.Now(); time.Since(start) < load; i++ {
+				// Bursts do not overlap, so that the other targets have room for each of them on a slow machine as well.
+				var clients sync.WaitGroup
 				for k := range burst {
 					clients.Go(func() {
 						if got := f.sendTo(i, service.path, fmt.Sprint("subject", k)); got.status != http.StatusOK {
@@ -60,9 +61,9 @@
 						}
 					})
 				}
+				clients.Wait()
 				time.Sleep(50 * time.Millisecond)
 			}
-			clients.Wait()
 			if rejectedAt.IsZero() {
 				t.Fatal("the target was never asked")
 			}
