--- a/internal/backpressure/doc.go
+++ b/internal/backpressure/doc.go
@@ -6,8 +6,10 @@
 // All routers that know the same members agree on the order.
 //
 // A limit holds until a later response of the target states another one or none. Routers tell each other what they have
-// seen, with its age; the latest response counts. A router that restarts knows no limits until the first response or
-// message. Routers that do not know of each other may exceed the limit, by as many parts as there are groups of them.
+// seen, with its age; the latest response counts. If none has stated the limit for a while, the first router in order is due
+// to send a request, since no router may have another reason to do so and see the end. A router that restarts knows no
+// limits until the first response or message. Routers that do not know of each other may exceed the limit, by as many parts
+// as there are groups of them.
 //
 // A target that leaves gets no requests from the first response that states it. This is never revoked: a target that
 // starts again is another instance. Routers tell each other for a minute; one that has missed all messages learns it from
