--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -366,6 +366,7 @@
 }
 
 func (r *Router) pull(ctx context.Context, keyRange directory.Range, ahead *aheadPeer, address string, after uint64) {
+	started := r.now()
 	changes, err := r.link.Pull(ctx, address, r.config.Prefixes[keyRange], after)
 	r.controlMu.Lock()
 	ahead.pulling = false
@@ -379,7 +380,9 @@
 	r.controlMu.Unlock()
 	if err != nil {
 		r.meters.ControlCall("pull", "failed")
-		r.log.WithError(err).Info("pull from a peer failed")
+		r.log.WithError(err).WithFields(logrus.Fields{
+			"peer": address, "prefix": r.config.Prefixes[keyRange], "ms": (r.now() - started).Milliseconds(),
+		}).Info("pull from a peer failed")
 		return
 	}
 	r.meters.ControlCall("pull", "done")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -110,6 +110,8 @@
 	access     map[directory.Range]peers.Access
 	// confirmedAt is when a range was last known to be up to date.
 	confirmedAt map[directory.Range]time.Duration
+	// answeredAt is when the store last answered a call for a range.
+	answeredAt map[directory.Range]time.Duration
 	// cachesComplete is set once this router knows the contents of all target caches and can share them with peers.
 	cachesComplete atomic.Bool
 	// cachePeer is the peer that most recently announced that it knows the target caches; empty for none.
@@ -147,6 +149,7 @@
 		access:         make(map[directory.Range]peers.Access),
 		forceRead:      make(map[directory.Range]bool),
 		confirmedAt:    make(map[directory.Range]time.Duration),
+		answeredAt:     make(map[directory.Range]time.Duration),
 		crashes:        newCrashTracker(),
 		promptCrashes:  newPromptCrashTracker(),
 		noticesPending: make(chan struct{}, 1),
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -184,6 +184,7 @@
 	r.access[keyRange] = peers.Reading
 	r.forceRead[keyRange] = false
 	r.confirmedAt[keyRange] = r.now()
+	r.answeredAt[keyRange] = r.now()
 	r.controlMu.Unlock()
 	if regained {
 		r.meters.Event("store_regained")
@@ -196,10 +197,11 @@
 	lost := r.access[keyRange] != peers.Failing
 	r.access[keyRange] = peers.Failing
 	r.directory.StoreFailed(r.now())
+	silent := r.now() - r.answeredAt[keyRange]
 	r.controlMu.Unlock()
 	r.meters.Event("store_call_failed")
 	if lost {
-		r.log.WithError(err).WithField("prefix", r.config.Prefixes[keyRange]).Warn("store lost")
+		r.log.WithError(err).WithFields(logrus.Fields{"prefix": r.config.Prefixes[keyRange], "silent_ms": silent.Milliseconds()}).Warn("store lost")
 	}
 }
 
