Replace readers that have lost the store without noticing

Cause: a reader noticed a silent store when its watch of 3 s timed out, 3.7 s after it began, and counted as a reader until then.

A router then no longer waits 1.2 s: it reads at once when no other router claims to. A single failed call is not told, so that a reset connection does not make all routers read.

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -33,8 +33,8 @@
 	// rankSettleTime is the time after start within which a router hears from most others: three digests of each, or
 	// one of a router that reads the store. A configuration change during this time is read after it, within its bound.
 	rankSettleTime = 800 * time.Millisecond
-	// readerTimeout is the time without a datagram from a reader after which a router reads the store itself. It spans
-	// several digest intervals and leaves the rest of the bound on configuration delay for the read.
+	// readerTimeout is the time without a datagram from a reader after which a router no longer relies on that reader. It
+	// spans several digest intervals and leaves the rest of the bound on configuration delay for a read of its own.
 	readerTimeout = 1200 * time.Millisecond
 	// readerRankingKey is the rendezvous hashing key by which readers are ranked.
 	readerRankingKey = "store reader"
@@ -72,8 +72,6 @@
 	seeds   []string
 	members map[string]*member
 	rng     *rand.Rand
-	// lastReaderSeen is when a datagram of a router that reads the store last arrived.
-	lastReaderSeen time.Duration
 }
 
 // Sighting is another router as listed in a datagram, with the time since it was last heard from.
@@ -92,9 +90,6 @@
 	if address == m.self {
 		return false
 	}
-	if access == Reading && !leaving {
-		m.lastReaderSeen = now
-	}
 	known := m.getOrCreate(address)
 	isNew := !known.seenDirectly || known.incarnation != incarnation || now-known.lastDirect >= memberTimeout
 	*known = member{zone: known.zone, incarnation: incarnation, lastSeen: now, lastDirect: now, seenDirectly: true, leaving: leaving, access: access}
@@ -158,9 +153,20 @@
 }
 
 // ReadsStore reports whether this router has to read the store: it ranks among the first of the routers that can, or it
-// has not heard from a reader within readerTimeout.
+// can rely on no other reader. A reader that loses the store says so, and is not relied on from then on.
 func (m *Members) ReadsStore(now time.Duration) bool {
-	return now-m.lastReaderSeen >= readerTimeout || m.RanksAsReader(now)
+	return now >= readerTimeout && !m.hearsReader(now) || m.RanksAsReader(now)
+}
+
+// hearsReader reports whether another router reads the store according to its latest datagram, and has sent that within
+// readerTimeout.
+func (m *Members) hearsReader(now time.Duration) bool {
+	for _, other := range m.members {
+		if other.access == Reading && !other.leaving && now-other.lastDirect < readerTimeout {
+			return true
+		}
+	}
+	return false
 }
 
 // RanksAsReader reports whether this router ranks among the first of the routers that can read the store.
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -126,6 +126,44 @@
 	}
 }
 
+// Guards against routers that wait for a reader that has said that it lost the store or leaves.
+func TestReaderThatGivesUpIsNotReliedOn(t *testing.T) {
+	now := 10 * time.Second
+	tests := []struct {
+		name    string
+		access  Access
+		leaving bool
+		age     time.Duration
+		reads   bool
+	}{
+		{"reading", Reading, false, 0, false},
+		{"reading, heard some time ago", Reading, false, readerTimeout - time.Millisecond, false},
+		{"reading, not heard any more", Reading, false, readerTimeout, true},
+		{"lost the store", Failing, false, 0, true},
+		{"leaving", Reading, true, 0, true},
+		{"leaves the store to others", Relayed, false, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newGroup(1)[0]
+			reader := ""
+			for i := range 9 {
+				address := fmt.Sprint("10.0.1.", i, ":1")
+				m.RecordDatagram(now-test.age, address, 1, false, Relayed)
+				reader = address
+			}
+			m.RecordDatagram(now-test.age, reader, 1, false, Reading)
+			m.RecordDatagram(now-test.age, reader, 1, test.leaving, test.access)
+			if m.RanksAsReader(now) {
+				t.Fatal("ranks as reader in any case")
+			}
+			if got := m.ReadsStore(now); got != test.reads {
+				t.Errorf("reads the store: %v, want %v", got, test.reads)
+			}
+		})
+	}
+}
+
 // Guards against members that are lost permanently after a network partition, and against counting members that are
 // gone.
 func TestMembersExpireAndRejoin(t *testing.T) {
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -32,6 +32,9 @@
 	// readerFanout bounds the recipients of a digest from a router that reads the store. Routers that receive digests
 	// from no reader read the store themselves, so the bound covers the largest current fleet.
 	readerFanout = 80
+	// lossAnnouncementPeriod is how long a router that no longer reads the store continues to send digests to all that
+	// received them while it did. It spans two digests, since one may be lost.
+	lossAnnouncementPeriod = 2 * digestInterval
 	// pullDelay is how long a router waits for the store to deliver changes that a peer already has.
 	pullDelay = 300 * time.Millisecond
 	// pullRetryInterval is the pause between pulls of the same range.
@@ -220,6 +223,10 @@
 	}
 	fanout := digestFanout
 	if digest.Store == pb.StoreAccess_STORE_ACCESS_READING {
+		r.claimedReadAt, r.claimedRead = now, true
+	}
+	// Those that rely on a reader must also learn that it has lost the store.
+	if r.claimedRead && now-r.claimedReadAt < lossAnnouncementPeriod {
 		fanout = readerFanout
 	}
 	return digest, r.members.Recipients(now, fanout)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/directory"
 	"github.com/amaranthlb/amaranthlb/internal/eventlog"
+	"github.com/amaranthlb/amaranthlb/internal/liveness"
 	"github.com/amaranthlb/amaranthlb/internal/mirror"
 	"github.com/amaranthlb/amaranthlb/internal/peers"
 	"github.com/amaranthlb/amaranthlb/internal/place"
@@ -37,6 +38,8 @@
 type Store interface {
 	Range(ctx context.Context, prefix string) (uint64, []mirror.Item, error)
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (uint64, []mirror.Event, error)
+	// Ping makes a short call. It succeeds if the store responds to this caller.
+	Ping(ctx context.Context) error
 	// HistoryGone reports whether an error from Watch means that the complete range must be read again.
 	HistoryGone(err error) bool
 	Reconnect()
@@ -112,6 +115,13 @@
 	confirmedAt map[directory.Range]time.Duration
 	// answeredAt is when the store last answered a call for a range.
 	answeredAt map[directory.Range]time.Duration
+	// claimedReadAt is when a digest last said that this router reads the store, if claimedRead is set.
+	claimedReadAt time.Duration
+	claimedRead   bool
+	// storeFailures counts the consecutive failures of calls to the store for a range.
+	storeFailures map[directory.Range]int
+	// storeMonitor detects that the store has fallen silent.
+	storeMonitor *liveness.Monitor
 	// cachesComplete is set once this router knows the contents of all target caches and can share them with peers.
 	cachesComplete atomic.Bool
 	// cachePeer is the peer that most recently announced that it knows the target caches; empty for none.
@@ -150,6 +160,8 @@
 		forceRead:      make(map[directory.Range]bool),
 		confirmedAt:    make(map[directory.Range]time.Duration),
 		answeredAt:     make(map[directory.Range]time.Duration),
+		storeFailures:  make(map[directory.Range]int),
+		storeMonitor:   liveness.New(storePingInterval, storePingTimeout),
 		crashes:        newCrashTracker(),
 		promptCrashes:  newPromptCrashTracker(),
 		noticesPending: make(chan struct{}, 1),
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -16,8 +16,8 @@
 
 // Limits of store access.
 const (
-	// watchWait is how long the store holds a watch. A silently broken connection is noticed only after that time, so
-	// it must stay within the propagation bound for configurations.
+	// watchWait is how long the store holds a watch. A single connection that is silently broken is noticed only after
+	// that time.
 	watchWait = 3 * time.Second
 	// confirmWait is how long the store holds the first watch of a router that starts to read. Until it is answered no
 	// other router relies on this one, and all would start to read after readerSilence.
@@ -163,11 +163,10 @@
 	wait := watchWait
 	if r.access[keyRange] != peers.Reading {
 		wait = confirmWait
+		r.storeMonitor.Reset(r.now())
 	}
 	r.controlMu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
-	defer cancel()
-	revision, events, err := r.store.Watch(ctx, prefix, after, wait)
+	revision, events, err := r.watchStore(ctx, prefix, after, wait)
 	if err != nil {
 		return err
 	}
@@ -183,8 +182,10 @@
 	regained := r.access[keyRange] != peers.Reading
 	r.access[keyRange] = peers.Reading
 	r.forceRead[keyRange] = false
+	r.storeFailures[keyRange] = 0
 	r.confirmedAt[keyRange] = r.now()
 	r.answeredAt[keyRange] = r.now()
+	r.storeMonitor.Answered(r.now())
 	r.controlMu.Unlock()
 	if regained {
 		r.meters.Event("store_regained")
@@ -194,14 +195,20 @@
 
 func (r *Router) recordStoreFailure(keyRange directory.Range, err error) {
 	r.controlMu.Lock()
-	lost := r.access[keyRange] != peers.Failing
-	r.access[keyRange] = peers.Failing
+	r.storeFailures[keyRange]++
+	// All others may start to read once a reader says that it has lost the store, so a single failure is not announced.
+	lost := r.access[keyRange] == peers.Relayed ||
+		r.access[keyRange] == peers.Reading && (r.storeFailures[keyRange] > 1 || errors.Is(err, errStoreSilent))
+	if lost {
+		r.access[keyRange] = peers.Failing
+	}
 	r.directory.StoreFailed(r.now())
 	silent := r.now() - r.answeredAt[keyRange]
 	r.controlMu.Unlock()
 	r.meters.Event("store_call_failed")
 	if lost {
 		r.log.WithError(err).WithFields(logrus.Fields{"prefix": r.config.Prefixes[keyRange], "silent_ms": silent.Milliseconds()}).Warn("store lost")
+		r.sendDigest(r.now(), nil)
 	}
 }
 
--- a/internal/router/store_test.go
+++ b/internal/router/store_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -49,8 +50,9 @@
 	return after, nil, nil
 }
 
-func (*slowStore) HistoryGone(error) bool { return false }
-func (*slowStore) Reconnect()             {}
+func (*slowStore) Ping(context.Context) error { return nil }
+func (*slowStore) HistoryGone(error) bool     { return false }
+func (*slowStore) Reconnect()                 {}
 
 // emptyDecoder decodes nothing, since the store is empty.
 type emptyDecoder struct{}
@@ -166,3 +168,57 @@
 		}
 	}
 }
+
+// Guards against routers that rely on a reader that has lost the store because they are not among those it tells.
+func TestLossOfStoreIsToldToAllThatRelyOnReader(t *testing.T) {
+	const routers = 70
+	r := newReader(t, &slowStore{})
+	for i := range routers {
+		r.members.RecordDatagram(0, fmt.Sprintf("10.0.0.%d:1", i), 1, false, peers.Relayed)
+	}
+	for _, access := range []peers.Access{peers.Reading, peers.Failing} {
+		for _, keyRange := range directory.AllRanges() {
+			r.access[keyRange] = access
+		}
+		if _, recipients := r.buildDigest(time.Millisecond, nil, false); len(recipients) != routers {
+			t.Errorf("access %v is told to %d routers, want %d", access, len(recipients), routers)
+		}
+	}
+	if _, recipients := r.buildDigest(time.Second, nil, false); len(recipients) != digestFanout {
+		t.Errorf("later digests go to %d routers, want %d", len(recipients), digestFanout)
+	}
+}
+
+// Guards against all routers reading the store because each reader had one failed call.
+func TestSingleFailedCallDoesNotRevokeReader(t *testing.T) {
+	keyRange := directory.AllRanges()[0]
+	failed := errors.New("connection reset")
+	for _, test := range []struct {
+		name     string
+		before   peers.Access
+		failures []error
+		want     peers.Access
+	}{
+		{"one failure", peers.Reading, []error{failed}, peers.Reading},
+		{"two failures", peers.Reading, []error{failed, failed}, peers.Failing},
+		{"silent store", peers.Reading, []error{errStoreSilent}, peers.Failing},
+		{"first call fails", peers.Relayed, []error{failed}, peers.Failing},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newReader(t, &slowStore{})
+			link, err := peers.Open("127.0.0.1:0", r.meters)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = link.Close() })
+			r.link = link
+			r.access[keyRange] = test.before
+			for _, err := range test.failures {
+				r.recordStoreFailure(keyRange, err)
+			}
+			if got := r.access[keyRange]; got != test.want {
+				t.Errorf("access %v, want %v", got, test.want)
+			}
+		})
+	}
+}
