Pull from other routers on new connections

Cause: pulls used a connection kept from the pull before. The reader's VM had lost power for 5 s since, so that the connection was reset, or silent for the whole 0.8 s of a pull.

Change: each pull and each request for cache contents opens a connection. They are rare (a change of configuration, a start).

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -93,7 +93,7 @@
 	return &Link{
 		socket:   socket,
 		listener: listener,
-		dialer:   rpc.NewDialer(rpc.Control, nil, counter),
+		dialer:   rpc.NewDialer(rpc.Control, nil, counter).WithoutReuse(),
 		counter:  counter,
 	}, nil
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// WithoutReuse makes the dialer open a connection for each call. A kept connection may have gone silent with the peer's VM,
+// which is noticed only by a timeout.
+func (d *Dialer) WithoutReuse() *Dialer {
+	d.pool = drpcpool.New[string, drpcpool.Conn](drpcpool.Options{KeyCapacity: -1})
+	return d
+}
+
 // WithSource sets the local IP address of the dialer's connections. With an empty address the operating system chooses.
 func (d *Dialer) WithSource(source string) *Dialer {
 	d.source = source
