Keep routers reading until enough live readers rank before them

Cause: routers that have died rank first until their membership times out after 6 s. The others read for want of a reader, heard of each other, and all stopped, since three routers seemed to precede them.

Change: a router that reads goes on until three routers that rank before it do read, by datagrams of the last 1.2 s.

TestDeadReadersAreReplacedForGood failed before in 7 of 9 cases.

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -153,22 +153,34 @@
 }
 
 // ReadsStore reports whether this router has to read the store: it ranks among the first of the routers that can, or it
-// can rely on no other reader. A reader that loses the store says so, and is not relied on from then on.
-func (m *Members) ReadsStore(now time.Duration) bool {
-	return now >= readerTimeout && !m.hearsReader(now) || m.RanksAsReader(now)
+// can rely on no other reader. A reader that loses the store says so, and is not relied on from then on. A router that is
+// reading goes on until enough of those that rank before it do: some of these may have died since.
+func (m *Members) ReadsStore(now time.Duration, reading bool) bool {
+	switch {
+	case m.RanksAsReader(now):
+		return true
+	case reading && now >= rankSettleTime:
+		return m.countRankedBefore(now, func(other *member) bool { return other.isReader(now) }) < readerCount
+	}
+	return now >= readerTimeout && !m.hearsReader(now)
 }
 
-// hearsReader reports whether another router reads the store according to its latest datagram, and has sent that within
-// readerTimeout.
+// hearsReader reports whether another router can be relied on to read the store.
 func (m *Members) hearsReader(now time.Duration) bool {
 	for _, other := range m.members {
-		if other.access == Reading && !other.leaving && now-other.lastDirect < readerTimeout {
+		if other.isReader(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// isReader reports whether a router reads the store according to its latest datagram, and has sent that within
+// readerTimeout.
+func (o *member) isReader(now time.Duration) bool {
+	return o.access == Reading && !o.leaving && now-o.lastDirect < readerTimeout
+}
+
 // RanksAsReader reports whether this router ranks among the first of the routers that can read the store.
 func (m *Members) RanksAsReader(now time.Duration) bool {
 	ahead := m.countRankedBefore(now, func(other *member) bool { return other.access != Failing })
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -29,7 +29,7 @@
 func storeReaders(now time.Duration, all []*Members) []*Members {
 	var list []*Members
 	for _, m := range all {
-		if m.ReadsStore(now) {
+		if m.ReadsStore(now, false) {
 			list = append(list, m)
 		}
 	}
@@ -42,7 +42,7 @@
 	now := 10 * time.Second
 	exchangeDigests(now, all, func(*Members) Access { return Relayed })
 	exchangeDigests(now, all, func(m *Members) Access {
-		if m.ReadsStore(now) {
+		if m.ReadsStore(now, false) {
 			return Reading
 		}
 		return Relayed
@@ -120,7 +120,7 @@
 		for i := range 9 {
 			m.RecordDatagram(10*time.Second, fmt.Sprint("10.0.0.", i, ":1"), 1, false, Reading)
 		}
-		if !m.ReadsStore(10*time.Second + readerTimeout) {
+		if !m.ReadsStore(10*time.Second+readerTimeout, false) {
 			t.Errorf("%s does not read the store", m.self)
 		}
 	}
@@ -157,13 +157,74 @@
 			if m.RanksAsReader(now) {
 				t.Fatal("ranks as reader in any case")
 			}
-			if got := m.ReadsStore(now); got != test.reads {
+			if got := m.ReadsStore(now, false); got != test.reads {
 				t.Errorf("reads the store: %v, want %v", got, test.reads)
 			}
 		})
 	}
 }
 
+// Guards against a store that nobody reads for a second again and again, since routers that have just died still rank first:
+// found on hanamichi-rose-grown with a few VMs killed.
+func TestDeadReadersAreReplacedForGood(t *testing.T) {
+	const interval, bound = 250 * time.Millisecond, readerTimeout + 2*250*time.Millisecond
+	for _, routers := range []int{5, 12, 70} {
+		for _, able := range []int{1, 2, routers - readerCount} {
+			t.Run(fmt.Sprint(routers, " routers, of which ", able, " can read"), func(t *testing.T) {
+				all := newGroup(routers)
+				access := make(map[*Members]Access)
+				killed := make(map[*Members]bool)
+				unable := make(map[*Members]bool)
+				start, kill, end := 10*time.Second, 14*time.Second, 30*time.Second
+				exchangeDigests(start, all, func(*Members) Access { return Relayed })
+				for now := start; now < end; now += interval {
+					if now == kill {
+						for _, m := range all {
+							if access[m] == Reading {
+								killed[m] = true
+							}
+						}
+						if len(killed) != readerCount {
+							t.Fatalf("%d routers read the store, want %d", len(killed), readerCount)
+						}
+						for _, m := range all {
+							if !killed[m] && len(unable) < routers-readerCount-able {
+								unable[m] = true
+							}
+						}
+					}
+					for _, to := range all {
+						for _, from := range all {
+							if !killed[from] {
+								to.RecordDatagram(now, from.self, 1, false, access[from])
+							}
+						}
+					}
+					readers := 0
+					for _, m := range all {
+						reads := !killed[m] && m.ReadsStore(now, access[m] == Reading)
+						switch {
+						case !reads && access[m] == Reading:
+							access[m] = Relayed
+						case reads && unable[m]:
+							access[m] = Failing
+						case reads:
+							access[m] = Reading
+							readers++
+						}
+					}
+					if readers == 0 && (now < kill && now > start+readerTimeout || now > kill+bound) {
+						t.Errorf("nobody reads the store %v after the readers died", now-kill)
+					}
+					if now > kill+2*memberTimeout && readers != min(able, readerCount) {
+						t.Errorf("%d routers read the store, want %d", readers, min(able, readerCount))
+					}
+				}
+			})
+		}
+	}
+}
+
 // Guards against members that are lost permanently after a network partition, and against counting members that are
 // gone.
 func TestMembersExpireAndRejoin(t *testing.T) {
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -125,7 +125,7 @@
 	case r.forceRead[keyRange]:
 		return true
 	case r.directory.Mirror(keyRange).Initialized():
-		return r.members.ReadsStore(now)
+		return r.members.ReadsStore(now, r.access[keyRange] == peers.Reading)
 	case r.config.FirstStart && now < firstStartReadWait:
 		return now >= firstStartReadDelay && r.members.RanksAsReader(now)
 	}
