Let few routers substitute for readers that have failed

The first twelve in rank read at once now and the others 0.4 s later, if none of the twelve has said by then that it reads; a router that begins to read says so at once.

TestFewRoutersSubstituteForReaders failed before (70 routers read, want 15).

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -36,6 +36,11 @@
 	// readerTimeout is the time without a datagram from a reader after which a router no longer relies on that reader. It
 	// spans several digest intervals and leaves the rest of the bound on configuration delay for a read of its own.
 	readerTimeout = 1200 * time.Millisecond
+	// substituteCount is the number of routers that read the store as soon as no reader is left. It is above readerCount
+	// because whatever made the readers fail may affect many.
+	substituteCount = 12
+	// substituteDelay is how long the other routers wait for one of them: a read, and the datagram that tells of it.
+	substituteDelay = 400 * time.Millisecond
 	// readerRankingKey is the rendezvous hashing key by which readers are ranked.
 	readerRankingKey = "store reader"
 )
@@ -62,6 +67,8 @@
 	seenDirectly bool
 	leaving      bool
 	access       Access
+	// readsUntil is the time until which the router is relied on to read the store.
+	readsUntil time.Duration
 }
 
 // Members tracks the other routers known to this one. It is a deterministic state machine without I/O and not safe for
@@ -92,7 +99,14 @@
 	}
 	known := m.getOrCreate(address)
 	isNew := !known.seenDirectly || known.incarnation != incarnation || now-known.lastDirect >= memberTimeout
-	*known = member{zone: known.zone, incarnation: incarnation, lastSeen: now, lastDirect: now, seenDirectly: true, leaving: leaving, access: access}
+	readsUntil := min(known.readsUntil, now)
+	if access == Reading && !leaving {
+		readsUntil = now + readerTimeout
+	}
+	*known = member{
+		zone: known.zone, incarnation: incarnation, lastSeen: now, lastDirect: now, seenDirectly: true,
+		leaving: leaving, access: access, readsUntil: readsUntil,
+	}
 	return isNew
 }
 
@@ -156,34 +170,25 @@
 // can rely on no other reader. A reader that loses the store says so, and is not relied on from then on. A router that is
 // reading goes on until enough of those that rank before it do: some of these may have died since.
 func (m *Members) ReadsStore(now time.Duration, reading bool) bool {
-	switch {
-	case m.RanksAsReader(now):
+	if m.RanksAsReader(now) {
 		return true
-	case reading && now >= rankSettleTime:
-		return m.countRankedBefore(now, func(other *member) bool { return other.isReader(now) }) < readerCount
 	}
-	return now >= readerTimeout && !m.hearsReader(now)
-}
-
-// hearsReader reports whether another router can be relied on to read the store.
-func (m *Members) hearsReader(now time.Duration) bool {
+	if reading && now >= rankSettleTime {
+		return m.countRankedBefore(now, func(other *member) bool { return other.readsUntil > now }) < readerCount
+	}
+	lost := readerTimeout
 	for _, other := range m.members {
-		if other.isReader(now) {
-			return true
-		}
+		lost = max(lost, other.readsUntil)
 	}
-	return false
+	return now >= lost+substituteDelay || now >= lost && m.countRankedBefore(now, canRead) < substituteCount
 }
 
-// isReader reports whether a router reads the store according to its latest datagram, and has sent that within
-// readerTimeout.
-func (o *member) isReader(now time.Duration) bool {
-	return o.access == Reading && !o.leaving && now-o.lastDirect < readerTimeout
-}
+// canRead reports whether a router has not said that it fails to read the store.
+func canRead(other *member) bool { return other.access != Failing }
 
 // RanksAsReader reports whether this router ranks among the first of the routers that can read the store.
 func (m *Members) RanksAsReader(now time.Duration) bool {
-	ahead := m.countRankedBefore(now, func(other *member) bool { return other.access != Failing })
+	ahead := m.countRankedBefore(now, canRead)
 	// A router that has just started waits until it knows the ranks of the others.
 	return ahead < readerCount && len(m.members) > 0 && now >= rankSettleTime
 }
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -225,6 +225,34 @@
 	}
 }
 
+// Guards against a call to the store of each of hundreds of routers whenever the readers fail.
+func TestFewRoutersSubstituteForReaders(t *testing.T) {
+	all := newGroup(70)
+	now := 10 * time.Second
+	exchangeDigests(now, all, func(*Members) Access { return Relayed })
+	failing := map[*Members]bool{}
+	for _, m := range all {
+		failing[m] = m.RanksAsReader(now)
+	}
+	for _, access := range []Access{Reading, Failing} {
+		exchangeDigests(now, all, func(m *Members) Access {
+			if failing[m] {
+				return access
+			}
+			return Relayed
+		})
+	}
+	for _, test := range []struct {
+		wait time.Duration
+		want int
+	}{{0, substituteCount + readerCount}, {substituteDelay, 70}} {
+		// The readers that have failed go on trying.
+		if got := len(storeReaders(now+test.wait, all)); got != test.want {
+			t.Errorf("%d routers read the store %v after the readers failed, want %d", got, test.wait, test.want)
+		}
+	}
+}
+
 // Guards against members that are lost permanently after a network partition, and against counting members that are
 // gone.
 func TestMembersExpireAndRejoin(t *testing.T) {
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -190,6 +190,8 @@
 	if regained {
 		r.meters.Event("store_regained")
 		r.log.WithField("prefix", r.config.Prefixes[keyRange]).Info("store read")
+		// Until others hear of it, more of them start to read.
+		r.sendDigest(r.now(), nil)
 	}
 }
 
--- a/internal/router/store_test.go
+++ b/internal/router/store_test.go
@@ -88,7 +88,12 @@
 	}
 	log := eventlog.Open(io.Discard, logrus.InfoLevel, nil)
 	t.Cleanup(func() { log.Close(time.Second) })
-	return New(Config{PeerAddress: "127.0.0.1:1", LoadMultiple: 2, RetryWindow: time.Second}, nil, store, nil, emptyDecoder{}, log, meters)
+	r := New(Config{PeerAddress: "127.0.0.1:1", LoadMultiple: 2, RetryWindow: time.Second}, nil, store, nil, emptyDecoder{}, log, meters)
+	if r.link, err = peers.Open("127.0.0.1:0", meters); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = r.link.Close() })
+	return r
 }
 
 // startReading returns a router that reads one range of a store until the test ends.
@@ -206,12 +211,6 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := newReader(t, &slowStore{})
-			link, err := peers.Open("127.0.0.1:0", r.meters)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = link.Close() })
-			r.link = link
 			r.access[keyRange] = test.before
 			for _, err := range test.failures {
 				r.recordStoreFailure(keyRange, err)
