Compare revisions of the store within its eras only

Cause: a router took nothing with a lower revision than it had seen.

Change: a position is an era and a revision. A watch that continues in a later era, and a ping that states one, lead to a read of the whole range. Versions of the configuration still only go up.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -114,13 +114,13 @@
 }
 
 // Reset applies a snapshot of a whole range.
-func (d *Directory) Reset(now time.Duration, keyRange Range, revision uint64, items []mirror.Item) []Change {
-	return d.applyEvents(now, keyRange, d.mirrors[keyRange].Reset(revision, items))
+func (d *Directory) Reset(now time.Duration, keyRange Range, at mirror.Position, items []mirror.Item) []Change {
+	return d.applyEvents(now, keyRange, d.mirrors[keyRange].Reset(at, items))
 }
 
 // Apply applies changes to a range.
-func (d *Directory) Apply(now time.Duration, keyRange Range, revision uint64, events []mirror.Event) []Change {
-	return d.applyEvents(now, keyRange, d.mirrors[keyRange].Apply(revision, events))
+func (d *Directory) Apply(now time.Duration, keyRange Range, at mirror.Position, events []mirror.Event) []Change {
+	return d.applyEvents(now, keyRange, d.mirrors[keyRange].Apply(at, events))
 }
 
 func (d *Directory) applyEvents(now time.Duration, keyRange Range, events []mirror.Event) []Change {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -1,12 +1,15 @@
 // Package mirror keeps a copy of a key range of a revisioned store.
 //
 // A Mirror receives snapshots and events, from the store itself or from a peer that is further ahead. It never reverts:
-// anything older than its revision is ignored. It keeps the latest event of each key, so that it can bring a peer up to
-// date without sending the whole range or values that have since been replaced. It does no I/O and is not safe for
-// concurrent use.
+// anything before its position is ignored. A store that is restored from a backup starts a new era, in which revisions
+// continue from those of the backup; a snapshot of a later era replaces the copy, whatever its revision. The mirror
+// keeps the latest event of each key, so that it can bring a peer up to date without sending the whole range or values
+// that have since been replaced. It does no I/O and is not safe for concurrent use.
 package mirror
 
 import (
+	"bytes"
+	"cmp"
 	"math"
 	"sort"
 )
@@ -15,6 +18,17 @@
 // hundred targets.
 const maxTombstones = 512
 
+// Position is a point in the history of a store. Revisions of different eras can't be compared.
+type Position struct {
+	Era      uint64
+	Revision uint64
+}
+
+// Compare returns -1, 0 or 1 if the position is before, at or after the other one.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision))
+}
+
 // Item is one key of the range.
 type Item struct {
 	Key      string
@@ -31,6 +45,8 @@
 // Mirror is the copy.
 type Mirror struct {
 	items map[string]Item
+	// era is the era of all revisions below.
+	era uint64
 	// revision is the revision up to which the copy is complete; content that of the latest change.
 	revision        uint64
 	contentRevision uint64
@@ -47,11 +63,11 @@
 // Initialized reports whether the mirror has received a snapshot.
 func (m *Mirror) Initialized() bool { return m.initialized }
 
-// Revision is the revision up to which the copy is complete.
-func (m *Mirror) Revision() uint64 { return m.revision }
+// Position is the position up to which the copy is complete.
+func (m *Mirror) Position() Position { return Position{m.era, m.revision} }
 
-// ContentRevision is the revision of the latest change that the mirror has seen.
-func (m *Mirror) ContentRevision() uint64 { return m.contentRevision }
+// ContentPosition is the position of the latest change that the mirror has seen.
+func (m *Mirror) ContentPosition() Position { return Position{m.era, m.contentRevision} }
 
 // Get returns the item with the key.
 func (m *Mirror) Get(key string) (Item, bool) {
@@ -69,11 +85,28 @@
 	return items
 }
 
-// Reset replaces the content by a snapshot and returns the changes. An older snapshot than the mirror is ignored.
-func (m *Mirror) Reset(revision uint64, items []Item) []Event {
-	if m.initialized && revision < m.revision {
+// Reset replaces the content by a snapshot and returns the changes. A snapshot from before the mirror's position is
+// ignored.
+func (m *Mirror) Reset(at Position, items []Item) []Event {
+	if m.initialized && at.Compare(m.Position()) < 0 {
 		return nil
 	}
+	var changes []Event
+	if at.Era > m.era {
+		changes = m.startEra(at, items)
+	} else {
+		changes = m.merge(at, items)
+	}
+	// Removals within the gap have no revisions of their own, so peers at earlier revisions can't be served.
+	clear(m.tombstones)
+	m.tombstonesFrom = at.Revision
+	m.revision = at.Revision
+	m.initialized = true
+	return changes
+}
+
+// merge brings the copy up to a snapshot of the same era.
+func (m *Mirror) merge(at Position, items []Item) []Event {
 	present := make(map[string]bool, len(items))
 	var changes []Event
 	for _, item := range items {
@@ -86,24 +119,48 @@
 	}
 	for key := range m.items {
 		if !present[key] {
-			changes = append(changes, Event{Item: Item{Key: key, Revision: revision}, Removed: true})
+			changes = append(changes, Event{Item: Item{Key: key, Revision: at.Revision}, Removed: true})
 		}
 	}
-	sort.Slice(changes, func(i, j int) bool { return changes[i].Revision < changes[j].Revision })
+	sortEvents(changes)
 	for _, change := range changes {
 		m.apply(change)
 	}
-	// Removals within the gap have no revisions of their own, so peers at earlier revisions can't be served.
-	clear(m.tombstones)
-	m.tombstonesFrom = revision
-	m.revision = revision
-	m.initialized = true
 	return changes
 }
 
-// Apply applies the events that lead to the revision. It returns those that were new, without the ones that a later
-// event of the same key replaces.
-func (m *Mirror) Apply(revision uint64, events []Event) []Event {
+// startEra replaces the copy by a snapshot of a later era. Items with the same value are not changes.
+func (m *Mirror) startEra(at Position, items []Item) []Event {
+	previous := m.items
+	m.items = make(map[string]Item, len(items))
+	m.era, m.contentRevision = at.Era, 0
+	var changes []Event
+	for _, item := range items {
+		m.items[item.Key] = item
+		m.contentRevision = max(m.contentRevision, item.Revision)
+		if existing, ok := previous[item.Key]; !ok || !bytes.Equal(existing.Value, item.Value) {
+			changes = append(changes, Event{Item: item})
+		}
+	}
+	for key := range previous {
+		if _, ok := m.items[key]; !ok {
+			changes = append(changes, Event{Item: Item{Key: key, Revision: at.Revision}, Removed: true})
+		}
+	}
+	sortEvents(changes)
+	return changes
+}
+
+func sortEvents(events []Event) {
+	sort.Slice(events, func(i, j int) bool { return events[i].Revision < events[j].Revision })
+}
+
+// Apply applies the events that lead to the position. It returns those that were new, without the ones that a later
+// event of the same key replaces. Events of another era are ignored: without a snapshot they don't connect to the copy.
+func (m *Mirror) Apply(at Position, events []Event) []Event {
+	if at.Era != m.era {
+		return nil
+	}
 	last := make(map[string]int, len(events))
 	for i, event := range events {
 		last[event.Key] = i
@@ -117,7 +174,7 @@
 		changes = append(changes, event)
 	}
 	m.trimTombstones()
-	m.revision = max(m.revision, revision)
+	m.revision = max(m.revision, at.Revision)
 	return changes
 }
 
@@ -149,11 +206,12 @@
 	m.contentRevision = max(m.contentRevision, event.Revision)
 }
 
-// Since returns the events after a revision, and false when the mirror no longer has all of them.
-func (m *Mirror) Since(revision uint64) ([]Event, bool) {
-	if !m.initialized || revision < m.tombstonesFrom {
+// Since returns the events after a position, and false when the mirror does not have all of them.
+func (m *Mirror) Since(position Position) ([]Event, bool) {
+	if !m.initialized || position.Era != m.era || position.Revision < m.tombstonesFrom {
 		return nil, false
 	}
+	revision := position.Revision
 	var events []Event
 	for _, item := range m.items {
 		if item.Revision > revision {
@@ -165,6 +223,6 @@
 			events = append(events, Event{Item: Item{Key: key, Revision: at}, Removed: true})
 		}
 	}
-	sort.Slice(events, func(i, j int) bool { return events[i].Revision < events[j].Revision })
+	sortEvents(events)
 	return events, true
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -39,8 +39,9 @@
 
 // Source provides the content for replies to peers.
 type Source interface {
-	// Changes returns what a peer needs that holds the key range up to the revision after.
-	Changes(prefix string, after uint64) Changes
+	// Changes returns what a peer needs that holds the key range up to the position after; the zero position stands for
+	// nothing.
+	Changes(prefix string, after mirror.Position) Changes
 	// Caches returns what is known about targets' caches.
 	Caches() Caches
 }
@@ -52,9 +53,9 @@
 	Placements []place.Placement
 }
 
-// Changes brings a key range up to a revision.
+// Changes brings a key range up to a position.
 type Changes struct {
-	Revision uint64
+	At mirror.Position
 	// Snapshot reports whether the events are the entire range rather than changes to it.
 	Snapshot bool
 	Events   []mirror.Event
@@ -173,7 +174,7 @@
 
 // Pull implements the Pull method of the Peers service.
 func (s *server) Pull(_ context.Context, request *pb.PullRequest) (*pb.PullReply, error) {
-	changes := s.source.Changes(request.Prefix, request.After)
+	changes := s.source.Changes(request.Prefix, mirror.Position{Era: request.Era, Revision: request.After})
 	list := new(pb.StoreItems)
 	for _, event := range changes.Events {
 		list.Items = append(list.Items, EncodeEvent(event))
@@ -182,7 +183,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &pb.PullReply{Revision: changes.Revision, Whole: changes.Snapshot, Items: items}, nil
+	return &pb.PullReply{Era: changes.At.Era, Revision: changes.At.Revision, Whole: changes.Snapshot, Items: items}, nil
 }
 
 // compress reduces a configuration of a few hundred kilobytes to a size suitable for the links of the smallest VMs.
@@ -221,12 +222,12 @@
 	return list, proto.Unmarshal(decompressed, list)
 }
 
-// Pull requests the changes of a key range after a revision from a peer.
-func (l *Link) Pull(ctx context.Context, address, prefix string, after uint64) (Changes, error) {
+// Pull requests the changes of a key range after a position from a peer.
+func (l *Link) Pull(ctx context.Context, address, prefix string, after mirror.Position) (Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	client := pb.NewDRPCPeersClient(l.dialer.Conn(ctx, address))
-	reply, err := client.Pull(ctx, &pb.PullRequest{Prefix: prefix, After: after})
+	reply, err := client.Pull(ctx, &pb.PullRequest{Prefix: prefix, Era: after.Era, After: after.Revision})
 	if err != nil {
 		return Changes{}, trace.Wrap(err, "pulling changes of %s from %s", prefix, address)
 	}
@@ -234,7 +235,8 @@
 	if err != nil {
 		return Changes{}, trace.Wrap(err, "decoding changes of %s from %s", prefix, address)
 	}
-	return Changes{Revision: reply.Revision, Snapshot: reply.Whole, Events: DecodeEvents(list.Items)}, nil
+	at := mirror.Position{Era: reply.Era, Revision: reply.Revision}
+	return Changes{At: at, Snapshot: reply.Whole, Events: DecodeEvents(list.Items)}, nil
 }
 
 // Caches implements the Caches method of the Peers service.
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -41,13 +41,13 @@
 	pullRetryInterval = 300 * time.Millisecond
 )
 
-// aheadPeer is a peer with a newer revision of a key range than this router.
+// aheadPeer is a peer with newer content of a key range than this router.
 type aheadPeer struct {
-	address         string
-	contentRevision uint64
-	since           time.Duration
-	pulling         bool
-	lastPull        time.Duration
+	address  string
+	content  mirror.Position
+	since    time.Duration
+	pulling  bool
+	lastPull time.Duration
 }
 
 // gossip sends digests, expires stale state and pulls missing changes from peers until the context ends.
@@ -153,9 +153,9 @@
 }
 
 // broadcastChanges sends changes to other routers as soon as the store has delivered them.
-func (r *Router) broadcastChanges(keyRange directory.Range, after, revision uint64, events []mirror.Event) {
+func (r *Router) broadcastChanges(keyRange directory.Range, after, at mirror.Position, events []mirror.Event) {
 	size := 0
-	update := &pb.RangeNews{Prefix: r.config.Prefixes[keyRange], After: after, Revision: revision}
+	update := &pb.RangeNews{Prefix: r.config.Prefixes[keyRange], Era: at.Era, After: after.Revision, Revision: at.Revision}
 	for _, event := range events {
 		size += len(event.Key) + len(event.Value)
 		update.Items = append(update.Items, peers.EncodeEvent(event))
@@ -176,10 +176,11 @@
 		}
 		r.applyUpdate(func(now time.Duration) []directory.Change {
 			local := r.directory.Mirror(keyRange)
-			if !local.Initialized() || local.Revision() < update.After {
+			if !local.Initialized() || local.Position().Compare(mirror.Position{Era: update.Era, Revision: update.After}) < 0 {
 				return nil
 			}
-			return r.directory.Apply(now, keyRange, update.Revision, peers.DecodeEvents(update.Items))
+			at := mirror.Position{Era: update.Era, Revision: update.Revision}
+			return r.directory.Apply(now, keyRange, at, peers.DecodeEvents(update.Items))
 		}, address)
 	}
 }
@@ -213,9 +214,9 @@
 	digest.Store = r.storeAccess()
 	digest.CachesKnown = r.cachesComplete.Load()
 	for _, keyRange := range directory.AllRanges() {
+		content := r.directory.Mirror(keyRange).ContentPosition()
 		digest.Ranges = append(digest.Ranges, &pb.RangeRevision{
-			Prefix:  r.config.Prefixes[keyRange],
-			Content: r.directory.Mirror(keyRange).ContentRevision(),
+			Prefix: r.config.Prefixes[keyRange], Era: content.Era, Content: content.Revision,
 		})
 	}
 	for _, sighting := range r.members.Sample(now) {
@@ -321,14 +322,16 @@
 	return place.Placements{Own: list[:own], Relayed: list[own:]}
 }
 
-// comparePeerRevision records a peer that has a newer revision of a range. The caller holds r.controlMu.
+// comparePeerRevision records a peer that has newer content of a range. The caller holds r.controlMu.
 func (r *Router) comparePeerRevision(now time.Duration, address string, access peers.Access, revision *pb.RangeRevision) {
+	content := mirror.Position{Era: revision.Era, Revision: revision.Content}
 	for keyRange, prefix := range r.config.Prefixes {
 		if prefix != revision.Prefix {
 			continue
 		}
-		if revision.Content <= r.directory.Mirror(keyRange).ContentRevision() {
-			if access == peers.Reading && revision.Content == r.directory.Mirror(keyRange).ContentRevision() {
+		difference := content.Compare(r.directory.Mirror(keyRange).ContentPosition())
+		if difference <= 0 {
+			if access == peers.Reading && difference == 0 {
 				r.confirmedAt[keyRange] = now
 			}
 			continue
@@ -338,8 +341,8 @@
 			ahead = &aheadPeer{since: now}
 			r.aheadPeers[keyRange] = ahead
 		}
-		if revision.Content >= ahead.contentRevision && !ahead.pulling {
-			ahead.address, ahead.contentRevision = address, revision.Content
+		if content.Compare(ahead.content) >= 0 && !ahead.pulling {
+			ahead.address, ahead.content = address, content
 		}
 	}
 }
@@ -350,7 +353,7 @@
 	defer r.controlMu.Unlock()
 	for keyRange, ahead := range r.aheadPeers {
 		local := r.directory.Mirror(keyRange)
-		if local.ContentRevision() >= ahead.contentRevision {
+		if local.ContentPosition().Compare(ahead.content) >= 0 {
 			if !ahead.pulling {
 				delete(r.aheadPeers, keyRange)
 			}
@@ -364,15 +367,15 @@
 			continue
 		}
 		ahead.pulling = true
-		after := local.Revision()
+		after := local.Position()
 		if !local.Initialized() {
-			after = 0
+			after = mirror.Position{}
 		}
 		go r.pull(ctx, keyRange, ahead, ahead.address, after)
 	}
 }
 
-func (r *Router) pull(ctx context.Context, keyRange directory.Range, ahead *aheadPeer, address string, after uint64) {
+func (r *Router) pull(ctx context.Context, keyRange directory.Range, ahead *aheadPeer, address string, after mirror.Position) {
 	started := r.now()
 	changes, err := r.link.Pull(ctx, address, r.config.Prefixes[keyRange], after)
 	r.controlMu.Lock()
@@ -380,7 +383,7 @@
 	ahead.lastPull = r.now()
 	if err != nil {
 		// Another peer may have the changes; the next digest identifies one.
-		ahead.contentRevision = 0
+		ahead.content = mirror.Position{}
 		// Until then, read from the store itself.
 		r.forceRead[keyRange] = true
 	}
@@ -393,20 +396,21 @@
 		return
 	}
 	r.meters.ControlCall("pull", "done")
-	r.applyUpdate(func(now time.Duration) []directory.Change {
-		if !changes.Snapshot {
-			return r.directory.Apply(now, keyRange, changes.Revision, changes.Events)
-		}
-		items := make([]mirror.Item, 0, len(changes.Events))
-		for _, event := range changes.Events {
-			items = append(items, event.Item)
-		}
-		return r.directory.Reset(now, keyRange, changes.Revision, items)
-	}, address)
+	if !changes.Snapshot {
+		r.applyUpdate(func(now time.Duration) []directory.Change {
+			return r.directory.Apply(now, keyRange, changes.At, changes.Events)
+		}, address)
+		return
+	}
+	items := make([]mirror.Item, 0, len(changes.Events))
+	for _, event := range changes.Events {
+		items = append(items, event.Item)
+	}
+	r.applySnapshot(keyRange, changes.At, items, address)
 }
 
 // Changes implements peers.Source.
-func (r *Router) Changes(prefix string, after uint64) peers.Changes {
+func (r *Router) Changes(prefix string, after mirror.Position) peers.Changes {
 	r.controlMu.Lock()
 	defer r.controlMu.Unlock()
 	for keyRange, known := range r.config.Prefixes {
@@ -415,12 +419,12 @@
 		}
 		local := r.directory.Mirror(keyRange)
 		if !local.Initialized() {
-			return peers.Changes{Revision: 0}
+			return peers.Changes{}
 		}
-		if events, ok := local.Since(after); ok && after > 0 {
-			return peers.Changes{Revision: local.Revision(), Events: events}
+		if events, ok := local.Since(after); ok && after.Revision > 0 {
+			return peers.Changes{At: local.Position(), Events: events}
 		}
-		changes := peers.Changes{Revision: local.Revision(), Snapshot: true}
+		changes := peers.Changes{At: local.Position(), Snapshot: true}
 		for _, item := range local.Items() {
 			changes.Events = append(changes.Events, mirror.Event{Item: item})
 		}
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -19,15 +19,15 @@
 )
 
 type rangeResult struct {
-	revision uint64
-	items    []mirror.Item
-	err      error
+	at    mirror.Position
+	items []mirror.Item
+	err   error
 }
 
 // readRange reads a complete range. A store that was down when a call was made may never answer that call, while it
 // answers a later one. So another read starts on a connection of its own while the earlier ones have no response; the
 // earlier ones go on, since aborting a read that waits for a congested store would only add to its load.
-func (r *Router) readRange(ctx context.Context, prefix string) (uint64, []mirror.Item, error) {
+func (r *Router) readRange(ctx context.Context, prefix string) (mirror.Position, []mirror.Item, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var responding atomic.Bool
@@ -38,8 +38,8 @@
 		started++
 		pending++
 		go func() {
-			revision, items, err := r.store.Range(traced, prefix)
-			results <- rangeResult{revision, items, err}
+			at, items, err := r.store.Range(traced, prefix)
+			results <- rangeResult{at, items, err}
 		}()
 	}
 	start()
@@ -50,7 +50,7 @@
 		case result := <-results:
 			pending--
 			if result.err == nil || pending == 0 {
-				return result.revision, result.items, result.err
+				return result.at, result.items, result.err
 			}
 		case <-hedge.C:
 			if !responding.Load() && started < maxHedgedReads {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,10 +36,10 @@
 
 // Store reads the platform's store.
 type Store interface {
-	Range(ctx context.Context, prefix string) (uint64, []mirror.Item, error)
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (uint64, []mirror.Event, error)
-	// Ping makes a short call. It succeeds if the store responds to this caller.
-	Ping(ctx context.Context) error
+	Range(ctx context.Context, prefix string) (mirror.Position, []mirror.Item, error)
+	Watch(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) (mirror.Position, []mirror.Event, error)
+	// Ping makes a short call. It succeeds if the store responds to this caller, and returns the store's era.
+	Ping(ctx context.Context) (uint64, error)
 	// HistoryGone reports whether an error from Watch means that the complete range must be read again.
 	HistoryGone(err error) bool
 	Reconnect()
@@ -122,6 +122,8 @@
 	storeFailures map[directory.Range]int
 	// storeMonitor detects that the store has fallen silent.
 	storeMonitor *liveness.Monitor
+	// storeEra is the latest era that the store has stated in response to a ping.
+	storeEra uint64
 	// cachesComplete is set once this router knows the contents of all target caches and can share them with peers.
 	cachesComplete atomic.Bool
 	// cachePeer is the peer that most recently announced that it knows the target caches; empty for none.
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/amaranthlb/amaranthlb/internal/directory"
+	"github.com/amaranthlb/amaranthlb/internal/mirror"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/peers"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
@@ -77,8 +78,8 @@
 			continue
 		case ctx.Err() != nil:
 			return
-		case r.store.HistoryGone(err):
-			r.log.WithField("prefix", prefix).Info("store's history gone: reading the whole range")
+		case r.store.HistoryGone(err) || errors.Is(err, errStoreRestored):
+			r.log.WithError(err).WithField("prefix", prefix).Info("store's history gone: reading the whole range")
 			fullRead = true
 			continue
 		}
@@ -151,32 +152,48 @@
 	if fullRead {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		revision, items, err := r.readRange(ctx, prefix)
+		at, items, err := r.readRange(ctx, prefix)
 		if err != nil {
 			return err
 		}
-		r.applyUpdate(func(now time.Duration) []directory.Change { return r.directory.Reset(now, keyRange, revision, items) }, "store")
+		r.applySnapshot(keyRange, at, items, "store")
 		return nil
 	}
 	r.controlMu.Lock()
-	after := r.directory.Mirror(keyRange).Revision()
+	after := r.directory.Mirror(keyRange).Position()
 	wait := watchWait
 	if r.access[keyRange] != peers.Reading {
 		wait = confirmWait
 		r.storeMonitor.Reset(r.now())
 	}
 	r.controlMu.Unlock()
-	revision, events, err := r.watchStore(ctx, prefix, after, wait)
+	at, events, err := r.watchStore(ctx, prefix, after, wait)
 	if err != nil {
 		return err
 	}
-	r.applyUpdate(func(now time.Duration) []directory.Change { return r.directory.Apply(now, keyRange, revision, events) }, "store")
+	r.applyUpdate(func(now time.Duration) []directory.Change { return r.directory.Apply(now, keyRange, at, events) }, "store")
 	if len(events) > 0 {
-		r.broadcastChanges(keyRange, after, revision, events)
+		r.broadcastChanges(keyRange, after, at, events)
 	}
 	return nil
 }
 
+// applySnapshot applies the content of a complete range.
+func (r *Router) applySnapshot(keyRange directory.Range, at mirror.Position, items []mirror.Item, source string) {
+	restored := false
+	r.applyUpdate(func(now time.Duration) []directory.Change {
+		local := r.directory.Mirror(keyRange)
+		restored = local.Initialized() && at.Era > local.Position().Era
+		return r.directory.Reset(now, keyRange, at, items)
+	}, source)
+	if restored {
+		r.meters.Event("store_restored")
+		r.log.WithFields(logrus.Fields{
+			"prefix": r.config.Prefixes[keyRange], "era": at.Era, "revision": at.Revision, "source": source,
+		}).Warn("content of restored store taken")
+	}
+}
+
 func (r *Router) recordStoreSuccess(keyRange directory.Range) {
 	r.controlMu.Lock()
 	regained := r.access[keyRange] != peers.Reading
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -19,59 +19,73 @@
 	storeCheckInterval = 100 * time.Millisecond
 )
 
-// errStoreSilent is returned by a watch during which the store has answered no ping.
-var errStoreSilent = errors.New("store does not respond to pings")
+var (
+	// errStoreSilent is returned by a watch during which the store has answered no ping.
+	errStoreSilent = errors.New("store does not respond to pings")
+	// errStoreRestored is returned by a watch if the store was restored from a backup after the position to continue from.
+	errStoreRestored = errors.New("store was restored from a backup")
+)
 
 type watchResult struct {
-	revision uint64
-	events   []mirror.Event
-	err      error
+	at     mirror.Position
+	events []mirror.Event
+	err    error
 }
 
-// watchStore waits for events. It fails before the end of the wait if the store has fallen silent.
-func (r *Router) watchStore(ctx context.Context, prefix string, after uint64, wait time.Duration) (uint64, []mirror.Event, error) {
+// watchStore waits for events. It fails before the end of the wait if the store has fallen silent or was restored.
+func (r *Router) watchStore(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) (mirror.Position, []mirror.Event, error) {
 	watchCtx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	results := make(chan watchResult, 1)
 	go func() {
-		revision, events, err := r.store.Watch(watchCtx, prefix, after, wait)
-		results <- watchResult{revision, events, err}
+		at, events, err := r.store.Watch(watchCtx, prefix, after, wait)
+		if err == nil && at.Era > after.Era {
+			err = errStoreRestored
+		}
+		results <- watchResult{at, events, err}
 	}()
 	check := time.NewTicker(storeCheckInterval)
 	defer check.Stop()
 	for {
 		select {
 		case result := <-results:
-			return result.revision, result.events, result.err
+			return result.at, result.events, result.err
 		case <-check.C:
-			if r.checkStoreAlive(ctx) {
+			err := r.checkStore(ctx, after.Era)
+			if err == nil {
 				continue
 			}
 			cancel()
 			if result := <-results; result.err == nil {
-				return result.revision, result.events, nil
+				return result.at, result.events, nil
 			}
-			return 0, nil, errStoreSilent
+			return mirror.Position{}, nil, err
 		}
 	}
 }
 
-// checkStoreAlive starts a ping if one is due, and reports whether the store counts as alive.
-func (r *Router) checkStoreAlive(ctx context.Context) bool {
+// checkStore pings the store if that is due. It returns an error if the store has fallen silent, or is in a later era.
+func (r *Router) checkStore(ctx context.Context, era uint64) error {
 	r.controlMu.Lock()
+	defer r.controlMu.Unlock()
 	now := r.now()
-	due, silent := r.storeMonitor.PingDue(now), r.storeMonitor.Silent(now)
-	r.controlMu.Unlock()
-	if due {
+	if r.storeMonitor.PingDue(now) {
 		go r.pingStore(ctx)
 	}
-	return !silent
+	switch {
+	case r.storeEra > era:
+		return errStoreRestored
+	case r.storeMonitor.Silent(now):
+		return errStoreSilent
+	}
+	return nil
 }
 
 func (r *Router) pingStore(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storePingTimeout)
 	defer cancel()
-	if err := r.store.Ping(ctx); err != nil {
+	era, err := r.store.Ping(ctx)
+	if err != nil {
 		r.meters.ControlCall("store_ping", "failed")
 		return
 	}
@@ -79,4 +93,5 @@
 	r.controlMu.Lock()
 	defer r.controlMu.Unlock()
 	r.storeMonitor.Answered(r.now())
+	r.storeEra = max(r.storeEra, era)
 }
