Keep what targets have said since the backup of a restored store

A restored store lists targets as they were when its backup was made. A router took that as news: a target that had begun to drain since was ready again, one that had left got requests, and a live one that had registered since was dropped until it wrote its entry again, up to 2 s later.

Change: a target's own start and sequence number order its entries, whatever the store's revisions are. Entries of a restored store from before what is known are left out until the target writes again, also for targets that have left; those that are missing are kept for 2.5 s.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,7 +4,8 @@
 // older configuration. An entry that can't be decoded yields no target and does not affect the others. A target whose
 // entry expires while the store is unstable is retained for a grace period, since live targets rewrite their entries
 // once the store recovers; a target that was draining, or that is removed while the store is healthy, is dropped
-// immediately.
+// immediately. A store that was restored from a backup lists targets as they were then: what a target has said of itself
+// since holds until it writes again, and a target that is missing is retained like one whose entry has expired.
 //
 // The package does no I/O, reads no clock and is not safe for concurrent use.
 package directory
@@ -29,6 +30,9 @@
 	singleRemovalGrace = time.Second
 	// massExpiryShare is the fraction of entries that must disappear together to count as a mass expiry.
 	massExpiryShare = 0.5
+	// maxDeparted bounds the targets that are remembered after they have left. It covers the releases of hundreds of
+	// targets that a backup can be behind.
+	maxDeparted = 512
 )
 
 // Range is one of the store's key ranges.
@@ -69,11 +73,20 @@
 	TargetInvalid  = "target_invalid"
 	TargetRemoved  = "target_removed"
 	TargetRetained = "target_retained"
+	// TargetOutdated is an entry of a restored store from before what the target has said since.
+	TargetOutdated = "target_outdated"
 )
 
 type retainedTarget struct {
 	target routes.Target
 	since  time.Duration
+	// restored is set if the entry was missing in a restored store.
+	restored bool
+}
+
+type departedTarget struct {
+	target routes.Target
+	at     time.Duration
 }
 
 // Directory is the process's view of the store.
@@ -83,6 +96,8 @@
 	table    *routes.Table
 	targets  map[string]routes.Target
 	retained map[string]retainedTarget
+	// departed holds the last descriptions of targets that have left.
+	departed map[string]departedTarget
 	failedAt time.Duration
 	failed   bool
 }
@@ -93,6 +108,7 @@
 		decoder:  decoder,
 		targets:  make(map[string]routes.Target),
 		retained: make(map[string]retainedTarget),
+		departed: make(map[string]departedTarget),
 	}
 	for i := range directory.mirrors {
 		directory.mirrors[i] = mirror.New()
@@ -115,22 +131,25 @@
 
 // Reset applies a snapshot of a whole range.
 func (d *Directory) Reset(now time.Duration, keyRange Range, at mirror.Position, items []mirror.Item) []Change {
-	return d.applyEvents(now, keyRange, d.mirrors[keyRange].Reset(at, items))
+	local := d.mirrors[keyRange]
+	restored := local.Initialized() && at.Era > local.Position().Era
+	return d.applyEvents(now, keyRange, local.Reset(at, items), restored)
 }
 
 // Apply applies changes to a range.
 func (d *Directory) Apply(now time.Duration, keyRange Range, at mirror.Position, events []mirror.Event) []Change {
-	return d.applyEvents(now, keyRange, d.mirrors[keyRange].Apply(at, events))
+	return d.applyEvents(now, keyRange, d.mirrors[keyRange].Apply(at, events), false)
 }
 
-func (d *Directory) applyEvents(now time.Duration, keyRange Range, events []mirror.Event) []Change {
+// applyEvents puts changes into effect. With restored set they are differences to the content of a restored store.
+func (d *Directory) applyEvents(now time.Duration, keyRange Range, events []mirror.Event, restored bool) []Change {
 	var changes []Change
 	for _, event := range events {
 		var change Change
 		if keyRange == Config {
 			change = d.applyConfig(event)
 		} else {
-			change = d.applyTarget(now, event)
+			change = d.applyTarget(now, event, restored)
 		}
 		if change.Kind != "" {
 			change.Key, change.Revision = event.Key, event.Revision
@@ -155,18 +174,25 @@
 	return Change{Kind: ConfigApplied}
 }
 
-func (d *Directory) applyTarget(now time.Duration, event mirror.Event) Change {
+func (d *Directory) applyTarget(now time.Duration, event mirror.Event, restored bool) Change {
 	existing, known := d.targets[event.Key]
 	if event.Removed {
 		delete(d.targets, event.Key)
-		if known && !existing.Draining && d.storeUnstable(now) {
-			d.retained[event.Key] = retainedTarget{target: existing, since: now}
+		if known && !existing.Draining && (restored || d.storeUnstable(now)) {
+			d.retained[event.Key] = retainedTarget{target: existing, since: now, restored: restored}
 			return Change{Kind: TargetRetained}
 		}
+		if known {
+			d.rememberDeparted(now, event.Key, existing)
+		}
 		return Change{Kind: TargetRemoved}
 	}
-	delete(d.retained, event.Key)
 	target, err := d.decoder.DecodeTarget(event.Item)
+	if err == nil && restored && d.isOutdated(event.Key, &target) {
+		return Change{Kind: TargetOutdated}
+	}
+	delete(d.retained, event.Key)
+	delete(d.departed, event.Key)
 	if err != nil {
 		delete(d.targets, event.Key)
 		return Change{Kind: TargetInvalid, Err: err}
@@ -181,17 +207,43 @@
 	return Change{}
 }
 
+// isOutdated reports whether the target is known to have changed or left since an entry of a restored store was written.
+func (d *Directory) isOutdated(key string, entry *routes.Target) bool {
+	if existing, ok := d.targets[key]; ok {
+		return existing.Supersedes(entry)
+	}
+	if left, ok := d.departed[key]; ok {
+		return left.target.StartedAt != 0 && entry.StartedAt != 0 && !entry.Supersedes(&left.target)
+	}
+	return false
+}
+
+func (d *Directory) rememberDeparted(now time.Duration, key string, target routes.Target) {
+	d.departed[key] = departedTarget{target: target, at: now}
+	if len(d.departed) <= maxDeparted {
+		return
+	}
+	oldest := key
+	for other, left := range d.departed {
+		if left.at < d.departed[oldest].at {
+			oldest = other
+		}
+	}
+	delete(d.departed, oldest)
+}
+
 // Expire drops retained targets whose grace period has elapsed, and reports whether any was dropped.
 func (d *Directory) Expire(now time.Duration) bool {
 	massExpiry := float64(len(d.retained)) >= massExpiryShare*float64(len(d.retained)+len(d.targets))
 	dropped := false
 	for key, entry := range d.retained {
 		expired := now-entry.since >= singleRemovalGrace
-		if massExpiry {
+		if massExpiry || entry.restored {
 			expired = now-entry.since >= massExpiryGrace && !d.failedWithinGrace(now)
 		}
 		if expired {
 			delete(d.retained, key)
+			d.rememberDeparted(now, key, entry.target)
 			dropped = true
 		}
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -105,6 +106,81 @@
 	}
 }
 
+// describedTargets decodes "state start sequence".
+type describedTargets struct{ fakeDecoder }
+
+func (describedTargets) DecodeTarget(item mirror.Item) (routes.Target, error) {
+	target := routes.Target{ID: item.Key, Service: "s"}
+	var state string
+	if _, err := fmt.Sscan(string(item.Value), &state, &target.StartedAt, &target.Sequence); err != nil {
+		return routes.Target{}, err
+	}
+	target.Draining = state == "draining"
+	return target, nil
+}
+
+// Guards against requests to targets that have left and are ready again in a restored store, and against the loss of
+// live targets that are missing there.
+func TestRestoredStoreHasEarlierTargets(t *testing.T) {
+	const restoredAt = 20 * time.Second
+	tests := []struct {
+		name string
+		// events follow the entry "ready 7 1" of target a; restored is its entry in the restored store, rewritten the one
+		// that the target writes afterwards; empty for none.
+		events              []mirror.Event
+		restored, rewritten string
+		// before and after are the states of a right after the restore and massExpiryGrace later; empty if it isn't listed.
+		before, after string
+	}{
+		{"unchanged", nil, "ready 7 1", "", "ready", "ready"},
+		{"began to drain since", []mirror.Event{entry("a", "draining 7 4", 6)}, "ready 7 1", "", "draining", "draining"},
+		{"drains and has written again", []mirror.Event{entry("a", "draining 7 4", 6)}, "ready 7 1", "draining 7 9", "draining", "draining"},
+		{"left since", []mirror.Event{entry("a", "draining 7 4", 6), removal("a", 7)}, "ready 7 1", "", "", ""},
+		{"left without draining", []mirror.Event{removal("a", 6)}, "ready 7 1", "", "", ""},
+		{"was taken for gone and is alive", []mirror.Event{removal("a", 6)}, "ready 7 1", "ready 7 5", "ready", "ready"},
+		{"started again since", []mirror.Event{entry("a", "ready 8 1", 6)}, "draining 7 1", "", "ready", "ready"},
+		{"started again and drains", []mirror.Event{entry("a", "ready 8 1", 6)}, "ready 7 1", "draining 8 2", "draining", "draining"},
+		{"starts anew after it left", []mirror.Event{removal("a", 6)}, "", "ready 9 1", "ready", "ready"},
+		{"registered since, alive", nil, "", "ready 7 2", "ready", "ready"},
+		{"registered since, gone", nil, "", "", "ready", ""},
+		{"drained since it registered", []mirror.Event{entry("a", "draining 7 2", 6)}, "", "", "", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := New(describedTargets{})
+			others := []mirror.Item{entry("b", "ready 1 1", 2).Item, entry("c", "ready 1 1", 3).Item, entry("d", "ready 1 1", 4).Item}
+			d.Reset(0, Targets, at(5), append([]mirror.Item{entry("a", "ready 7 1", 5).Item}, others...))
+			d.Apply(10*time.Second, Targets, at(9), test.events)
+			items := others
+			if test.restored != "" {
+				items = append([]mirror.Item{entry("a", test.restored, 4).Item}, others...)
+			}
+			d.Reset(restoredAt, Targets, mirror.Position{Era: 1, Revision: 5}, items)
+			if test.rewritten != "" {
+				d.Apply(restoredAt, Targets, mirror.Position{Era: 1, Revision: 6}, []mirror.Event{entry("a", test.rewritten, 6)})
+			}
+			for _, check := range []struct {
+				after time.Duration
+				want  string
+			}{{0, test.before}, {massExpiryGrace - time.Millisecond, test.before}, {massExpiryGrace, test.after}} {
+				d.Expire(restoredAt + check.after)
+				got := ""
+				for _, target := range d.Targets() {
+					if target.ID == "a" {
+						got = "ready"
+						if target.Draining {
+							got = "draining"
+						}
+					}
+				}
+				if got != check.want {
+					t.Errorf("%v after the restore: listed as %q, want %q", check.after, got, check.want)
+				}
+			}
+		})
+	}
+}
+
 // Guards against an invalid entry that affects others, and against a configuration that reverts.
 func TestInvalidItems(t *testing.T) {
 	d := newFilledDirectory()
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -217,10 +217,24 @@
 	Draining bool
 	// StartedAt is when the instance started, in Unix milliseconds; 0 when unknown.
 	StartedAt int64
+	// Sequence counts what the instance has written about itself.
+	Sequence uint64
 	// Revision is the store's revision of the entry.
 	Revision uint64
 }
 
+// Supersedes reports whether the target describes a later state than another description with the same ID. Targets that
+// don't state their start can't be compared.
+func (t *Target) Supersedes(other *Target) bool {
+	switch {
+	case t.StartedAt == 0 || other.StartedAt == 0:
+		return false
+	case t.StartedAt != other.StartedAt:
+		return t.StartedAt > other.StartedAt
+	}
+	return t.Sequence > other.Sequence
+}
+
 // MovedRun is a run that its engine has stopped so that it can continue elsewhere.
 type MovedRun struct {
 	// Reference names the run's memory in the request that continues it.
