Give routers that start the configuration that a restored store lacks

A router that started after the store had been restored, and before the operator had written the newest configuration again, served the one of the backup: 404 for added routes, and keys that had been revoked. The others had the newer one in force, as versions only go up, but passed on the store's content only. Found by reading for the cause of the restored configuration.

Change: digests say which version is in force, and a pull brings that configuration if the store's is older. A peer's configuration that this router can't decode is pulled once.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -11,6 +11,7 @@
 package directory
 
 import (
+	"bytes"
 	"sort"
 	"time"
 
@@ -91,11 +92,13 @@
 
 // Directory is the process's view of the store.
 type Directory struct {
-	decoder  Decoder
-	mirrors  [rangeCount]*mirror.Mirror
-	table    *routes.Table
-	targets  map[string]routes.Target
-	retained map[string]retainedTarget
+	decoder Decoder
+	mirrors [rangeCount]*mirror.Mirror
+	table   *routes.Table
+	// tableItem is the item from which table was decoded.
+	tableItem mirror.Item
+	targets   map[string]routes.Target
+	retained  map[string]retainedTarget
 	// departed holds the last descriptions of targets that have left.
 	departed map[string]departedTarget
 	failedAt time.Duration
@@ -170,10 +173,37 @@
 	if table == nil || d.table != nil && table.Version <= d.table.Version {
 		return Change{}
 	}
-	d.table = table
+	d.table, d.tableItem = table, event.Item
 	return Change{Kind: ConfigApplied}
 }
 
+// ConfigVersion returns the version of the active configuration, or 0.
+func (d *Directory) ConfigVersion() uint64 {
+	if d.table == nil {
+		return 0
+	}
+	return d.table.Version
+}
+
+// SupersedingConfig returns the item of the active configuration if the store, which has been restored, has an older one.
+func (d *Directory) SupersedingConfig() (mirror.Item, bool) {
+	stored, ok := d.mirrors[Config].Get(d.tableItem.Key)
+	if d.table == nil || ok && bytes.Equal(stored.Value, d.tableItem.Value) {
+		return mirror.Item{}, false
+	}
+	return d.tableItem, true
+}
+
+// ApplySupersedingConfig applies a peer's configuration that is newer than the one in the store.
+func (d *Directory) ApplySupersedingConfig(item mirror.Item) []Change {
+	change := d.applyConfig(mirror.Event{Item: item})
+	if change.Kind == "" {
+		return nil
+	}
+	change.Key, change.Revision = item.Key, item.Revision
+	return []Change{change}
+}
+
 func (d *Directory) applyTarget(now time.Duration, event mirror.Event, restored bool) Change {
 	existing, known := d.targets[event.Key]
 	if event.Removed {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -59,6 +59,8 @@
 	// Snapshot reports whether the events are the entire range rather than changes to it.
 	Snapshot bool
 	Events   []mirror.Event
+	// InForce is the configuration in force if it is newer than the one in the store; nil otherwise.
+	InForce *mirror.Item
 }
 
 // Counter counts the bytes of control traffic.
@@ -179,6 +181,9 @@
 	for _, event := range changes.Events {
 		list.Items = append(list.Items, EncodeEvent(event))
 	}
+	if changes.InForce != nil {
+		list.InForce = EncodeEvent(mirror.Event{Item: *changes.InForce})
+	}
 	items, err := compress(list)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -236,7 +241,11 @@
 		return Changes{}, trace.Wrap(err, "decoding changes of %s from %s", prefix, address)
 	}
 	at := mirror.Position{Era: reply.Era, Revision: reply.Revision}
-	return Changes{At: at, Snapshot: reply.Whole, Events: DecodeEvents(list.Items)}, nil
+	changes := Changes{At: at, Snapshot: reply.Whole, Events: DecodeEvents(list.Items)}
+	if list.InForce != nil {
+		changes.InForce = &DecodeEvents([]*pb.StoreItem{list.InForce})[0].Item
+	}
+	return changes, nil
 }
 
 // Caches implements the Caches method of the Peers service.
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -45,6 +45,7 @@
 type aheadPeer struct {
 	address  string
 	content  mirror.Position
+	version  uint64
 	since    time.Duration
 	pulling  bool
 	lastPull time.Duration
@@ -216,7 +217,7 @@
 	for _, keyRange := range directory.AllRanges() {
 		content := r.directory.Mirror(keyRange).ContentPosition()
 		digest.Ranges = append(digest.Ranges, &pb.RangeRevision{
-			Prefix: r.config.Prefixes[keyRange], Era: content.Era, Content: content.Revision,
+			Prefix: r.config.Prefixes[keyRange], Era: content.Era, Content: content.Revision, Version: r.versionInForce(keyRange),
 		})
 	}
 	for _, sighting := range r.members.Sample(now) {
@@ -330,7 +331,7 @@
 			continue
 		}
 		difference := content.Compare(r.directory.Mirror(keyRange).ContentPosition())
-		if difference <= 0 {
+		if difference <= 0 && revision.Version <= max(r.versionInForce(keyRange), r.rejectedVersion) {
 			if access == peers.Reading && difference == 0 {
 				r.confirmedAt[keyRange] = now
 			}
@@ -341,19 +342,28 @@
 			ahead = &aheadPeer{since: now}
 			r.aheadPeers[keyRange] = ahead
 		}
-		if content.Compare(ahead.content) >= 0 && !ahead.pulling {
-			ahead.address, ahead.content = address, content
+		if !ahead.pulling && (content.Compare(ahead.content) >= 0 || revision.Version > ahead.version) {
+			ahead.address, ahead.content, ahead.version = address, content, revision.Version
 		}
 	}
 }
 
+// versionInForce returns the version of the configuration in force, for the range that contains it. The caller holds
+// r.controlMu.
+func (r *Router) versionInForce(keyRange directory.Range) uint64 {
+	if keyRange != directory.Config {
+		return 0
+	}
+	return r.directory.ConfigVersion()
+}
+
 // pullMissingChanges requests from peers the changes that the store has not delivered within pullDelay.
 func (r *Router) pullMissingChanges(ctx context.Context, now time.Duration) {
 	r.controlMu.Lock()
 	defer r.controlMu.Unlock()
 	for keyRange, ahead := range r.aheadPeers {
 		local := r.directory.Mirror(keyRange)
-		if local.ContentPosition().Compare(ahead.content) >= 0 {
+		if local.ContentPosition().Compare(ahead.content) >= 0 && r.versionInForce(keyRange) >= ahead.version {
 			if !ahead.pulling {
 				delete(r.aheadPeers, keyRange)
 			}
@@ -371,11 +381,13 @@
 		if !local.Initialized() {
 			after = mirror.Position{}
 		}
-		go r.pull(ctx, keyRange, ahead, ahead.address, after)
+		go r.pull(ctx, keyRange, ahead, *ahead, after)
 	}
 }
 
-func (r *Router) pull(ctx context.Context, keyRange directory.Range, ahead *aheadPeer, address string, after mirror.Position) {
+// pull requests changes from the peer that was ahead when the pull was decided.
+func (r *Router) pull(ctx context.Context, keyRange directory.Range, ahead *aheadPeer, peer aheadPeer, after mirror.Position) {
+	address := peer.address
 	started := r.now()
 	changes, err := r.link.Pull(ctx, address, r.config.Prefixes[keyRange], after)
 	r.controlMu.Lock()
@@ -383,7 +395,7 @@
 	ahead.lastPull = r.now()
 	if err != nil {
 		// Another peer may have the changes; the next digest identifies one.
-		ahead.content = mirror.Position{}
+		ahead.content, ahead.version = mirror.Position{}, 0
 		// Until then, read from the store itself.
 		r.forceRead[keyRange] = true
 	}
@@ -396,17 +408,28 @@
 		return
 	}
 	r.meters.ControlCall("pull", "done")
-	if !changes.Snapshot {
+	if changes.InForce != nil && keyRange == directory.Config {
+		r.applyUpdate(func(time.Duration) []directory.Change { return r.directory.ApplySupersedingConfig(*changes.InForce) }, address)
+	}
+	if changes.Snapshot {
+		items := make([]mirror.Item, 0, len(changes.Events))
+		for _, event := range changes.Events {
+			items = append(items, event.Item)
+		}
+		r.applySnapshot(keyRange, changes.At, items, address)
+	} else {
 		r.applyUpdate(func(now time.Duration) []directory.Change {
 			return r.directory.Apply(now, keyRange, changes.At, changes.Events)
 		}, address)
-		return
 	}
-	items := make([]mirror.Item, 0, len(changes.Events))
-	for _, event := range changes.Events {
-		items = append(items, event.Item)
+	r.controlMu.Lock()
+	defer r.controlMu.Unlock()
+	if r.versionInForce(keyRange) < peer.version {
+		r.rejectedVersion = max(r.rejectedVersion, peer.version)
+		if ahead.version == peer.version {
+			ahead.version = 0
+		}
 	}
-	r.applySnapshot(keyRange, changes.At, items, address)
 }
 
 // Changes implements peers.Source.
@@ -421,10 +444,14 @@
 		if !local.Initialized() {
 			return peers.Changes{}
 		}
+		var inForce *mirror.Item
+		if item, ok := r.directory.SupersedingConfig(); ok && keyRange == directory.Config {
+			inForce = &item
+		}
 		if events, ok := local.Since(after); ok && after.Revision > 0 {
-			return peers.Changes{At: local.Position(), Events: events}
+			return peers.Changes{At: local.Position(), Events: events, InForce: inForce}
 		}
-		changes := peers.Changes{At: local.Position(), Snapshot: true}
+		changes := peers.Changes{At: local.Position(), Snapshot: true, InForce: inForce}
 		for _, item := range local.Items() {
 			changes.Events = append(changes.Events, mirror.Event{Item: item})
 		}
--- a/internal/router/outage_test.go
+++ b/internal/router/outage_test.go
@@ -115,3 +115,28 @@
 		}
 	}
 }
+
+// Guards against a router that starts with the configuration of a restored store, although others have a newer one in force.
+func TestStartAfterStoreIsRestored(t *testing.T) {
+	f := newFleet(t, 4)
+	f.target("app-1", "app", platformtest.Behavior{})
+	f.awaitReady()
+	f.awaitReaders()
+	backup := f.store.Backup()
+	f.configure(addedRoute("/added/"))
+	time.Sleep(500 * time.Millisecond)
+	f.store.Restore(backup)
+	time.Sleep(500 * time.Millisecond)
+	restarted := f.routers[1]
+	restarted.stop()
+	if err := <-restarted.ended; err != nil {
+		t.Fatal(err)
+	}
+	f.start(restarted)
+	time.Sleep(configBound)
+	for i, inst := range f.routers {
+		if got := inst.send(context.Background(), get("/added/", fmt.Sprint("added-", i))); got.status != http.StatusOK {
+			t.Errorf("%s does not serve a route of the newest configuration: status %d", inst.config.Name, got.status)
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -110,7 +110,9 @@
 	directory  *directory.Directory
 	members    *peers.Members
 	aheadPeers map[directory.Range]*aheadPeer
-	access     map[directory.Range]peers.Access
+	// rejectedVersion is the version of a peer's configuration that this router could not take.
+	rejectedVersion uint64
+	access          map[directory.Range]peers.Access
 	// confirmedAt is when a range was last known to be up to date.
 	confirmedAt map[directory.Range]time.Duration
 	// answeredAt is when the store last answered a call for a range.
--- a/internal/router/store_test.go
+++ b/internal/router/store_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/peers"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
 	"github.com/amaranthlb/amaranthlb/internal/telemetry"
+	"github.com/amaranthlb/amaranthlb/platform/platformtest"
 )
 
 // slowStore takes a fixed time to read a complete range, as when many readers share its network link.
@@ -258,3 +260,41 @@
 		t.Error("a late reply with earlier content was applied")
 	}
 }
+
+// countingSource has a configuration in force that other routers can't decode.
+type countingSource struct{ pulls atomic.Int64 }
+
+func (s *countingSource) Changes(string, mirror.Position) peers.Changes {
+	s.pulls.Add(1)
+	return peers.Changes{At: mirror.Position{Revision: 1}, InForce: &mirror.Item{Key: "op/config", Revision: 1}}
+}
+func (*countingSource) Caches() peers.Caches { return peers.Caches{} }
+
+// Guards against a router that pulls a peer's configuration again and again since it can't take it.
+func TestUnusableConfigurationIsPulledOnce(t *testing.T) {
+	r := newReader(t, &slowStore{})
+	r.config.Prefixes = map[directory.Range]string{directory.Config: "op/config"}
+	address := platformtest.FreeAddress(t)
+	link, err := peers.Open(address, r.meters)
+	if err != nil {
+		t.Fatal(err)
+	}
+	source := new(countingSource)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- link.Serve(ctx, source) }()
+	defer func() {
+		stop()
+		if err := errors.Join(<-ended, link.Close()); err != nil {
+			t.Log(err)
+		}
+	}()
+	for range 10 {
+		r.handleDigest(&pb.Digest{Address: address, Ranges: []*pb.RangeRevision{{Prefix: "op/config", Version: 9}}})
+		r.pullMissingChanges(ctx, r.now())
+		time.Sleep(pullRetryInterval / 2)
+	}
+	if got := source.pulls.Load(); got != 1 {
+		t.Errorf("%d pulls, want 1", got)
+	}
+}
