--- a/internal/router/outage_test.go
+++ b/internal/router/outage_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/amaranthlb/amaranthlb/platform"
 	"github.com/amaranthlb/amaranthlb/platform/platformtest"
 )
 
@@ -140,3 +142,55 @@
 		}
 	}
 }
+
+// Guards against entries of another writer after which routers end, or no longer follow the list of targets.
+func TestOddEntriesDoNotStopTheList(t *testing.T) {
+	odd := map[string]string{
+		"nested":    strings.Repeat(`{"a":`, 100_000),
+		"number":    `{"service":"app","addr":"127.0.0.1:80","zone":"a","slots":1` + strings.Repeat("0", 100_000) + `,"state":"ready","seq":1}`,
+		"port":      `{"service":"app","addr":"127.0.0.1:70000","zone":"a","slots":6,"state":"ready","seq":1}`,
+		"cold":      `{"service":"app","addr":"127.0.0.1:80","zone":"a","slots":6,"state":"ready","seq":1,"cold-left-ms":1e300}`,
+		"no\r\nid":  `{"service":"app","addr":"127.0.0.1:80","zone":"a","slots":6,"state":"ready","seq":1}`,
+		"no bytes":  "",
+		"null":      "null",
+		"a list":    "[[]]",
+		"long":      strings.Repeat("x", 500_000),
+		"bad text":  "\xff\xfe",
+		"app-1/odd": `{"service":"app","addr":"127.0.0.1:0","zone":"a","slots":6,"state":"ready","seq":1}`,
+	}
+	f := newFleet(t, 4)
+	first := f.target("app-1", "app", platformtest.Behavior{})
+	f.awaitReady()
+	f.awaitReaders()
+	for id, value := range odd {
+		f.store.Put(platform.TargetPrefix+id, []byte(value))
+	}
+	f.target("app-2", "app", platformtest.Behavior{})
+	f.store.Put(platform.TargetPrefix+"app-1", first.Entry("app", "draining"))
+	time.Sleep(configBound)
+	before := len(first.Runs())
+	for i, inst := range f.routers {
+		select {
+		case err := <-inst.ended:
+			t.Errorf("%s has ended: %v", inst.config.Name, err)
+		default:
+		}
+		for n := range 5 {
+			if got := inst.send(context.Background(), get("/look/", fmt.Sprint("look-", i, "-", n))); got.status != http.StatusOK {
+				t.Errorf("%s: status %d, %v", inst.config.Name, got.status, got.err)
+			}
+		}
+	}
+	if got := len(first.Runs()) - before; got > 0 {
+		t.Errorf("%d requests reached a target that drains", got)
+	}
+	const logDelay = 500 * time.Millisecond
+	time.Sleep(logDelay)
+	for id := range odd {
+		for _, inst := range f.routers {
+			if strings.Contains(inst.output.String(), fmt.Sprintf(`"target":%q`, id)) {
+				t.Errorf("%s sent a request to %q", inst.config.Name, id)
+			}
+		}
+	}
+}
