Answer each request that a stopping router has taken

An operator of a similar system reported requests that came late in the grace of a planned stop, were passed on, and were cut with no answer at its end, among them ones that may not be repeated. This could happen here: a call 4 s after the stop of a grace of 6 s, with a route that allows 10 s, was sent to its target and its connection closed 1.5 s later.

Cause: a call was taken if 1.2 s of the grace were left, whatever its own deadline was, and the end of the grace closed all connections.

Change: once the balancer has noticed the stop (3 s), a request is taken only if its deadline falls into the grace, and refused as not run otherwise.

--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -144,7 +144,7 @@
 		return reason.UnknownCustomer, 0
 	}
 	x.setDeadline()
-	if !x.router.canFinish(x.route) {
+	if !x.router.canFinish(x.route, x.deadline) {
 		return reason.Draining, failureRetryAfter
 	}
 	if code := x.readBody(table.Limits); code != "" {
@@ -260,6 +260,7 @@
 func (x *exchange) run() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.router.cutoff, cancel)()
 	_ = x.control.SetWriteDeadline(x.deadline.Add(writeGrace))
 	x.countRequest()
 	defer x.releaseReserved()
@@ -282,6 +283,10 @@
 			x.finish(reason.CallerGone, 0)
 			return
 		}
+		if x.router.cutoff.Err() != nil {
+			x.finish(reason.Draining, failureRetryAfter)
+			return
+		}
 		if x.continueMoved(moved, result) {
 			continue
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -98,10 +98,13 @@
 
 	table    atomic.Pointer[routes.Table]
 	draining atomic.Bool
-	// stopAt is when a stopping process ends; nil while it is not stopping.
-	stopAt   atomic.Pointer[time.Time]
-	inFlight atomic.Int64
-	crashes  *crashTracker
+	// stop is nil while the process is not stopping.
+	stop atomic.Pointer[stopState]
+	// cutoff ends the requests in progress when the stop grace is over.
+	cutoff      context.Context
+	endRequests context.CancelFunc
+	inFlight    atomic.Int64
+	crashes     *crashTracker
 	// promptCrashes finds prompt parts that crash targets.
 	promptCrashes *promptCrashTracker
 
@@ -147,6 +150,7 @@
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	members := peers.NewMembers(config.PeerAddress, config.Seeds, random())
 	members.SetZone(config.PeerAddress, config.Zone)
+	cutoff, endRequests := context.WithCancel(context.Background())
 	return &Router{
 		config:         config,
 		wire:           wire,
@@ -156,6 +160,8 @@
 		meters:         meters,
 		pool:           upstream.NewPool(wire),
 		start:          time.Now(),
+		cutoff:         cutoff,
+		endRequests:    endRequests,
 		incarnation:    rand.Uint64(),
 		directory:      directory.New(decoder),
 		members:        members,
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -29,9 +29,10 @@
 	deregistrationTime = 3 * time.Second
 	// stopMargin is the part of the stop grace that is reserved for process exit.
 	stopMargin = 500 * time.Millisecond
-	// typicalStreamTime and typicalCallTime are the durations within which most streams and plain calls complete. A
-	// stopping router accepts no request that would be interrupted at the end of the stop grace; the client retries at
-	// another router.
+	// cutoffAnswerTime is the part of stopMargin in which requests that are still in progress get their final answers.
+	cutoffAnswerTime = 200 * time.Millisecond
+	// typicalStreamTime and typicalCallTime are the durations within which most streams and plain calls complete. Before
+	// the load balancer has noticed the stop, a router accepts a request if that much is left of the stop grace.
 	typicalStreamTime = 4500 * time.Millisecond
 	typicalCallTime   = 1200 * time.Millisecond
 	// drainPollInterval is how often a stopping router checks for requests in flight.
@@ -128,35 +129,47 @@
 	return server
 }
 
-// canFinish reports whether a request of the route is likely to complete before the process ends.
-func (r *Router) canFinish(route *routes.Route) bool {
-	stop := r.stopAt.Load()
-	if stop == nil {
+// stopState is set when the process begins to stop.
+type stopState struct {
+	// deregistered is when the load balancer has noticed the stop, cutoff when requests in progress are ended.
+	deregistered, cutoff time.Time
+}
+
+// canFinish reports whether a request of the route with the deadline may be accepted. Once the load balancer has noticed
+// a stop, only what has its answer or has missed its deadline before the cutoff may: the client retries at another router.
+func (r *Router) canFinish(route *routes.Route, deadline time.Time) bool {
+	stop := r.stop.Load()
+	if stop == nil || deadline.Before(stop.cutoff) {
 		return true
 	}
 	required := typicalCallTime
 	if route.Kind == routes.Stream {
 		required = typicalStreamTime
 	}
-	return time.Until(*stop) >= required
+	now := time.Now()
+	return now.Before(stop.deregistered) && stop.cutoff.Sub(now) >= required
 }
 
 // drain takes the router out of rotation and waits for its requests. Responses ask clients to close their persistent
 // connections; the listener stays open until the load balancer has noticed.
 func (r *Router) drain(servers []*http.Server) {
-	deadline := time.Now().Add(r.config.StopGrace - stopMargin)
-	deregistered := time.Now().Add(deregistrationTime)
-	r.stopAt.Store(&deadline)
+	now := time.Now()
+	stop := &stopState{deregistered: now.Add(deregistrationTime), cutoff: now.Add(r.config.StopGrace - stopMargin)}
+	r.stop.Store(stop)
 	r.draining.Store(true)
 	servers[0].SetKeepAlivesEnabled(false)
 	r.log.WithField("in_flight", r.inFlight.Load()).Info("stopping")
-	for now := time.Now(); now.Before(deadline); now = time.Now() {
-		if now.After(deregistered) && r.inFlight.Load() == 0 {
+	for ; now.Before(stop.cutoff); now = time.Now() {
+		if now.After(stop.deregistered) && r.inFlight.Load() == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
 	remaining := r.inFlight.Load()
+	r.endRequests()
+	for end := time.Now().Add(cutoffAnswerTime); r.inFlight.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPollInterval)
+	}
 	for _, server := range servers {
 		if err := server.Close(); err != nil {
 			r.log.WithError(err).Info("failed to close server")
