Restore the store from backups in the soak

The soak could not show that a restored store is followed: its store only forgot its history. Half of its outages now end with a return to the backup made after the outage before, and each run ends with a restore before the last configuration and the last target that leaves.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -121,6 +121,12 @@
 	routers []*process
 	version uint64
 
+	// written guards what was last written to the store: it is written again after the store was restored from backup.
+	written sync.Mutex
+	config  map[string]any
+	listed  map[string]string
+	backup  platformtest.StoreBackup
+
 	// statements draws what targets state about themselves, apart from rng, so that seeds draw the same schedules as ever.
 	statements *rand.Rand
 
@@ -152,7 +158,7 @@
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 0)), store: platformtest.StartStore(t), service: map[string]string{}, starts: map[string]int{}}
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 0)), store: platformtest.StartStore(t), service: map[string]string{}, starts: map[string]int{}, listed: map[string]string{}}
 	w.statements = rand.New(rand.NewPCG(seed, 1))
 	var config link.Config
 	for i := range 7 {
@@ -178,6 +184,7 @@
 	for _, target := range w.targets {
 		w.list(target, "ready")
 	}
+	w.backup = w.store.Backup()
 	directory := t.TempDir()
 	seedAddress := ""
 	for i := range *routersFlag {
@@ -209,6 +216,13 @@
 
 // list writes a target's entry, with the address of its relay.
 func (w *world) list(target *platformtest.Target, state string) {
+	w.written.Lock()
+	defer w.written.Unlock()
+	w.listed[target.ID] = state
+	w.writeEntry(target, state)
+}
+
+func (w *world) writeEntry(target *platformtest.Target, state string) {
 	entry := target.Entry(w.service[target.ID], state)
 	entry["addr"] = w.links.RouteAddress(target.ID)
 	w.mu.Lock()
@@ -233,11 +247,34 @@
 	if extra != "" {
 		list = append(list, route(extra, "safe", "app", 2, false))
 	}
-	w.store.Put(platform.ConfigKey, map[string]any{
+	w.written.Lock()
+	defer w.written.Unlock()
+	w.config = map[string]any{
 		"version": w.version, "routes": list,
 		"services": []any{map[string]any{"name": "llm", "engine": map[string]any{"moves": true}}, map[string]any{"name": "app"}},
 		"limits":   map[string]any{"max-body-bytes": 65536},
-	})
+	}
+	w.store.Put(platform.ConfigKey, w.config)
+}
+
+// restoreStore puts the store back to a backup, and writes again what the operator and the targets have written since.
+func (w *world) restoreStore() {
+	const rewriteDelay = 300 * time.Millisecond
+	w.written.Lock()
+	defer w.written.Unlock()
+	w.store.Restore(w.backup)
+	time.Sleep(rewriteDelay)
+	w.store.Put(platform.ConfigKey, w.config)
+	for _, target := range w.targets {
+		w.writeEntry(target, w.listed[target.ID])
+	}
+}
+
+// backUpStore makes the backup that the next restore uses.
+func (w *world) backUpStore() {
+	w.written.Lock()
+	defer w.written.Unlock()
+	w.backup = w.store.Backup()
 }
 
 func (w *world) newProcess(directory string, i int, seed *string) *process {
@@ -496,7 +533,11 @@
 		return func() { w.list(target, "draining") }, func() { w.list(target, "ready") }
 	case 7:
 		status := []int{-1, http.StatusServiceUnavailable, http.StatusTooManyRequests}[w.rng.IntN(3)]
-		return func() { w.store.Refuse(func(string) int { return status }) }, func() { w.store.Refuse(nil); w.store.DropHistory() }
+		end := w.store.DropHistory
+		if w.statements.IntN(2) == 0 {
+			end = w.restoreStore
+		}
+		return func() { w.store.Refuse(func(string) int { return status }) }, func() { w.store.Refuse(nil); end(); w.backUpStore() }
 	default:
 		return func() { w.configure(extra) }, func() { router.signal(syscall.SIGHUP) }
 	}
@@ -601,6 +642,8 @@
 func (w *world) checkFinalState() {
 	const bound = 2 * time.Second // of the platform, for both
 	leaving := w.targets[len(w.targets)-1]
+	w.restoreStore()
+	time.Sleep(bound)
 	w.configure("last")
 	w.list(leaving, "draining")
 	time.Sleep(bound)
