--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,7 +1,7 @@
-// Command 3 shows that a read that crashes each replica that runs it is never refused.
+// Command 3 shows that the search for a prompt part that crashes engines refuses sound prompts for good.
 //
-// Three replicas serve reads and orders through two routers. With the disruption, one client's read comes again and again,
-// and each replica that begins to run it crashes and is back two seconds later. Orders that run there are lost.
+// Clients of two routers send prompts that all begin with the same instructions, a few at a time with pauses between.
+// With the disruption, prompts come that hold one more part, which crashes each engine that begins to answer it.
 package main
 
 import (
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,244 +20,289 @@
 )
 
 const (
-	length = 40 * time.Second
-	// deadlyPath is the path of the read that crashes replicas; it comes again every deadlyInterval.
-	deadlyPath     = "/stock/press-roller-7"
-	deadlyInterval = 1500 * time.Millisecond
-	deadlyFrom     = 3 * time.Second
-	// restartTime is how long a crashed replica is away.
+	// A group of sound requests comes every groupInterval. The deadly ones begin with group deadlyGroup.
+	groupSize     = 3
+	groupInterval = 4500 * time.Millisecond
+	groups        = 21
+	deadlyGroup   = 10
+	// The first deadly requests come deadlyInterval apart, later ones deadlyPause.
+	deadlyAtOnce   = 4
+	deadlyInterval = 170 * time.Millisecond
+	deadlyPause    = time.Second
+	// restartTime is how long a crashed engine is away.
 	restartTime = 2 * time.Second
-	// Orders and sound reads a second, and how long replicas work on them.
-	ordersPerSecond = 40
-	readsPerSecond  = 10
-	work            = 30 * time.Millisecond
-	deadline        = time.Second
-	// touchTime is stable-window-ms.
+	deadline    = 6 * time.Second
+	// tokensPerMS is how fast engines read prompts.
+	tokensPerMS = 50.7
+	// Sizes of prompts: the common first part, the second one, and the request's own.
+	instructionTokens, manualTokens, ownTokens = 6_000, 24_000, 600
+	deadlyTokens                               = 300
+	instructions                               = "a11ce5"
+	deadlyPart                                 = "dead01"
+	events                                     = 17
+	// touchTime is stable-window-ms; the rule begins twice as long after the last crash.
 	touchTime = 3 * time.Second
-	// allowedRetries is the rule's bound.
-	allowedRetries = 3
+	// enough is the number of sound requests that the rule wants in both times.
+	enough = 20
 )
 
-// arrival is a deadly request at a replica.
-type arrival struct {
-	id, replica string
-	at          time.Time
-}
-
-// replica is a server of the service. A crash closes its listener and its connections.
-type replica struct {
+// engine is a model replica. It crashes as it begins to answer a prompt with the deadly part.
+type engine struct {
 	rig     *rig.Rig
 	id      string
 	address string
 	watch   *observer
 
-	mu      sync.Mutex
-	seq     int
-	server  *http.Server
-	running map[string]bool
+	mu     sync.Mutex
+	seq    int
+	server *http.Server
+	// cached holds the parts that the engine has read.
+	cached map[string]bool
 }
 
-// observer records the deadly requests, and the orders that were running when a replica crashed.
 type observer struct {
-	mu       sync.Mutex
-	deadly   []arrival
-	crashes  []time.Time
-	lostRuns map[string]time.Time
+	mu      sync.Mutex
+	begun   map[string]bool
+	crashes []time.Time
 }
 
-func newReplica(r *rig.Rig, id string, watch *observer) (*replica, error) {
+func newEngine(r *rig.Rig, id string, watch *observer) (*engine, error) {
 	listener, err := rig.Listen()
 	if err != nil {
 		return nil, err
 	}
-	p := &replica{rig: r, id: id, address: listener.Addr().String(), watch: watch}
-	p.serve(listener)
-	return p, nil
+	e := &engine{rig: r, id: id, address: listener.Addr().String(), watch: watch}
+	e.serve(listener)
+	return e, nil
 }
 
-// serve begins an incarnation of the replica and lists it.
-func (p *replica) serve(listener net.Listener) {
-	p.mu.Lock()
-	p.seq++
-	p.server, p.running = &http.Server{Handler: p}, make(map[string]bool)
-	server, seq := p.server, p.seq
-	p.mu.Unlock()
+// serve begins an incarnation of the engine and lists it.
+func (e *engine) serve(listener net.Listener) {
+	e.mu.Lock()
+	e.seq++
+	e.server, e.cached = &http.Server{Handler: e}, make(map[string]bool)
+	server, seq := e.server, e.seq
+	e.mu.Unlock()
 	go func() { _ = server.Serve(listener) }() // ends with the crash
-	p.rig.List(rig.Entry{ID: p.id, Service: "app", Address: p.address, State: "ready", Slots: 6, Born: time.Now().UnixMilli(), Seq: seq})
+	e.rig.List(rig.Entry{ID: e.id, Service: "llm", Address: e.address, State: "ready", Slots: 64, Born: time.Now().UnixMilli(), Seq: seq})
 }
 
-// crash ends the incarnation and begins another one later.
-func (p *replica) crash(cause string) {
-	p.mu.Lock()
-	server := p.server
-	lost := p.running
-	p.running = make(map[string]bool)
-	p.mu.Unlock()
-	p.watch.mu.Lock()
-	p.watch.crashes = append(p.watch.crashes, time.Now())
-	for id := range lost {
-		p.watch.lostRuns[id] = time.Now()
-	}
-	p.watch.mu.Unlock()
-	p.rig.Note("%s crashes as it runs request %s; %d orders were running", p.id, cause, len(lost))
+func (e *engine) crash(cause string) {
+	e.mu.Lock()
+	server := e.server
+	e.mu.Unlock()
+	e.watch.mu.Lock()
+	e.watch.crashes = append(e.watch.crashes, time.Now())
+	e.watch.mu.Unlock()
+	e.rig.Note("%s crashes as it begins to answer request %s", e.id, cause)
 	_ = server.Close() // as the end of the process
 	time.AfterFunc(restartTime, func() {
-		listener, err := net.Listen("tcp4", p.address)
+		listener, err := net.Listen("tcp4", e.address)
 		if err != nil {
-			p.rig.Note("%s is not back: %v", p.id, err)
+			e.rig.Note("%s is not back: %v", e.id, err)
 			return
 		}
-		p.rig.Log("%s is back", p.id)
-		p.serve(listener)
+		e.rig.Note("%s is back", e.id)
+		e.serve(listener)
 	})
 }
 
+// read returns how long the engine reads a prompt, without the parts that it has cached.
+func (e *engine) read(prompt string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	tokens := 0.0
+	for part := range strings.SplitSeq(prompt, ",") {
+		id, count, _ := strings.Cut(part, ":")
+		number, _ := strconv.Atoi(count) // the clients send numbers
+		if !e.cached[id] {
+			tokens += float64(number)
+		}
+	}
+	return time.Duration(tokens / tokensPerMS * float64(time.Millisecond))
+}
+
+func (e *engine) keep(prompt string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for part := range strings.SplitSeq(prompt, ",") {
+		id, _, _ := strings.Cut(part, ":")
+		e.cached[id] = true
+	}
+}
+
 // ServeHTTP implements http.Handler.
-func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/-/") {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body) // a request that breaks off ends below
 	id := r.Header.Get("Amaranthlb-Request-Id")
 	header := w.Header()
 	header.Set("Amaranthlb-Request-Id", id)
-	if expected := r.Header.Get("Amaranthlb-Expect-Replica"); expected != "" && expected != p.id {
+	if expected := r.Header.Get("Amaranthlb-Expect-Replica"); expected != "" && expected != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.URL.Path == deadlyPath {
-		p.watch.mu.Lock()
-		p.watch.deadly = append(p.watch.deadly, arrival{id, p.id, time.Now()})
-		p.watch.mu.Unlock()
-		p.crash(id)
-		return
+	prompt := r.Header.Get("Amaranthlb-Prompt-Prefix")
+	e.rig.Log("request %s reaches %s", id, e.id)
+	e.watch.mu.Lock()
+	e.watch.begun[id] = true
+	e.watch.mu.Unlock()
+	select {
+	case <-time.After(e.read(prompt)):
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
 	}
-	order := r.Method == http.MethodPost
-	p.mu.Lock()
-	server := p.server
-	if order {
-		p.running[id] = true
+	if strings.Contains(prompt, deadlyPart) {
+		e.crash(id)
+		return
 	}
-	p.mu.Unlock()
-	p.rig.Log("request %s runs at %s", id, p.id)
-	time.Sleep(work)
-	p.mu.Lock()
-	current := p.server == server
-	delete(p.running, id)
-	p.mu.Unlock()
-	if !current || r.Context().Err() != nil {
-		panic(http.ErrAbortHandler)
+	e.keep(prompt)
+	header.Set("Amaranthlb-Replica-Seal", e.id+"."+id)
+	header.Set("Content-Type", "text/event-stream")
+	for i := 1; i <= events; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
 	}
-	header.Set("Amaranthlb-Replica-Seal", p.id+"."+id)
-	_, _ = io.WriteString(w, strings.Repeat("x", 800)) // a client that has left needs no answer
+}
+
+// sound is a sound request of a client.
+type sound struct {
+	id     string
+	sent   time.Time
+	status int
 }
 
 func main() { rig.Main(2, play) }
 
 func play(r *rig.Rig) (bool, error) {
-	r.Configure([]rig.Route{
-		{Name: "order", Kind: "unsafe", Service: "app", TimeoutMS: 1000, MaxTargets: 1},
-		{Name: "stock", Kind: "safe", Service: "app", TimeoutMS: 1000, MaxTargets: 2},
-	}, map[string]map[string]any{"app": {"max-conns": 100}})
-	watch := &observer{lostRuns: make(map[string]time.Time)}
-	for _, id := range []string{"i-7f3a91c2", "i-02d9e6b4", "i-5c1e07a2"} {
-		if _, err := newReplica(r, id, watch); err != nil {
+	r.Configure(
+		[]rig.Route{{Name: "diagnosis", Kind: "stream", Service: "llm", TimeoutMS: 6000, MaxTargets: 1}},
+		map[string]map[string]any{"llm": {"max-conns": 360, "engine": map[string]any{"slots": 64, "kv-tokens": 414966, "models": []any{map[string]any{"name": "m"}}}}},
+	)
+	watch := &observer{begun: make(map[string]bool)}
+	for _, id := range []string{"i-10a2b3c4", "i-20a2b3c4", "i-30a2b3c4"} {
+		if _, err := newEngine(r, id, watch); err != nil {
 			return false, err
 		}
 	}
 	if err := r.StartRouters(); err != nil {
 		return false, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), length)
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 20}, Timeout: 2 * deadline}
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 50}, Timeout: 2 * deadline}
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	var next atomic.Int64
-	statuses := make(map[string]int)
-	failedOrders := make(map[string]int)
-	send := func(kind, method, path string) {
-		number := next.Add(1)
-		id := fmt.Sprintf("%016x", number)
-		status := ask(r, client, r.Routers[number%int64(len(r.Routers))], method, path, id)
-		mu.Lock()
-		defer mu.Unlock()
-		statuses[fmt.Sprintf("%s %d", kind, status)]++
-		if kind == "order" && status != http.StatusOK {
-			failedOrders[id] = status
+	var list []sound
+	deadly := make(map[int]int)
+	for g := range groups {
+		for i := range groupSize {
+			group.Go(func() {
+				number := next.Add(1)
+				s := sound{id: fmt.Sprintf("%016x", number), sent: time.Now()}
+				prompt := fmt.Sprintf("%s:%d,b%02d:%d,c%d:%d", instructions, instructionTokens, g*groupSize+i, manualTokens, number, ownTokens)
+				s.status = ask(r, client, r.Routers[i%len(r.Routers)], s.id, prompt)
+				mu.Lock()
+				defer mu.Unlock()
+				list = append(list, s)
+			})
 		}
-	}
-	repeat := func(interval time.Duration, kind, method, path string) {
-		group.Go(func() {
-			ticker := time.NewTicker(interval)
-			defer ticker.Stop()
-			for {
-				select {
-				case <-ctx.Done():
-					return
-				case <-ticker.C:
-					group.Go(func() { send(kind, method, path) })
+		if g == deadlyGroup && r.Trouble {
+			group.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					number := next.Add(1)
+					group.Go(func() {
+						prompt := fmt.Sprintf("%s:%d,%s:%d,d%d:%d", instructions, instructionTokens, deadlyPart, deadlyTokens, number, deadlyTokens)
+						status := ask(r, client, r.Routers[n%len(r.Routers)], fmt.Sprintf("%016x", number), prompt)
+						mu.Lock()
+						defer mu.Unlock()
+						deadly[status]++
+					})
+					if n < deadlyAtOnce {
+						time.Sleep(deadlyInterval)
+					} else {
+						time.Sleep(deadlyPause)
+					}
 				}
-			}
-		})
-	}
-	repeat(time.Second/ordersPerSecond, "order", http.MethodPost, "/order/new")
-	repeat(time.Second/readsPerSecond, "read", http.MethodGet, "/stock/plate-3")
-	time.Sleep(deadlyFrom)
-	if r.Trouble {
-		repeat(deadlyInterval, "deadly read", http.MethodGet, deadlyPath)
+			})
+		}
+		time.Sleep(groupInterval)
 	}
+	cancel()
 	group.Wait()
-	r.Note("answers: %v", statuses)
-	return judge(r, watch, failedOrders, statuses["order 200"])
+	r.Note("answers of the deadly requests: %v", deadly)
+	for _, router := range r.Routers {
+		for _, line := range router.LogLines("prompt part crashes targets") {
+			r.Note("%s: %s", router.Name, line)
+		}
+	}
+	return judge(r, watch, list)
 }
 
-// judge counts the deadly requests that reached replicas later than the bound after the third crash.
-func judge(r *rig.Rig, watch *observer, failedOrders map[string]int, served int) (bool, error) {
+// judge compares how many of the sound requests begin before the first crash, and from the rule's begin after the last.
+func judge(r *rig.Rig, watch *observer, list []sound) (bool, error) {
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
-	if served == 0 {
-		return false, fmt.Errorf("no order was served")
+	var before, beforeBegun, after, afterBegun int
+	statuses := make(map[int]int)
+	for _, s := range list {
+		switch {
+		case len(watch.crashes) == 0 || s.sent.Before(watch.crashes[0].Add(-deadline)):
+			before++
+			if watch.begun[s.id] {
+				beforeBegun++
+			}
+		case s.sent.After(watch.crashes[min(len(watch.crashes), 5)-1].Add(2 * touchTime)):
+			after++
+			statuses[s.status]++
+			if watch.begun[s.id] {
+				afterBegun++
+			}
+		}
 	}
-	if len(watch.crashes) < 3 {
-		r.Note("%d crashes", len(watch.crashes))
+	r.Note("%d crashes; sound requests before: %d, begun: %d; later than %v after the last crash: %d, begun: %d, statuses %v",
+		len(watch.crashes), before, beforeBegun, 2*touchTime, after, afterBegun, statuses)
+	if len(watch.crashes) == 0 {
 		return false, nil
 	}
-	bound := watch.crashes[2].Add(touchTime)
-	requests := make(map[string]bool)
-	arrivals := 0
-	for _, a := range watch.deadly {
-		if a.at.After(bound) {
-			requests[a.id] = true
-			arrivals++
-		}
-	}
-	lost := 0
-	for id, at := range watch.lostRuns {
-		if _, failed := failedOrders[id]; failed && at.After(bound) {
-			lost++
-		}
+	if before < enough || after < enough || beforeBegun == 0 {
+		return false, fmt.Errorf("the rule wants %d sound requests before and after", enough)
 	}
-	r.Note("%d crashes; later than %v after the third one the read came %d times and reached replicas %d times (%d allowed); %d orders that had been running there were lost",
-		len(watch.crashes), touchTime, len(requests), arrivals, allowedRetries, lost)
-	return len(requests) > allowedRetries, nil
+	return 2*float64(afterBegun)/float64(after) < float64(beforeBegun)/float64(before), nil
 }
 
-func ask(r *rig.Rig, client *http.Client, router *rig.Router, method, path, id string) int {
-	request, err := rig.NewRequest(method, router, path, id, deadline)
+func ask(r *rig.Rig, client *http.Client, router *rig.Router, id, prompt string) int {
+	request, err := rig.NewRequest(http.MethodPost, router, "/diagnosis/press", id, deadline)
 	if err != nil {
 		r.Note("request %s: %v", id, err)
 		return 0
 	}
-	if method == http.MethodPost {
-		body := "part=roller&order=" + id
-		request.Body, request.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	body := "request " + id
+	request.Body, request.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	total := 0
+	for part := range strings.SplitSeq(prompt, ",") {
+		_, count, _ := strings.Cut(part, ":")
+		number, _ := strconv.Atoi(count) // written above
+		total += number
 	}
-	r.Log("request %s sent to %s: %s %s", id, router.Name, method, path)
+	request.Header.Set("Amaranthlb-Model", "m")
+	request.Header.Set("Amaranthlb-Token-Count", fmt.Sprintf("%d,%d", total, events*3))
+	request.Header.Set("Amaranthlb-Prompt-Prefix", prompt)
+	r.Log("request %s sent to %s: %s", id, router.Name, prompt)
 	response, err := client.Do(request)
 	if err != nil {
 		r.Log("request %s: no answer: %v", id, err)
 		return 0
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, err = io.Copy(io.Discard, response.Body)
-	r.Log("request %s: %d, whole %v", id, response.StatusCode, err == nil)
+	content, err := io.ReadAll(response.Body)
+	r.Log("request %s: %d, %d bytes, whole %v", id, response.StatusCode, len(content), err == nil)
 	return response.StatusCode
 }
