--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -5,6 +5,7 @@
 package rig
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -334,8 +335,39 @@
 // Signal sends a signal to the process.
 func (p *Router) Signal(signal syscall.Signal) error { return p.command.Process.Signal(signal) }
 
-// Ended is closed when the process has ended.
-func (p *Router) Ended() <-chan struct{} { return p.ended }
+// Times of a restart by the platform: grace-s, and the delay before the process is started again.
+const (
+	stopGrace    = 8 * time.Second
+	restartDelay = 500 * time.Millisecond
+)
+
+// Restart stops the process as the platform does, and starts it again. It is not the first start of the fleet any more.
+func (p *Router) Restart() error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.ended:
+	case <-time.After(stopGrace):
+		if err := p.Signal(syscall.SIGKILL); err != nil {
+			return err
+		}
+		<-p.ended
+	}
+	settings, err := os.ReadFile(p.settings)
+	if err != nil {
+		return err
+	}
+	settings = bytes.ReplaceAll(settings, []byte("bootstrap = true"), []byte("bootstrap = false"))
+	if err := os.WriteFile(p.settings, settings, 0o600); err != nil {
+		return err
+	}
+	time.Sleep(restartDelay)
+	if err := p.Start(); err != nil {
+		return err
+	}
+	return p.waitReady()
+}
 
 // LogLines returns the lines of the process's log that contain all of the texts.
 func (p *Router) LogLines(texts ...string) []string {
