--- a/review/2/main.go
+++ b/review/2/main.go
@@ -127,7 +127,8 @@
 			continue // a refusal
 		}
 		passedOn := slices.ContainsFunc(engines, func(e *engine) bool { return e.hasSeen(a.id) })
-		if a.status == 0 && passedOn {
+		inTouch := !r.Trouble || a.router != r.Routers[0] || a.ended.Before(stopped)
+		if a.status == 0 && passedOn && inTouch {
 			noAnswer[a.router]++
 		}
 		r.Note("request %s at %s: status %d, ends after event %d of %d, %.2f s after its begin and %.2f s after SIGTERM: %v",
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -194,6 +194,7 @@
 	if err := r.StartRouters(); err != nil {
 		return false, err
 	}
+	inTouchFrom := time.Now().Add(touchTime)
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 20}, Timeout: 2 * deadline}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -243,17 +244,19 @@
 			r.Note("%s: %s", router.Name, line)
 		}
 	}
-	return judge(r, watch, list)
+	return judge(r, watch, list, inTouchFrom)
 }
 
 // judge compares how many of the sound requests begin before the first crash, and from the rule's begin after the last.
-func judge(r *rig.Rig, watch *observer, list []sound) (bool, error) {
+// Requests at routers that have not yet run for touchTime don't count.
+func judge(r *rig.Rig, watch *observer, list []sound, inTouchFrom time.Time) (bool, error) {
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	var before, beforeBegun, after, afterBegun int
 	statuses := make(map[int]int)
 	for _, s := range list {
 		switch {
+		case s.sent.Before(inTouchFrom):
 		case len(watch.crashes) == 0 || s.sent.Before(watch.crashes[0].Add(-deadline)):
 			before++
 			if watch.begun[s.id] {
