Copy the run of a stalled stream before it is stopped

Cause: one call stopped a run and copied its memory, and only its response named the copy. Whatever ended the wait for the response lost the stream, and the silence of a whole engine ordered the moves of all its streams, whose copies queued for longer than the limit. A stream that ends with its connection was even passed on as complete.

Change: the memory is copied while the run goes on and the stream is read. Only then is the run stopped and the rest copied. Events that arrive in the meantime end the move; a lost response to the stop leaves the handle of the first copy. One run per engine is moved at a time, and none while all streams of the engine are silent. The steps are a state chart; unused copies are released.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/place"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
+	"github.com/amaranthlb/amaranthlb/internal/statechart"
 	"github.com/amaranthlb/amaranthlb/internal/telemetry"
 	"github.com/amaranthlb/amaranthlb/internal/upstream"
 )
@@ -196,7 +197,7 @@
 	defer response.Close()
 	x.answer = response.Answer
 	x.report(target, response.Answer)
-	return x.forwardResponse(ctx, response)
+	return x.forwardResponse(response)
 }
 
 func (x *exchange) report(target routes.Target, answer routes.Answer) {
@@ -243,7 +244,7 @@
 }
 
 // forwardResponse handles the header of a response and forwards the response.
-func (x *exchange) forwardResponse(ctx context.Context, response *upstream.Response) attemptResult {
+func (x *exchange) forwardResponse(response *upstream.Response) attemptResult {
 	answer := response.Answer
 	switch {
 	case answer.NotRun:
@@ -260,9 +261,9 @@
 	case response.Status >= http.StatusInternalServerError:
 		return x.bufferFailure(response)
 	case x.headerSent:
-		return x.forwardEvents(ctx, response, true)
+		return x.forwardEvents(response, true)
 	case x.route.Kind == routes.Stream && response.Status == http.StatusOK && isEventStream(response.Header):
-		return x.forwardEvents(ctx, response, false)
+		return x.forwardEvents(response, false)
 	default:
 		return x.forwardBuffered(response)
 	}
@@ -394,17 +395,19 @@
 
 // forwardEvents forwards a stream in complete events, so that another target can resume it after the last one. The
 // parameter continued means that the client already has the beginning.
-func (x *exchange) forwardEvents(ctx context.Context, response *upstream.Response, continued bool) attemptResult {
+func (x *exchange) forwardEvents(response *upstream.Response, continued bool) attemptResult {
 	if continued && (response.Status != http.StatusOK || !isEventStream(response.Header)) {
 		return attemptResult{reason: reason.StreamGone, outcome: place.Failed, mayHaveRun: true, reachedTarget: true}
 	}
 	var pending []byte
 	buffer := make([]byte, streamBuffer)
-	attempted := x.moved
 	x.progressAt = time.Now()
 	x.stall.Restart(x.progressAt)
+	x.engine = x.router.streams.Begin(x.choice.Target.ID)
+	defer x.engine.End()
+	defer func() { x.fireMove(statechart.MoveOnEnd) }()
 	for {
-		n, err := x.readEvents(ctx, func(deadline time.Time, onTimeout func() (time.Time, bool)) (int, error) {
+		n, err := x.readEvents(func(deadline time.Time, onTimeout func() (time.Time, bool)) (int, error) {
 			return response.ReadWatched(buffer, deadline, onTimeout)
 		})
 		pending = append(pending, buffer[:n]...)
@@ -416,10 +419,14 @@
 				return *failure
 			}
 			x.stall.Event(x.lastAt)
+			x.engine.Event(x.lastAt)
 			x.progressAt = x.lastAt
 			x.resumeAfter = lastEventID(pending[:complete], x.resumeAfter)
 			pending = append(pending[:0], pending[complete:]...)
 		}
+		if err != nil && x.continuesElsewhere(err, response, pending) {
+			return attemptResult{outcome: place.Neutral, mayHaveRun: true, reachedTarget: true}
+		}
 		if err == io.EOF {
 			return x.finishEvents(response, pending)
 		}
@@ -427,9 +434,6 @@
 			x.lastErr = errEventTooLong
 			return brokenResult(errEventTooLong)
 		}
-		if x.moved != nil && err != nil && x.moved != attempted {
-			return attemptResult{outcome: place.Neutral, mayHaveRun: true, reachedTarget: true}
-		}
 		if err != nil {
 			x.lastErr = err
 			return brokenResult(err)
@@ -437,6 +441,17 @@
 	}
 }
 
+// continuesElsewhere reports whether the end of a stream belongs to the move of its run. A run that is stopped ends its
+// stream early, which only the framing tells from a complete one.
+func (x *exchange) continuesElsewhere(err error, response *upstream.Response, pending []byte) bool {
+	before := x.moved
+	complete := err == io.EOF && !response.Unframed && len(bytes.TrimSpace(pending)) == 0
+	if !complete && (err == io.EOF || outcomeOf(err) == place.Crashed) {
+		x.fireMove(statechart.MoveOnBreak)
+	}
+	return errors.Is(err, errRunMoved) || x.moved != before
+}
+
 var errEndedInsideEvent = errors.New("stream ended inside an event")
 
 // finishEvents completes a stream that its target has ended, unless it has ended inside an event.
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -91,9 +91,12 @@
 	progressAt time.Time
 	// longResponseLogged is set once the response in progress has been logged.
 	longResponseLogged bool
-	// stall detects a lost packet of the stream; moves counts the moves of its run, moved is the latest of them.
-	stall stall.Detector
+	// stall detects a lost packet of the stream, engine is the one that the stream comes from.
+	stall  stall.Detector
+	engine *stall.Engine
+	// moves counts the moves of the stream's run. move is the one in progress, moved the latest complete one.
 	moves int
+	move  *runMove
 	moved *movedRun
 	// reserved is the ID of the target whose load includes the moved run although it was not asked yet to continue it.
 	reserved string
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/place"
 	"github.com/amaranthlb/amaranthlb/internal/retry"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
+	"github.com/amaranthlb/amaranthlb/internal/stall"
 	"github.com/amaranthlb/amaranthlb/internal/telemetry"
 	"github.com/amaranthlb/amaranthlb/internal/upstream"
 )
@@ -49,9 +50,11 @@
 type Engines interface {
 	// Cached returns the prompt parts that an engine has cached. Its statements are valid also with an error.
 	Cached(ctx context.Context, address string) ([]routes.Part, routes.Statements, error)
-	// Move stops a request's run on an engine and copies its memory to another one. Its statements are valid also with an
-	// error.
+	// Copy copies the memory of a request's run on an engine to another one; the run goes on. Move stops the run and copies
+	// the rest. Release frees the copy at both engines. Their statements are valid also with an error.
+	Copy(ctx context.Context, address, requestID, to string) (routes.MovedRun, routes.Statements, error)
 	Move(ctx context.Context, address, requestID, to string) (routes.MovedRun, routes.Statements, error)
+	Release(ctx context.Context, address string, run routes.MovedRun) (routes.Statements, error)
 }
 
 // Config holds the settings of a router.
@@ -104,7 +107,9 @@
 	cutoff      context.Context
 	endRequests context.CancelFunc
 	inFlight    atomic.Int64
-	crashes     *crashTracker
+	// streams tracks the streams of engines.
+	streams *stall.Engines
+	crashes *crashTracker
 	// promptCrashes finds prompt parts that crash targets.
 	promptCrashes *promptCrashTracker
 
@@ -172,6 +177,7 @@
 		answeredAt:     make(map[directory.Range]time.Duration),
 		storeFailures:  make(map[directory.Range]int),
 		storeMonitor:   liveness.New(storePingInterval, storePingTimeout),
+		streams:        stall.NewEngines(),
 		crashes:        newCrashTracker(),
 		promptCrashes:  newPromptCrashTracker(),
 		noticesPending: make(chan struct{}, 1),
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -5,6 +5,7 @@
 package routes
 
 import (
+	"errors"
 	"sort"
 	"strings"
 	"time"
@@ -235,7 +236,11 @@
 	return t.Sequence > other.Sequence
 }
 
-// MovedRun is a run that its engine has stopped so that it can continue elsewhere.
+// ErrRunNotStopped reports a call to an engine that has not stopped the run. After any other error the run may have been
+// stopped.
+var ErrRunNotStopped = errors.New("run not stopped")
+
+// MovedRun is a run whose memory was copied so that it can continue elsewhere.
 type MovedRun struct {
 	// Reference names the run's memory in the request that continues it.
 	Reference string
--- a/internal/statechart/statechart_test.go
+++ b/internal/statechart/statechart_test.go
@@ -13,7 +13,8 @@
 	_, target := Load(TargetVocabulary())
 	_, ownership := Load(OwnershipVocabulary())
 	_, daemon := Load(DaemonVocabulary())
-	return errors.Join(request, target, ownership, daemon)
+	_, move := Load(MoveVocabulary())
+	return errors.Join(request, target, ownership, daemon, move)
 }
 
 // Guards against an embedded chart that a daemon would reject at startup, and against a chart file that is never
@@ -26,8 +27,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(entries) != 7 {
-		t.Fatalf("got %d chart files, want 7", len(entries))
+	if len(entries) != 8 {
+		t.Fatalf("got %d chart files, want 8", len(entries))
 	}
 }
 
--- a/internal/statechart/vocabulary.go
+++ b/internal/statechart/vocabulary.go
@@ -241,3 +241,57 @@
 		},
 	}
 }
+
+// Types of the move chart, which describes the move of the run of a stalled stream to another engine.
+type (
+	// MoveState is a state of the move chart.
+	MoveState string
+	// MoveEvent is an event of the move chart.
+	MoveEvent string
+	// MoveAction is an action of the move chart.
+	MoveAction string
+)
+
+// States of the move chart.
+const (
+	MoveCopying  MoveState = "copying"
+	MoveStopping MoveState = "stopping"
+	MoveUnknown  MoveState = "unknown"
+	MoveMoved    MoveState = "moved"
+	MoveKept     MoveState = "kept"
+)
+
+// Events of the move chart.
+const (
+	// MoveOnEvent means that data of the stream has arrived, MoveOnEnd that the stream is complete.
+	MoveOnEvent MoveEvent = "event"
+	MoveOnEnd   MoveEvent = "end"
+	MoveOnBreak MoveEvent = "break"
+	// MoveOnCopied and MoveOnFailed are the results of the copy.
+	MoveOnCopied MoveEvent = "copied"
+	MoveOnFailed MoveEvent = "failed"
+	// MoveOnStopped, MoveOnNotStopped and MoveOnUnanswered are the results of the call that stops the run.
+	MoveOnStopped    MoveEvent = "stopped"
+	MoveOnNotStopped MoveEvent = "not_stopped"
+	MoveOnUnanswered MoveEvent = "unanswered"
+)
+
+// Actions of the move chart.
+const (
+	MoveDoRelease          MoveAction = "release"
+	MoveDoStop             MoveAction = "stop"
+	MoveDoAwait            MoveAction = "await"
+	MoveDoContinueAtSource MoveAction = "continue_at_source"
+)
+
+// MoveVocabulary returns the states, events and actions of the move chart.
+func MoveVocabulary() Vocabulary[MoveState, MoveEvent, MoveAction] {
+	return Vocabulary[MoveState, MoveEvent, MoveAction]{
+		Chart:  "move",
+		States: []MoveState{MoveCopying, MoveStopping, MoveUnknown, MoveMoved, MoveKept},
+		Events: []MoveEvent{
+			MoveOnEvent, MoveOnEnd, MoveOnBreak, MoveOnCopied, MoveOnFailed, MoveOnStopped, MoveOnNotStopped, MoveOnUnanswered,
+		},
+		Actions: []MoveAction{MoveDoRelease, MoveDoStop, MoveDoAwait, MoveDoContinueAtSource},
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -112,6 +112,8 @@
 	Answer routes.Answer
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
+	// Unframed is set if the body has neither a length nor chunks and ends with the connection.
+	Unframed bool
 	// Reused is set if the connection had served an earlier request.
 	Reused bool
 
@@ -381,6 +383,7 @@
 		if !mismatched {
 			r.Status, r.Header, r.Answer, r.Length = raw.StatusCode, raw.Header, answer, raw.ContentLength
 			r.body, r.closeAfterBody = raw.Body, raw.Close
+			r.Unframed = raw.ContentLength < 0 && len(raw.TransferEncoding) == 0
 			return nil
 		}
 		skipped++
