--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -100,6 +100,8 @@
 	hasDigest bool
 	// parts are the shared parts of its prompt, if the target had not answered it yet.
 	parts []crashguard.Part
+	// promptTrial is set if the request was let through although its prompt is refused.
+	promptTrial bool
 }
 
 // recordClosed records that a target closed its connection while it was running the request. Whether it has crashed is
@@ -109,6 +111,7 @@
 	suspect.digest, suspect.hasDigest = x.requestDigest()
 	if !x.promptAnswered {
 		suspect.parts = sharedParts(x.request.Prompt)
+		suspect.promptTrial = x.promptTrial != nil
 	}
 	if !suspect.hasDigest && len(suspect.parts) == 0 {
 		return
@@ -156,6 +159,11 @@
 		}
 	}
 	r.reportPromptCrashes(target.ID, prompts, closedAt)
+	for _, suspect := range suspects {
+		if suspect.promptTrial {
+			r.recordFailedTrial(suspect.parts)
+		}
+	}
 }
 
 // reportCrash records a crash and sends it to the router that ranks first for the digest.
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/place"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
@@ -80,6 +81,10 @@
 	promptRead     bool
 	promptAnswered bool
 	answeringSince time.Time
+	// promptTrial holds the shared parts of a refused prompt that is tried again; nil if it is not refused.
+	promptTrial []crashguard.Part
+	// trialAnnounced is set once the other routers have been notified of it.
+	trialAnnounced bool
 	// answer is what the header of the current attempt's response states.
 	answer routes.Answer
 	// firstAt and lastAt are the times of the first and the latest part of the response; maxGap is the longest pause
@@ -267,6 +272,7 @@
 	_ = x.control.SetWriteDeadline(x.deadline.Add(writeGrace))
 	x.countRequest()
 	defer x.releaseReserved()
+	defer x.cancelTrials()
 	for {
 		if x.isCrashSuspect() || x.promptRefused() {
 			x.finish(reason.CrashSuspect, 0)
@@ -277,6 +283,7 @@
 			x.finish(refusal.Reason, refusal.RetryAfter)
 			return
 		}
+		x.announceTrials()
 		moved := x.moved
 		result := x.attempt(ctx, choice)
 		if result.completed {
--- a/internal/router/promptcrashes.go
+++ b/internal/router/promptcrashes.go
@@ -11,6 +11,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/crashguard"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
+	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
 	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
@@ -23,6 +24,9 @@
 	maxPromptCrashesPerDatagram = 4
 	// maxRefusedPromptsPerDigest bounds the refused prompts in a digest, so that it fits into a packet.
 	maxRefusedPromptsPerDigest = 8
+	// maxTrialStagger bounds the time by which routers start trials of refused requests one after the other, so that a
+	// trial is known to the others before they start their own.
+	maxTrialStagger = time.Second
 )
 
 // promptCrashTracker finds the prompt parts that crash targets. Each router reports the crashes that it sees to all
@@ -50,16 +54,74 @@
 	return parts
 }
 
-// promptRefused reports whether the request's prompt has a part that crashes targets.
+// promptRefused reports whether the request's prompt has a part that crashes targets. One prompt is let through from time
+// to time, with promptTrial set. A stream that has begun shows that its prompt does not crash targets.
 func (x *exchange) promptRefused() bool {
 	crashes := x.router.promptCrashes
-	if !crashes.hasRefusals.Load() {
+	if x.promptTrial != nil && !x.mayHaveRun {
+		return false
+	}
+	x.promptTrial = nil
+	if x.headerSent || !crashes.hasRefusals.Load() {
 		return false
 	}
 	parts := sharedParts(x.request.Prompt)
+	now := x.router.now()
 	crashes.mu.Lock()
 	defer crashes.mu.Unlock()
-	return crashes.guard.Refuses(x.router.now(), parts)
+	if !crashes.guard.Refuses(now, parts) {
+		return false
+	}
+	if !crashes.guard.StartTrial(now, x.router.trialStagger(), parts) {
+		return true
+	}
+	x.promptTrial = parts
+	return false
+}
+
+// trialStagger returns the time by which this router starts trials later than the first one may.
+func (r *Router) trialStagger() time.Duration {
+	return time.Duration(rendezvous.Hash(r.config.PeerAddress) % uint64(maxTrialStagger))
+}
+
+// cancelTrials takes back the trials that the request was let through for, unless it has reached a target.
+func (x *exchange) cancelTrials() {
+	if x.promptTrial == nil || x.mayHaveRun {
+		return
+	}
+	crashes := x.router.promptCrashes
+	crashes.mu.Lock()
+	defer crashes.mu.Unlock()
+	crashes.guard.CancelTrial(x.router.now(), x.promptTrial)
+}
+
+// announceTrials notifies all routers of the trials that the request is let through for, once.
+func (x *exchange) announceTrials() {
+	if x.promptTrial != nil && !x.trialAnnounced {
+		x.trialAnnounced = true
+		x.router.meters.Event("prompt_part_tried")
+		x.router.log.WithFields(logrus.Fields{"request": x.request.ID, "parts": formatParts(x.promptTrial)}).Info("refused prompt is tried again")
+		x.router.sendRefusedPrompts(x.promptTrial)
+	}
+}
+
+// sendRefusedPrompts sends the refusals of a prompt to all routers.
+func (r *Router) sendRefusedPrompts(parts []crashguard.Part) {
+	r.promptCrashes.mu.Lock()
+	refusals := r.promptCrashes.guard.Matching(r.now(), parts)
+	r.promptCrashes.mu.Unlock()
+	refusals = refusals[:min(len(refusals), maxRefusedPromptsPerDigest)]
+	r.sendCrashReport(&pb.Digest{RefusedPrompts: wire.RefusedPrompts(refusals)}, r.crashReportRecipients())
+}
+
+// recordFailedTrial records that a prompt which was let through has crashed its target.
+func (r *Router) recordFailedTrial(parts []crashguard.Part) {
+	r.promptCrashes.mu.Lock()
+	r.promptCrashes.guard.TrialFailed(r.now(), parts)
+	r.promptCrashes.mu.Unlock()
+	r.meters.Event("prompt_part_trial_failed")
+	r.log.WithField("parts", formatParts(parts)).Info("refused prompt crashed a target again")
+	r.sendRefusedPrompts(parts)
 }
 
 // recordPromptAnswered records once per attempt that the target has answered the prompt.
@@ -145,6 +207,7 @@
 // handleCrashReport processes a crash report from a peer.
 func (r *Router) handleCrashReport(digest *pb.Digest) {
 	r.applyPromptCrashes(wire.PromptCrashesFrom(digest.PromptCrashes))
+	r.applyRefusedPrompts(wire.RefusedPromptsFrom(digest.RefusedPrompts), digest.Address)
 	r.applyAnsweredParts(wire.AnsweredPartsFrom(digest.AnsweredParts))
 }
 
--- a/internal/wire/promptcrash.go
+++ b/internal/wire/promptcrash.go
@@ -27,7 +27,9 @@
 func RefusedPrompts(refusals []crashguard.PartRefusal) []*pb.RefusedPrompt {
 	converted := make([]*pb.RefusedPrompt, len(refusals))
 	for i, refusal := range refusals {
-		converted[i] = &pb.RefusedPrompt{Parts: partHashes(refusal.Parts), AgeMs: refusal.Age.Milliseconds()}
+		converted[i] = &pb.RefusedPrompt{
+			Parts: partHashes(refusal.Parts), AgeMs: refusal.Age.Milliseconds(), Trials: trials(refusal.Trials),
+		}
 	}
 	return converted
 }
@@ -36,11 +38,21 @@
 func RefusedPromptsFrom(messages []*pb.RefusedPrompt) []crashguard.PartRefusal {
 	converted := make([]crashguard.PartRefusal, len(messages))
 	for i, m := range messages {
-		converted[i] = crashguard.PartRefusal{Parts: partsFrom(m.GetParts()), Age: duration(m.GetAgeMs())}
+		converted[i] = crashguard.PartRefusal{
+			Parts: partsFrom(m.GetParts()), Age: duration(m.GetAgeMs()), Trials: trialsFrom(m.GetTrials()),
+		}
 	}
 	return converted
 }
 
+func trials(state crashguard.TrialState) *pb.Trials {
+	return &pb.Trials{Started: uint32(state.Started), Failed: uint32(state.Failed), AgeMs: state.Age.Milliseconds()}
+}
+
+func trialsFrom(m *pb.Trials) crashguard.TrialState {
+	return crashguard.TrialState{Started: int(m.GetStarted()), Failed: int(m.GetFailed()), Age: duration(m.GetAgeMs())}
+}
+
 // AnsweredParts converts answers to messages.
 func AnsweredParts(answers []crashguard.PartAnswer) []*pb.AnsweredPart {
 	converted := make([]*pb.AnsweredPart, len(answers))
