Refuse requests without a body that crash targets, and clear by answers

Cause: a request without a body had no digest, since all reads of a path would have shared the charge: a popular read is running at each crash. No answer ever cleared a charge at the routers.

Change: each request has a digest, of its body or else of its prompt. A complete answer of any status clears it, also one up to 2 s before the crash, at the router that saw it and at the one that counts. A refused request is let through 5 s after the latest crash, then after one and five minutes; an answer lifts the refusal at all routers. RequestGuard holds these decisions.

TestRequestThatCrashesTargetsIsRefused allowed no further request; it now allows the one trial, and only if its time has come on a slow machine.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -64,6 +64,8 @@
 	cleared bool
 }
 
+func (c charge) crashedAt() time.Duration { return c.expires - Lifetime }
+
 func (c charge) isActive(now time.Duration) bool {
 	return !c.cleared && now < c.expires
 }
@@ -133,6 +135,31 @@
 	}
 }
 
+// Clear clears the charges of a digest from crashes up to a time, since its request has been answered. It returns the number
+// of charges that were active.
+func (g *Guard) Clear(now time.Duration, digest Digest, until time.Duration) int {
+	cleared := 0
+	charges := g.charges[digest]
+	for i, c := range charges {
+		if c.crashedAt() <= until && c.isActive(now) {
+			charges[i].cleared = true
+			cleared++
+		}
+	}
+	return cleared
+}
+
+// latestCrash returns the time of the latest crash with which the digest is charged.
+func (g *Guard) latestCrash(now time.Duration, digest Digest) time.Duration {
+	latest := time.Duration(0)
+	for _, c := range g.charges[digest] {
+		if c.isActive(now) {
+			latest = max(latest, c.crashedAt())
+		}
+	}
+	return latest
+}
+
 // Tick removes charges whose tombstone has expired.
 func (g *Guard) Tick(now time.Duration) {
 	for digest, charges := range g.charges {
--- a/internal/crashguard/parts.go
+++ b/internal/crashguard/parts.go
@@ -93,14 +93,13 @@
 	hasTrial bool
 	// answered is the time of the latest answer for each part with crashes or refusals.
 	answered map[Part]time.Duration
-	// recent and older are the latest answers of all parts, in two generations.
-	recent, older map[Part]time.Duration
-	rotatedAt     time.Duration
+	// recent are the latest answers of all parts.
+	recent recentAnswers[Part]
 }
 
 // NewPartGuard returns an empty PartGuard.
 func NewPartGuard() *PartGuard {
-	return &PartGuard{answered: make(map[Part]time.Duration), recent: make(map[Part]time.Duration)}
+	return &PartGuard{answered: make(map[Part]time.Duration), recent: newRecentAnswers[Part]()}
 }
 
 // Refuses reports whether a prompt with the parts is refused.
@@ -248,15 +247,12 @@
 // Answered records that a target has answered a prompt with the parts. It returns those that had been charged with
 // several crashes or refused, which other routers must learn.
 func (g *PartGuard) Answered(now time.Duration, parts []Part) []PartAnswer {
-	g.rotate(now)
 	var cleared []PartAnswer
 	for _, part := range parts {
 		if g.clear(part, now) {
 			cleared = append(cleared, PartAnswer{Part: part})
 		}
-		if len(g.recent) < maxRecentAnswers {
-			g.recent[part] = now
-		}
+		g.recent.add(now, part)
 	}
 	if len(cleared) > 0 {
 		g.explain(now)
@@ -332,13 +328,11 @@
 }
 
 func (g *PartGuard) lastAnswer(part Part) (time.Duration, bool) {
-	latest, found := time.Duration(0), false
-	for _, answers := range []map[Part]time.Duration{g.recent, g.older, g.answered} {
-		if at, ok := answers[part]; ok && (!found || at > latest) {
-			latest, found = at, true
-		}
+	answered, found := g.answered[part]
+	if at, ok := g.recent.latest(part); ok && (!found || at > answered) {
+		return at, true
 	}
-	return latest, found
+	return answered, found
 }
 
 // countCrashes returns the number of crashes with different causes. Several reports of one crash count once, and so do
@@ -517,14 +511,6 @@
 	maps.DeleteFunc(g.answered, func(_ Part, at time.Duration) bool { return now >= at+Lifetime+recentAnswer })
 }
 
-// rotate starts a new generation of recent answers once the older one is no longer needed.
-func (g *PartGuard) rotate(now time.Duration) {
-	if now-g.rotatedAt < recentAnswer {
-		return
-	}
-	g.older, g.recent, g.rotatedAt = g.recent, make(map[Part]time.Duration), now
-}
-
 func containsAll(list, wanted []Part) bool {
 	for _, part := range wanted {
 		if !slices.Contains(list, part) {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -40,6 +40,8 @@
 	completed bool
 	reason    reason.Reason
 	outcome   place.Outcome
+	// answered means that the target has answered completely, with a failure.
+	answered bool
 	// mayHaveRun means that the target may have run the request, reachedTarget that the target received it.
 	mayHaveRun    bool
 	reachedTarget bool
@@ -75,6 +77,9 @@
 			x.runs++
 		}
 	}
+	if result.answered || result.completed && result.outcome == place.Good {
+		x.recordAnswered()
+	}
 	if result.completed {
 		r.meters.Answered()
 		if result.outcome == place.Good {
@@ -293,7 +298,7 @@
 		x.lastErr = err
 		return brokenResult(err)
 	}
-	result := attemptResult{reason: reason.TargetFailed, outcome: place.Failed, mayHaveRun: true, reachedTarget: true}
+	result := attemptResult{reason: reason.TargetFailed, outcome: place.Failed, answered: true, mayHaveRun: true, reachedTarget: true}
 	if !x.headerSent {
 		x.targetFailure = &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -83,7 +83,9 @@
 	answeringSince time.Time
 	// promptTrial holds the shared parts of a refused prompt that is tried again; nil if it is not refused.
 	promptTrial []crashguard.Part
-	// trialAnnounced is set once the other routers have been notified of it.
+	// requestTrial is set if the request itself is refused and tried again.
+	requestTrial bool
+	// trialAnnounced is set once the other routers have been notified of a trial.
 	trialAnnounced bool
 	// answer is what the header of the current attempt's response states.
 	answer routes.Answer
--- a/internal/router/promptcrashes.go
+++ b/internal/router/promptcrashes.go
@@ -86,22 +86,40 @@
 
 // cancelTrials takes back the trials that the request was let through for, unless it has reached a target.
 func (x *exchange) cancelTrials() {
-	if x.promptTrial == nil || x.mayHaveRun {
+	if x.mayHaveRun {
 		return
 	}
-	crashes := x.router.promptCrashes
-	crashes.mu.Lock()
-	defer crashes.mu.Unlock()
-	crashes.guard.CancelTrial(x.router.now(), x.promptTrial)
+	if x.promptTrial != nil {
+		crashes := x.router.promptCrashes
+		crashes.mu.Lock()
+		crashes.guard.CancelTrial(x.router.now(), x.promptTrial)
+		crashes.mu.Unlock()
+	}
+	if x.requestTrial {
+		crashes := x.router.crashes
+		crashes.mu.Lock()
+		crashes.guard.CancelTrial(x.requestDigest())
+		crashes.mu.Unlock()
+	}
 }
 
 // announceTrials notifies all routers of the trials that the request is let through for, once.
 func (x *exchange) announceTrials() {
-	if x.promptTrial != nil && !x.trialAnnounced {
-		x.trialAnnounced = true
-		x.router.meters.Event("prompt_part_tried")
-		x.router.log.WithFields(logrus.Fields{"request": x.request.ID, "parts": formatParts(x.promptTrial)}).Info("refused prompt is tried again")
-		x.router.sendRefusedPrompts(x.promptTrial)
+	r := x.router
+	if x.trialAnnounced || x.promptTrial == nil && !x.requestTrial {
+		return
+	}
+	x.trialAnnounced = true
+	if x.promptTrial != nil {
+		r.meters.Event("prompt_part_tried")
+		r.log.WithFields(logrus.Fields{"request": x.request.ID, "parts": formatParts(x.promptTrial)}).Info("refused prompt is tried again")
+		r.sendRefusedPrompts(x.promptTrial)
+	}
+	if x.requestTrial {
+		digest := x.requestDigest()
+		r.meters.Event("crash_suspect_tried")
+		r.log.WithFields(logrus.Fields{"request": x.request.ID, "digest": formatDigest(digest)}).Info("refused request is tried again")
+		r.sendRefusedRequest(digest)
 	}
 }
 
@@ -209,6 +227,8 @@
 	r.applyPromptCrashes(wire.PromptCrashesFrom(digest.PromptCrashes))
 	r.applyRefusedPrompts(wire.RefusedPromptsFrom(digest.RefusedPrompts), digest.Address)
 	r.applyAnsweredParts(wire.AnsweredPartsFrom(digest.AnsweredParts))
+	r.applyRefusedRequests(wire.RefusedRequestsFrom(digest.RefusedRequests), digest.Address)
+	r.applyAnsweredRequests(wire.AnsweredRequestsFrom(digest.AnsweredRequests))
 }
 
 func (r *Router) refusedPrompts(now time.Duration) []crashguard.PartRefusal {
--- a/internal/wire/promptcrash.go
+++ b/internal/wire/promptcrash.go
@@ -45,6 +45,46 @@
 	return converted
 }
 
+// RefusedRequests converts refusals to messages.
+func RefusedRequests(refusals []crashguard.RequestRefusal) []*pb.RefusedRequest {
+	converted := make([]*pb.RefusedRequest, len(refusals))
+	for i, refusal := range refusals {
+		converted[i] = &pb.RefusedRequest{
+			Digest: uint64(refusal.Digest), AgeMs: refusal.Age.Milliseconds(), Trials: trials(refusal.Trials),
+		}
+	}
+	return converted
+}
+
+// RefusedRequestsFrom converts messages to refusals.
+func RefusedRequestsFrom(messages []*pb.RefusedRequest) []crashguard.RequestRefusal {
+	converted := make([]crashguard.RequestRefusal, len(messages))
+	for i, m := range messages {
+		converted[i] = crashguard.RequestRefusal{
+			Digest: crashguard.Digest(m.GetDigest()), Age: duration(m.GetAgeMs()), Trials: trialsFrom(m.GetTrials()),
+		}
+	}
+	return converted
+}
+
+// AnsweredRequests converts answers to messages.
+func AnsweredRequests(answers []crashguard.RequestAnswer) []*pb.AnsweredRequest {
+	converted := make([]*pb.AnsweredRequest, len(answers))
+	for i, answer := range answers {
+		converted[i] = &pb.AnsweredRequest{Digest: uint64(answer.Digest), AgeMs: answer.Age.Milliseconds()}
+	}
+	return converted
+}
+
+// AnsweredRequestsFrom converts messages to answers.
+func AnsweredRequestsFrom(messages []*pb.AnsweredRequest) []crashguard.RequestAnswer {
+	converted := make([]crashguard.RequestAnswer, len(messages))
+	for i, m := range messages {
+		converted[i] = crashguard.RequestAnswer{Digest: crashguard.Digest(m.GetDigest()), Age: duration(m.GetAgeMs())}
+	}
+	return converted
+}
+
 func trials(state crashguard.TrialState) *pb.Trials {
 	return &pb.Trials{Started: uint32(state.Started), Failed: uint32(state.Failed), AgeMs: state.Age.Milliseconds()}
 }
