Bound the memory of all responses together

Operators of similar systems saw machines run out of memory since faulty replicas sent bytes without end, and with them the requests of others.

Change: the pool counts what its responses hold beyond 16 KB each, heads with the cost of parsing them, up to a tenth of the VM's memory. Beyond it plain bodies are passed on as they arrive, and events, failures and heads end as broken.

--- a/cmd/amaranth-router/main.go
+++ b/cmd/amaranth-router/main.go
@@ -27,6 +27,8 @@
 const (
 	// memoryLimitFraction is the fraction of the VM's memory limit at which garbage collection becomes more frequent.
 	memoryLimitFraction = 0.6
+	// heldFraction is the fraction of the VM's memory that response data may take before it is passed on.
+	heldFraction = 0.1
 	// withdrawnGraceFraction is the fraction of the drain bound for which a target without an entry may still be used
 	// as a last resort. The rest is reserved for the propagation delay of the removal.
 	withdrawnGraceFraction = 0.4
@@ -99,6 +101,7 @@
 		RetryRatio:     settings.RetryRatio,
 		RetrySlack:     settings.RetrySlack,
 		RetryWindow:    settings.RetryWindow,
+		HeldBytes:      int64(float64(settings.MemoryMB<<20) * heldFraction),
 		LoadMultiple:   settings.LoadMultiple,
 		FirstStart:     settings.FirstStart,
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -200,6 +200,7 @@
 		return x.classifyFailure(ctx, err)
 	}
 	defer response.Close()
+	x.responses = append(x.responses, response)
 	x.answer = response.Answer
 	x.report(target, response.Answer)
 	return x.forwardResponse(response)
@@ -435,7 +436,7 @@
 		if err == io.EOF {
 			return x.finishEvents(response, pending)
 		}
-		if len(pending) > maxEventBytes {
+		if len(pending) > maxEventBytes || !response.Hold(2*int64(cap(pending))) {
 			x.lastErr = errEventTooLong
 			return brokenResult(errEventTooLong)
 		}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -70,6 +70,7 @@
 	mayHaveRun   bool
 	lastTarget   string
 	lastErr      error
+	responses    []*upstream.Response
 	// targetFailure is a failure response from a target, forwarded if no other attempt succeeds.
 	targetFailure *bufferedResponse
 	// headerSent is set once the response header has been written.
@@ -275,6 +276,7 @@
 	x.countRequest()
 	defer x.releaseReserved()
 	defer x.cancelTrials()
+	defer x.releaseResponses()
 	for {
 		if x.isCrashSuspect() || x.promptRefused() {
 			x.finish(reason.CrashSuspect, 0)
@@ -309,6 +311,13 @@
 	}
 }
 
+// releaseResponses releases the responses of all attempts, whose data may be held until the client has it.
+func (x *exchange) releaseResponses() {
+	for _, response := range x.responses {
+		response.Release()
+	}
+}
+
 // rejectedRetryAfter returns the Retry-After of a request that targets rejected or that could not reach a target.
 func (x *exchange) rejectedRetryAfter() time.Duration {
 	r := x.router
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,6 +7,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -79,6 +80,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// HeldBytes bounds the response data that is held in memory for all requests together; 0 means a default.
+	HeldBytes int64
 	// LoadMultiple bounds the load of a target, as a multiple of the mean load of its service.
 	LoadMultiple float64
 	// FirstStart indicates that all VMs are starting for the first time, so no target has cached prompts.
@@ -163,7 +166,7 @@
 		engines:        engines,
 		log:            log,
 		meters:         meters,
-		pool:           upstream.NewPool(wire),
+		pool:           upstream.NewPool(wire, cmp.Or(config.HeldBytes, upstream.DefaultHeldBytes)),
 		start:          time.Now(),
 		cutoff:         cutoff,
 		endRequests:    endRequests,
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -52,7 +52,7 @@
 			request := call(address, "1")
 			request.HeadTimeout = 10 * time.Second
 			startedAt := time.Now()
-			_, err := NewPool(decoder{}).Do(context.Background(), request)
+			_, err := NewPool(decoder{}, DefaultHeldBytes).Do(context.Background(), request)
 			took := time.Since(startedAt)
 			runtime.ReadMemStats(&after)
 			var broken *BrokenError
@@ -78,7 +78,7 @@
 func TestEndlessDataAfterResponse(t *testing.T) {
 	closed := make(chan struct{})
 	address := target(t, endless(strings.ReplaceAll(ok1, "\n", "\r\n"), "x", closed), write(ok2))
-	pool := NewPool(decoder{})
+	pool := NewPool(decoder{}, DefaultHeldBytes)
 	if body, _, err := exchange(t, pool, call(address, "1")); err != nil || body != "one" {
 		t.Errorf("got %q, %v", body, err)
 	}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -23,7 +23,8 @@
 		}()
 		c := &conn{Conn: near, address: "a"}
 		c.reader = bufio.NewReaderSize(c, readBuffer)
-		response := &Response{pool: NewPool(decoder{}), conn: c, stopWatch: func() bool { return true }}
+		response := newResponse(NewPool(decoder{}, DefaultHeldBytes), c)
+		response.stopWatch = func() bool { return true }
 		defer response.discard()
 		if err := response.readHead(Call{Method: "POST", RequestID: "1"}); err != nil {
 			return
--- a/internal/upstream/refusal_test.go
+++ b/internal/upstream/refusal_test.go
@@ -16,7 +16,7 @@
 		"misdirected, no ID": strings.Replace(rejected, "503 Service Unavailable", "421 Misdirected Request", 1),
 	} {
 		address := target(t, write(ok1), write(repeated))
-		pool := NewPool(decoder{})
+		pool := NewPool(decoder{}, DefaultHeldBytes)
 		if body, _, err := exchange(t, pool, call(address, "1")); err != nil || body != "one" {
 			t.Fatalf("%s: first response %q, %v", name, body, err)
 		}
@@ -37,7 +37,7 @@
 		head, _, _ := strings.Cut(whole, "\n\n")
 		for length := range len(head) + 1 {
 			address := target(t, closing(write(whole[:length])))
-			pool := NewPool(decoder{})
+			pool := NewPool(decoder{}, DefaultHeldBytes)
 			body, response, err := exchange(t, pool, call(address, "1"))
 			if err == nil {
 				t.Errorf("head cut after %d bytes: response %+v, body %q", length, response, body)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -54,6 +54,8 @@
 	// maxHeadBytes bounds what is read before the response to a request is recognized, interim responses and those to
 	// other requests included. A target in trouble may send data without end.
 	maxHeadBytes = 128 << 10
+	// headStep is what is read of a head before more memory is reserved. Usual heads are shorter.
+	headStep = 16 << 10
 	// maxIdlePerAddress bounds the idle connections to one target. All routers together must stay far below the target's
 	// limit: 80 routers keep 160 of the 480 or more connections that targets allow on the enlarged sites.
 	maxIdlePerAddress = 2
@@ -117,7 +119,9 @@
 	// Reused is set if the connection had served an earlier request.
 	Reused bool
 
-	pool           *Pool
+	pool *Pool
+	// held is the data of the response that is held in memory.
+	held           reservation
 	conn           *conn
 	body           io.ReadCloser
 	stopWatch      func() bool
@@ -130,8 +134,9 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// unread is the number of bytes that may still be read from the connection.
+	// unread is the number of bytes that may still be read from the connection. Once it is used up, extend may allow more.
 	unread  int64
+	extend  func() int64
 	address string
 	idleAt  time.Time
 	// idleLimit is how long the connection may be idle and still be reused.
@@ -144,6 +149,9 @@
 // Read implements io.Reader. A read that onTimeout extends never returns its timeout, which readers of HTTP bodies
 // don't recover from.
 func (c *conn) Read(buffer []byte) (int, error) {
+	if c.unread <= 0 && c.extend != nil {
+		c.unread = c.extend()
+	}
 	if c.unread <= 0 {
 		return 0, errHeadTooLong
 	}
@@ -167,14 +175,15 @@
 // Pool holds idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	decoder Decoder
+	buffers *buffers
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	dialed  int64
 }
 
-// NewPool returns an empty pool.
-func NewPool(decoder Decoder) *Pool {
-	return &Pool{decoder: decoder, idle: make(map[string][]*conn)}
+// NewPool returns an empty pool. Its responses together hold at most the given number of bytes in memory.
+func NewPool(decoder Decoder, heldBytes int64) *Pool {
+	return &Pool{decoder: decoder, buffers: &buffers{limit: heldBytes}, idle: make(map[string][]*conn)}
 }
 
 // Dialed returns the number of connections opened so far.
@@ -190,7 +199,7 @@
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
-	response := &Response{pool: p, conn: c, Reused: c.used}
+	response := newResponse(p, c)
 	response.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := response.send(call); err != nil {
 		response.discard()
@@ -198,11 +207,16 @@
 	}
 	if err := response.readHead(call); err != nil {
 		response.discard()
+		response.Release()
 		return nil, asContextError(ctx, err)
 	}
 	return response, nil
 }
 
+func newResponse(p *Pool, c *conn) *Response {
+	return &Response{pool: p, conn: c, Reused: c.used, held: reservation{buffers: p.buffers}}
+}
+
 // asContextError replaces errors caused by the end of the context, which closes the connection.
 func asContextError(ctx context.Context, err error) error {
 	var broken *BrokenError
@@ -363,8 +377,16 @@
 // readHead reads the header of the response to the request. It skips interim responses and those to other requests.
 func (r *Response) readHead(call Call) error {
 	method := &http.Request{Method: call.Method}
-	r.conn.unread = maxHeadBytes
-	defer func() { r.conn.unread = math.MaxInt64 }()
+	allowed := int64(headStep)
+	r.conn.unread = headStep
+	r.conn.extend = func() int64 {
+		if allowed >= maxHeadBytes || !r.Hold(headCost*(allowed+headStep)) {
+			return 0
+		}
+		allowed += headStep
+		return headStep
+	}
+	defer func() { r.conn.unread, r.conn.extend = math.MaxInt64, nil }()
 	for skipped := 0; ; {
 		raw, err := http.ReadResponse(r.conn.reader, method)
 		if r.conn.unread <= 0 {
@@ -426,12 +448,19 @@
 // ErrTooLong reports a body longer than the limit of ReadAll.
 var ErrTooLong = errors.New("response body exceeds the size limit")
 
-// ReadAll reads the complete body. If the body is longer than the limit, ReadAll returns the data read so far and
-// ErrTooLong; Read continues from there.
+// Hold states how many bytes of the response the caller holds in memory, and reports whether these and those of all other
+// responses are within the pool's limit.
+func (r *Response) Hold(bytes int64) bool { return r.held.hold(bytes) }
+
+// Release states that the caller holds nothing of the response any more.
+func (r *Response) Release() { r.held.hold(0) }
+
+// ReadAll reads the complete body. If the body is longer than the limit, or than what may be held at present, ReadAll
+// returns the data read so far and ErrTooLong; Read continues from there. The caller releases the data with Release.
 func (r *Response) ReadAll(limit int64, deadline time.Time) ([]byte, error) {
 	var body bytes.Buffer
-	if r.Length > 0 {
-		body.Grow(int(min(r.Length, limit)))
+	if expected := min(r.Length, limit); expected > 0 && r.Hold(expected) {
+		body.Grow(int(expected))
 	}
 	buffer := make([]byte, readBuffer)
 	for {
@@ -443,7 +472,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if int64(body.Len()) > limit {
+		if int64(body.Len()) > limit || body.Len() > body.Cap()/2 && !r.Hold(2*int64(body.Cap())) {
 			return body.Bytes(), ErrTooLong
 		}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -99,7 +99,7 @@
 func TestForeignAnswersAreSkipped(t *testing.T) {
 	extra := "HTTP/1.1 200 OK\nId: 1\nSeal: s\nContent-Length: 5\n\nextra"
 	address := target(t, write(ok1), write(extra+ok2))
-	pool := NewPool(decoder{})
+	pool := NewPool(decoder{}, DefaultHeldBytes)
 	if body, _, err := exchange(t, pool, call(address, "1")); body != "one" || err != nil {
 		t.Fatalf("first: %q, %v", body, err)
 	}
@@ -112,7 +112,7 @@
 // Guards against reusing a connection with data after its last response.
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	address := target(t, write(ok1+"HTTP/1.1 200 OK\nId: 1\nSeal: s\nContent-Length: 5\n\nextra"), write(ok2))
-	pool := NewPool(decoder{})
+	pool := NewPool(decoder{}, DefaultHeldBytes)
 	if _, _, err := exchange(t, pool, call(address, "1")); err != nil {
 		t.Fatal(err)
 	}
@@ -135,7 +135,7 @@
 		"only another's id": "HTTP/1.1 200 OK\nId: 7\nSeal: s\nContent-Length: 3\n\none",
 	} {
 		address := target(t, closing(write(text)))
-		_, _, err := exchange(t, NewPool(decoder{}), call(address, "1"))
+		_, _, err := exchange(t, NewPool(decoder{}, DefaultHeldBytes), call(address, "1"))
 		var broken *BrokenError
 		if !errors.As(err, &broken) || !broken.Closed {
 			t.Errorf("%s: %v", name, err)
@@ -152,7 +152,7 @@
 		time.Sleep(20 * time.Millisecond)
 		_ = conn.Close()
 	})
-	pool := NewPool(decoder{})
+	pool := NewPool(decoder{}, DefaultHeldBytes)
 	if body, _, err := exchange(t, pool, call(address, "1")); body != "body" || err != nil {
 		t.Errorf("closed: %q, %v", body, err)
 	}
@@ -171,11 +171,11 @@
 	address := listener.Addr().String()
 	_ = listener.Close()
 	var notSent *NotSentError
-	if _, err := NewPool(decoder{}).Do(context.Background(), call(address, "1")); !errors.As(err, &notSent) {
+	if _, err := NewPool(decoder{}, DefaultHeldBytes).Do(context.Background(), call(address, "1")); !errors.As(err, &notSent) {
 		t.Errorf("refused connection: %v", err)
 	}
 	address = target(t, closing(write(ok1)), write(ok2))
-	pool := NewPool(decoder{})
+	pool := NewPool(decoder{}, DefaultHeldBytes)
 	if _, _, err := exchange(t, pool, call(address, "1")); err != nil {
 		t.Fatal(err)
 	}
@@ -193,7 +193,7 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	address := target(t, early, write(ok2))
-	pool := NewPool(decoder{})
+	pool := NewPool(decoder{}, DefaultHeldBytes)
 	long := call(address, "1")
 	long.Body = make([]byte, 16<<20)
 	long.HeadTimeout = 5 * time.Second
@@ -215,7 +215,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(30*time.Millisecond, cancel)
-	_, err := NewPool(decoder{}).Do(ctx, call(address, "1"))
+	_, err := NewPool(decoder{}, DefaultHeldBytes).Do(ctx, call(address, "1"))
 	var broken *BrokenError
 	if !errors.As(err, &broken) || !errors.Is(err, context.Canceled) || broken.Closed {
 		t.Errorf("got %v", err)
@@ -230,7 +230,7 @@
 // Guards against a second Close that closes a connection already in use by another request.
 func TestSecondCloseDoesNothing(t *testing.T) {
 	address := target(t, write(ok1), write(ok2), write(ok1))
-	pool := NewPool(decoder{})
+	pool := NewPool(decoder{}, DefaultHeldBytes)
 	first, err := pool.Do(context.Background(), call(address, "1"))
 	if err != nil {
 		t.Fatal(err)
@@ -260,7 +260,7 @@
 		time.Sleep(50 * time.Millisecond)
 		write("3\ntwo\n0\n\n")(conn, request)
 	})
-	response, err := NewPool(decoder{}).Do(context.Background(), call(address, "1"))
+	response, err := NewPool(decoder{}, DefaultHeldBytes).Do(context.Background(), call(address, "1"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -283,7 +283,7 @@
 		scripts = append(scripts, write(ok1))
 	}
 	address := target(t, scripts...)
-	pool := NewPool(decoder{})
+	pool := NewPool(decoder{}, DefaultHeldBytes)
 	for range scripts {
 		fresh := call(address, "1")
 		fresh.NewConnection = true
@@ -303,7 +303,7 @@
 		time.Sleep(150 * time.Millisecond)
 		_, _ = io.WriteString(conn, "2\r\ncd\r\n0\r\n\r\n")
 	})
-	response, err := NewPool(decoder{}).Do(context.Background(), call(address, "1"))
+	response, err := NewPool(decoder{}, DefaultHeldBytes).Do(context.Background(), call(address, "1"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -330,7 +330,7 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
 		time.Sleep(2 * time.Second)
 	})
-	response, err := NewPool(decoder{}).Do(context.Background(), call(address, "1"))
+	response, err := NewPool(decoder{}, DefaultHeldBytes).Do(context.Background(), call(address, "1"))
 	if err != nil {
 		t.Fatal(err)
 	}
