--- a/internal/router/outage_test.go
+++ b/internal/router/outage_test.go
@@ -194,3 +194,46 @@
 		}
 	}
 }
+
+// Guards against changes that are late because open connections to the store have gone silent, without a reset, while new
+// ones work.
+func TestChangesAfterConnectionsHaveGoneSilent(t *testing.T) {
+	for name, share := range map[string]float64{"of most routers": 0.7, "of all routers": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 10)
+			leaving := f.target("app-1", "app", platformtest.Behavior{})
+			f.target("app-2", "app", platformtest.Behavior{})
+			f.awaitReady()
+			severed := f.awaitReaders()
+			for _, inst := range f.routers {
+				if inst.door.Pending() == 0 && len(severed) < int(share*float64(len(f.routers))) {
+					severed = append(severed, inst)
+				}
+			}
+			for _, inst := range severed {
+				inst.door.Sever()
+			}
+			// For the platform's bounds this is a reset of the connections, from which they hold after a while.
+			time.Sleep(propagationBound)
+			f.configure(map[string]any{"tenants": []any{map[string]any{"name": "t1", "api-keys": []string{"key", "new"}}}})
+			f.configure(map[string]any{"tenants": []any{map[string]any{"name": "t1", "api-keys": []string{"new"}}}})
+			f.store.Put(platform.TargetPrefix+"app-1", leaving.Entry("app", "draining"))
+			time.Sleep(configBound)
+			requireRevokedKey(t, f.routers)
+			before := len(leaving.Arrivals())
+			for i, inst := range f.routers {
+				for j := range 4 {
+					a := get("/look/", fmt.Sprint("r", i, j))
+					a.header = map[string]string{"Authorization": "Bearer new"}
+					if got := inst.send(context.Background(), a); got.status != http.StatusOK {
+						t.Errorf("%s: status %d, %s", inst.config.Name, got.status, got.body)
+					}
+				}
+			}
+			if late := len(leaving.Arrivals()) - before; late > 0 {
+				t.Errorf("%d requests reached a target %v after it began to drain", late, configBound)
+			}
+		})
+	}
+}
