Continue only answers whose position is known

Cause: another attempt depended on the route alone, and an answer that had begun was taken for a stream. Events without IDs were continued from an earlier one, and to clients of HTTP/1.0 a cut answer looked complete.

Change: an answer that has begun is continued only after complete events, the last of which has an ID. Others end as broken; one that ends with its connection is reset.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -427,7 +427,7 @@
 			x.stall.Event(x.lastAt)
 			x.engine.Event(x.lastAt)
 			x.progressAt = x.lastAt
-			x.resumeAfter = lastEventID(pending[:complete], x.resumeAfter)
+			x.resumeAfter, x.positionKnown = lastEventID(pending[:complete], x.resumeAfter)
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		if err != nil && x.continuesElsewhere(err, response, pending) {
@@ -500,12 +500,20 @@
 	}
 }
 
-// lastEventID returns the ID of the last event that has one, or else the previous ID.
-func lastEventID(events []byte, previous string) string {
+// lastEventID returns the ID of the last event that has one, or else the previous ID, and whether the last event has one.
+func lastEventID(events []byte, previous string) (last string, known bool) {
+	ended := false
 	for line := range bytes.Lines(events) {
+		if len(bytes.TrimSpace(line)) == 0 {
+			ended = true
+			continue
+		}
+		if ended {
+			known, ended = false, false
+		}
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			previous = string(bytes.TrimSpace(value))
+			previous, known = string(bytes.TrimSpace(value)), true
 		}
 	}
-	return previous
+	return previous, known
 }
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -61,6 +61,25 @@
 		if rest := content[length:]; completeEventsLength(rest) != 0 {
 			t.Errorf("complete events are left: %q", rest)
 		}
-		_ = lastEventID(content, "")
+		_, _ = lastEventID(content, "")
 	})
 }
+
+// Guards against a stream that is continued after an event that is not its last.
+func TestLastEventID(t *testing.T) {
+	for name, c := range map[string]struct {
+		events, want string
+		known        bool
+	}{
+		"one event":                   {"id: 1\ndata: a\n\n", "1", true},
+		"several":                     {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2", true},
+		"the last has none":           {"id: 1\ndata: a\n\ndata: b\n\n", "1", false},
+		"none":                        {"data: a\n\n", "0", false},
+		"carriage returns":            {"id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", "2", true},
+		"the ID stands behind a data": {"data: a\nid: 3\n\n", "3", true},
+	} {
+		if got, known := lastEventID([]byte(c.events), "0"); got != c.want || known != c.known {
+			t.Errorf("%s: got %q, %t", name, got, known)
+		}
+	}
+}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -76,6 +77,9 @@
 	// headerSent is set once the response header has been written.
 	headerSent  bool
 	resumeAfter string
+	// positionKnown is set while the client has complete events only, the last of which has an ID. Other answers that have
+	// begun can't be continued.
+	positionKnown bool
 	// choice is the target of the current attempt; promptRead is set once that target has read the prompt, and
 	// promptAnswered once it has gone on after its first event. answeringSince is the time of that event.
 	choice         place.Choice
@@ -373,6 +377,8 @@
 		return result.reason
 	case x.mayHaveRun && !x.route.Idempotent():
 		return result.reason
+	case x.headerSent && !x.positionKnown:
+		return result.reason
 	case result.mayHaveRun && x.runs >= x.route.MaxTargets:
 		return result.reason
 	}
@@ -398,7 +404,7 @@
 		panic(http.ErrAbortHandler)
 	case x.headerSent:
 		x.logOutcome(code, "stream cut", logrus.WarnLevel)
-		panic(http.ErrAbortHandler)
+		x.cutAnswer()
 	case x.targetFailure != nil:
 		x.logOutcome(code, "target's failure passed on", logrus.InfoLevel)
 		x.writeBuffered(x.targetFailure.status, x.targetFailure.header, x.targetFailure.body)
@@ -407,6 +413,18 @@
 	}
 }
 
+// cutAnswer ends an answer that has begun so that the client sees that it is not complete. The end of the connection shows
+// this unless the answer ends with the connection, as for HTTP/1.0; that is reset.
+func (x *exchange) cutAnswer() {
+	conn, found := x.r.Context().Value(clientConnection{}).(*net.TCPConn)
+	if found && !x.r.ProtoAtLeast(1, 1) {
+		if err := conn.SetLinger(0); err != nil {
+			x.router.log.WithField("request", x.request.ID).WithError(err).Info("client's connection can't be reset")
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // refuse responds with an error of the router itself. A status that guarantees that the request has not run is used
 // only if that is certain.
 func (x *exchange) refuse(code reason.Reason, retryAfter time.Duration) {
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -92,6 +92,9 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, clientConnection{}, conn)
+		},
 	}
 	admin := &http.Server{Handler: r.admin(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	listeners := []struct {
@@ -115,6 +118,9 @@
 	return []*http.Server{front, admin}, serveErrors, nil
 }
 
+// clientConnection is the context key of the connection of a request's client.
+type clientConnection struct{}
+
 // admin returns the handler for readiness and metrics.
 func (r *Router) admin() http.Handler {
 	server := echo.New()
--- a/internal/router/trouble_test.go
+++ b/internal/router/trouble_test.go
@@ -1,7 +1,11 @@
 package router_test
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -104,3 +108,59 @@
 		}
 	}
 }
+
+// Guards against a long answer that breaks off after its beginning was passed on, and then reaches the client as complete:
+// with the answer of another target behind it, or with nothing.
+func TestBrokenLongAnswerIsNotCompleted(t *testing.T) {
+	const broken = 1_500_000
+	padding := strings.Repeat("a line of text\n\n", 125_000)
+	for name, c := range map[string]struct {
+		service, path string
+		hasLength     bool
+		version       string
+	}{
+		"idempotent, chunked":              {"app", "/look/", false, "1.1"},
+		"idempotent, length":               {"app", "/look/", true, "1.1"},
+		"idempotent, ended by connection":  {"app", "/look/", false, "1.0"},
+		"idempotent, length, 1.0":          {"app", "/look/", true, "1.0"},
+		"not idempotent, chunked":          {"app", "/order/", false, "1.1"},
+		"not idempotent, by connection":    {"app", "/order/", false, "1.0"},
+		"stream that may be resumed":       {"llm", "/check/", false, "1.1"},
+		"stream that must not run again":   {"llm", "/chat/", true, "1.1"},
+		"resumable, ended by a connection": {"llm", "/check/", false, "1.0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sound := platformtest.Behavior{Padding: padding, HasLength: c.hasLength}
+			trouble := sound
+			trouble.BreakBytes = broken
+			f, _ := troubledFleet(t, c.service, trouble, sound)
+			conn, err := net.Dial("tcp4", f.routers[0].config.FrontAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+platformtest.Host+c.path, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			platformtest.Caller{ID: "1", Key: "key", Wait: callWait}.Apply(request)
+			var head bytes.Buffer
+			_, _ = fmt.Fprintf(&head, "POST %s HTTP/%s\r\nHost: %s\r\nContent-Length: 0\r\n", c.path, c.version, platformtest.Host)
+			_ = request.Header.Write(&head)
+			if _, err := conn.Write(append(head.Bytes(), "\r\n"...)); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(response.Body)
+			if err == nil && response.StatusCode == http.StatusOK {
+				t.Errorf("the answer looks complete, with %d bytes", len(body))
+			}
+			if count := strings.Count(string(body), "answer of"); count > 1 {
+				t.Errorf("the answer holds %d answers", count)
+			}
+		})
+	}
+}
