--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -285,6 +285,8 @@
 	}
 }
 
+var errNotEvents = errors.New("response to a stream that is continued has no events with IDs")
+
 var errEventTooLong = errors.New("event exceeds the size limit")
 
 // brokenResult returns the result for a response that broke off after its header.
@@ -407,6 +409,7 @@
 	}
 	var pending []byte
 	buffer := make([]byte, streamBuffer)
+	declared := response.Header.Get("Content-Type") != ""
 	x.progressAt = time.Now()
 	x.stall.Restart(x.progressAt)
 	x.engine = x.router.streams.Begin(x.choice.Target.ID)
@@ -418,6 +421,13 @@
 		})
 		pending = append(pending, buffer[:n]...)
 		if complete := completeEventsLength(pending); complete > 0 {
+			if continued && !declared {
+				// The beginning had IDs, so what has none is not the rest of it.
+				if _, declared = lastEventID(pending[:complete], ""); !declared {
+					x.lastErr = errNotEvents
+					return attemptResult{reason: reason.StreamGone, outcome: place.Failed, mayHaveRun: true, reachedTarget: true}
+				}
+			}
 			if !x.headerSent {
 				x.writeStreamHeader(response)
 			}
