Tell routers that start which requests are refused

Cause: refusals of requests were announced once, those of prompt parts are part of each digest. Change: regular digests carry up to 8 refused requests with their trials.

TestRestartedRouterRefusesRequest failed before.

--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -23,6 +23,9 @@
 // the connections of a process that ends one after the other.
 const crashCheckDelay = 50 * time.Millisecond
 
+// maxRefusedRequestsPerDigest bounds the refused requests in a digest, so that it fits into a packet.
+const maxRefusedRequestsPerDigest = 8
+
 // crashTracker finds requests that crash the targets that run them. A router reports each crash to the router that ranks
 // first for the request's digest, which notifies all others once a request has caused too many.
 type crashTracker struct {
@@ -152,6 +155,12 @@
 	}
 }
 
+func (r *Router) refusedRequests(now time.Duration) []crashguard.RequestRefusal {
+	r.crashes.mu.Lock()
+	defer r.crashes.mu.Unlock()
+	return r.crashes.guard.Refusals(now, maxRefusedRequestsPerDigest)
+}
+
 func (r *Router) logRefusedRequests(refusals []crashguard.RequestRefusal, peer string) {
 	for _, refusal := range refusals {
 		r.meters.Event("crash_suspect")
--- a/internal/router/crashes_test.go
+++ b/internal/router/crashes_test.go
@@ -205,3 +205,37 @@
 	}
 	await(t, "both routers serve it", func() bool { return read(0).status == http.StatusOK && read(1).status == http.StatusOK })
 }
+
+// Guards against routers that are restarted and pass on a request that all others refuse, one crash after another.
+func TestRestartedRouterRefusesRequest(t *testing.T) {
+	const allowed = 1
+	f := newFleet(t, 3)
+	runs := f.crashingTargets("app", 6, func(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, "/poison") },
+		platformtest.Behavior{}, 10*time.Millisecond)
+	send := func(inst *instance) result {
+		return inst.send(context.Background(), call{method: http.MethodPost, path: "/order/poison", id: fmt.Sprint(time.Now().UnixNano()), body: "the same"})
+	}
+	isRefused := func(inst *instance) bool {
+		return strings.Contains(inst.output.String(), "request crashes targets and is refused")
+	}
+	for i := 0; i < 6 && !isRefused(f.routers[0]); i++ {
+		send(f.routers[i%len(f.routers)])
+		time.Sleep(500 * time.Millisecond)
+	}
+	for _, inst := range f.routers {
+		inst.stop()
+		<-inst.ended
+		f.start(inst)
+		f.awaitReady()
+		await(t, "the restarted router refuses the request", func() bool { return isRefused(inst) })
+	}
+	before := runs()
+	for i := range 12 {
+		if got := send(f.routers[i%len(f.routers)]); got.status == http.StatusOK {
+			t.Errorf("call %d was answered", i)
+		}
+	}
+	if late := runs() - before; late > allowed {
+		t.Errorf("the request ran %d more times, want at most %d", late, allowed)
+	}
+}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -195,7 +195,8 @@
 		Leaving:     r.draining.Load(),
 		News:        updates,
 
-		RefusedPrompts: wire.RefusedPrompts(r.refusedPrompts(now)),
+		RefusedPrompts:  wire.RefusedPrompts(r.refusedPrompts(now)),
+		RefusedRequests: wire.RefusedRequests(r.refusedRequests(now)),
 	}
 	r.trafficMu.Lock()
 	for hash, load := range r.loadTracker.OwnLoads() {
@@ -276,6 +277,9 @@
 	for _, update := range digest.News {
 		r.applyPeerChanges(digest.Address, update)
 	}
+	if len(digest.RefusedRequests) > 0 {
+		r.applyRefusedRequests(wire.RefusedRequestsFrom(digest.RefusedRequests), digest.Address)
+	}
 	if len(digest.RefusedPrompts) > 0 {
 		r.applyRefusedPrompts(wire.RefusedPromptsFrom(digest.RefusedPrompts), digest.Address)
 	}
