Reset connections of attempts that are given up

Cause: after an ordinary close the kernel goes on sending what it holds. Change: a connection whose response was not read to the end is reset.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -200,7 +200,10 @@
 		return nil, &NotSentError{Cause: err}
 	}
 	response := newResponse(p, c)
-	response.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	response.stopWatch = context.AfterFunc(ctx, func() {
+		c.reset()
+		_ = c.Close()
+	})
 	if err := response.send(call); err != nil {
 		response.discard()
 		return nil, asContextError(ctx, err)
@@ -525,7 +528,19 @@
 	}
 }
 
+// discard ends an attempt. If it was given up the connection is reset, so that the kernel sends nothing more of the request.
 func (r *Response) discard() {
 	r.stopWatch()
+	if !r.bodyEOF {
+		r.conn.reset()
+	}
 	_ = r.conn.Close()
 }
+
+// reset makes the next Close drop what has not been sent yet.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -341,3 +342,37 @@
 		t.Errorf("got %v, want a timeout", err)
 	}
 }
+
+// Guards against requests that reach a target long after they were given up, since the kernel goes on sending what a cut of
+// the link has held up. A reset drops it.
+func TestAttemptThatIsGivenUpResetsItsConnection(t *testing.T) {
+	for name, giveUp := range map[string]func(ctx context.Context, cancel func(), pool *Pool, c Call){
+		"the client left": func(ctx context.Context, cancel func(), pool *Pool, c Call) {
+			time.AfterFunc(50*time.Millisecond, cancel)
+			_, _ = pool.Do(ctx, c)
+		},
+		"no head in time": func(ctx context.Context, _ func(), pool *Pool, c Call) {
+			c.HeadTimeout = 50 * time.Millisecond
+			_, _ = pool.Do(ctx, c)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan error, 1)
+			address := target(t, func(conn net.Conn, _ *http.Request) {
+				_, err := conn.Read(make([]byte, 1))
+				ended <- err
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			giveUp(ctx, cancel, NewPool(decoder{}, DefaultHeldBytes), call(address, "1"))
+			select {
+			case err := <-ended:
+				if !errors.Is(err, syscall.ECONNRESET) {
+					t.Errorf("the connection ended with %v", err)
+				}
+			case <-time.After(2 * time.Second):
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
