--- a/internal/upstream/buffers.go
+++ b/internal/upstream/buffers.go
@@ -8,7 +8,7 @@
 	// freeBytes is what each response may hold without regard to that limit, so that ordinary ones are never affected.
 	freeBytes = 16 << 10
 	// headCost is the memory, in bytes, that a byte of a response head takes at worst when it is parsed: many short fields.
-	headCost = 8
+	headCost = 16
 )
 
 // buffers counts the response data that is held in memory before it is passed on or skipped. Targets in trouble may send
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -55,7 +55,7 @@
 	// other requests included. A target in trouble may send data without end.
 	maxHeadBytes = 128 << 10
 	// headStep is what is read of a head before more memory is reserved. Usual heads are shorter.
-	headStep = 16 << 10
+	headStep = 4 << 10
 	// maxIdlePerAddress bounds the idle connections to one target. All routers together must stay far below the target's
 	// limit: 80 routers keep 160 of the 480 or more connections that targets allow on the enlarged sites.
 	maxIdlePerAddress = 2
