--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -135,10 +135,12 @@
 	net.Conn
 	reader *bufio.Reader
 	// unread is the number of bytes that may still be read from the connection. Once it is used up, extend may allow more.
-	unread  int64
-	extend  func() int64
-	address string
-	idleAt  time.Time
+	unread int64
+	extend func() int64
+	// exhausted is set once a read has failed because nothing more may be read.
+	exhausted bool
+	address   string
+	idleAt    time.Time
 	// idleLimit is how long the connection may be idle and still be reused.
 	idleLimit time.Duration
 	used      bool
@@ -153,6 +155,7 @@
 		c.unread = c.extend()
 	}
 	if c.unread <= 0 {
+		c.exhausted = true
 		return 0, errHeadTooLong
 	}
 	buffer = buffer[:min(int64(len(buffer)), c.unread)]
@@ -392,7 +395,7 @@
 	defer func() { r.conn.unread, r.conn.extend = math.MaxInt64, nil }()
 	for skipped := 0; ; {
 		raw, err := http.ReadResponse(r.conn.reader, method)
-		if r.conn.unread <= 0 {
+		if r.conn.exhausted {
 			return &BrokenError{Cause: errHeadTooLong}
 		}
 		if err != nil {
