Fail the format check when gofmt or git fails

The check printed nothing and passed when gofmt was missing, since the exit status of the command substitution was dropped. Tried with stand-ins for gofmt only: missing, failing, clean, and reporting a file.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 test: format lint unit
 
 format:
-	@unformatted=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go')); \
+	@files=$$(git ls-files -co --exclude-standard '*.go') || exit 1; \
+	unformatted=$$(gofmt -l $$files) || exit 1; \
 	if [ -n "$$unformatted" ]; then echo "gofmt needed:"; echo "$$unformatted"; exit 1; fi
 
 lint:
