--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -138,7 +138,7 @@
 	RetryAfter time.Duration
 }
 
-// Load is the load of a target.
+// Load is the work that a target has in progress. Routers report it to each other and choose targets by it.
 type Load struct {
 	// Requests is the number of requests in flight at the target.
 	Requests float64
