Correct the comment on the fan-out of readers

It said that the bound covers the largest fleet; deployments have 117 routers and more. Recipients draws them at random for each digest.

--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -30,7 +30,7 @@
 	// maxChangeBytes bounds the store changes in a digest, so that it fits into a packet.
 	maxChangeBytes = 900
 	// readerFanout bounds the recipients of a digest from a router that reads the store. Routers that receive digests
-	// from no reader read the store themselves, so the bound covers the largest current fleet.
+	// from no reader read the store themselves. In fleets of more than 81 routers each digest goes to 80 drawn at random.
 	readerFanout = 80
 	// lossAnnouncementPeriod is how long a router that no longer reads the store continues to send digests to all that
 	// received them while it did. It spans two digests, since one may be lost.
