Bound the tries to reach a store that does not respond for the whole fleet

Each router tried each range every 2 s on average while the store was away, so the calls grew with the number of routers: 81 a second with 117 routers by arithmetic. The first six routers in rank now try one range in turn every 1.5 s, and all others together four times a second. A success for one range ends the pause of the other, other routers' reads end it too, and routers that hear from no other or have missed a change keep short pauses. Pings run beside a watch only while the store has responded to the last call.

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -30,6 +30,12 @@
 	// proberCount is the number of routers that retry a failing store at short intervals on behalf of all. It is twice
 	// readerCount, so that as many as the readers remain when half are cut off from the others.
 	proberCount = 2 * readerCount
+	// proberInterval is the mean time between two tries of a prober. It finds a store that is back within half of the bound
+	// on configuration delay.
+	proberInterval = 1500 * time.Millisecond
+	// otherProbeRate is the number of tries a second by all other routers together. They find a store that serves some VMs
+	// only, none of which is a prober's.
+	otherProbeRate = 4
 	// rankSettleTime is the time after start within which a router hears from most others: three digests of each, or
 	// one of a router that reads the store. A configuration change during this time is read after it, within its bound.
 	rankSettleTime = 800 * time.Millisecond
@@ -193,10 +199,25 @@
 	return ahead < readerCount && len(m.members) > 0 && now >= rankSettleTime
 }
 
-// EnoughProbersAhead reports whether enough live routers rank before this one to probe a failing store on behalf of
-// all. When one of them can read the store again, this router learns of it.
-func (m *Members) EnoughProbersAhead(now time.Duration) bool {
-	return m.countRankedBefore(now, func(*member) bool { return true }) >= proberCount
+// IsProber reports whether this router is one of those that probe a store that does not respond on behalf of all. A router
+// that hears from no other probes it for itself.
+func (m *Members) IsProber(now time.Duration) bool {
+	heardAt := -readerTimeout
+	for _, other := range m.members {
+		heardAt = max(heardAt, other.lastDirect)
+	}
+	return now-heardAt >= readerTimeout || m.countRankedBefore(now, func(*member) bool { return true }) < proberCount
+}
+
+// ProbeInterval returns the mean time between two tries of this router to reach a store that does not respond. The first
+// routers in rank probe the store on behalf of all; the others try at a rate that does not grow with their number, since
+// they learn from digests that the store is back.
+func (m *Members) ProbeInterval(now time.Duration) time.Duration {
+	if m.IsProber(now) {
+		return proberInterval
+	}
+	others := m.Count(now) - proberCount
+	return max(time.Duration(others)*time.Second/otherProbeRate, proberInterval)
 }
 
 // countRankedBefore counts the live routers that satisfy the predicate and rank before this one as readers.
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -94,22 +94,29 @@
 
 // Guards against calls to a failing store that grow with the number of routers, and against a store that no router
 // retries at short intervals.
-func TestFewRoutersProbeAFailingStore(t *testing.T) {
-	all := newGroup(70)
-	now := 10 * time.Second
-	exchangeDigests(now, all, func(*Members) Access { return Failing })
-	probing := 0
-	for _, m := range all {
-		if !m.EnoughProbersAhead(now) {
-			probing++
+func TestTriesToReachAFailingStoreAreBoundedForTheFleet(t *testing.T) {
+	const maxTriesPerSecond = 8
+	for _, size := range []int{9, 70, 117, 300} {
+		all := newGroup(size)
+		now := 10 * time.Second
+		exchangeDigests(now, all, func(*Members) Access { return Failing })
+		probing, tries := 0, 0.0
+		for _, m := range all {
+			if m.IsProber(now) {
+				probing++
+			}
+			tries += 1 / m.ProbeInterval(now).Seconds()
 		}
-	}
-	if probing != proberCount {
-		t.Errorf("%d of 70 routers probe at short intervals, want %d", probing, proberCount)
-	}
-	for _, m := range all {
-		if m.EnoughProbersAhead(now + memberTimeout) {
-			t.Fatalf("%s relies on routers whose membership has timed out", m.self)
+		if probing != proberCount {
+			t.Errorf("%d of %d routers probe at short intervals, want %d", probing, size, proberCount)
+		}
+		if tries > maxTriesPerSecond+0.01 {
+			t.Errorf("%d routers make %.2f tries a second, want at most %d", size, tries, maxTriesPerSecond)
+		}
+		for _, m := range all {
+			if !m.IsProber(now + readerTimeout) {
+				t.Fatalf("%s relies on routers that it no longer hears from", m.self)
+			}
 		}
 	}
 }
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -30,16 +30,14 @@
 	// aborted read adds to the load.
 	readTimeout    = 2500 * time.Millisecond
 	maxReadTimeout = 10 * time.Second
-	// minRetryPause and maxRetryPause bound the pause after a failed call to the store, which is doubled after each
-	// failure.
+	// minRetryPause is the pause after the first failed call to the store. It is doubled after each failure up to the time
+	// that peers.Members.ProbeInterval gives each range.
 	minRetryPause = 100 * time.Millisecond
-	maxRetryPause = 600 * time.Millisecond
-	// maxStartRetryPause replaces maxRetryPause while the router has no content and can't serve.
+	// maxStartRetryPause bounds the pause in the first startRetryPeriod of a router that has no content and can't serve.
 	maxStartRetryPause = 200 * time.Millisecond
-	// deferredRetryPause is the pause while other routers probe the store on behalf of all. A router that can reach
-	// only the store is not heard by any peer and keeps the short pause; the others learn that the store is back within
-	// two digests.
-	deferredRetryPause = 2 * time.Second
+	startRetryPeriod   = 10 * time.Second
+	// maxForcedRetryPause bounds the pause of a router that has missed a change and can't get it from another router.
+	maxForcedRetryPause = 600 * time.Millisecond
 	// batchDelay is the pause between calls to the store. It batches changes that would otherwise cost one call each.
 	batchDelay = 250 * time.Millisecond
 	// maxTargetLogLines is the number of targets listed by one read up to which each gets its own log line. It is above
@@ -88,24 +86,54 @@
 		}
 		r.recordStoreFailure(keyRange, err)
 		r.store.Reconnect()
-		if r.canDeferToPeers(keyRange) {
-			pause = deferredRetryPause
-		}
-		if !r.initialized(keyRange) {
-			pause = min(pause, maxStartRetryPause)
+		r.waitForRetry(ctx, keyRange, pause)
+		pause *= 2
+	}
+}
+
+// waitForRetry waits before the next call to a store that has failed, for the pause that the failures so far suggest or the
+// one that this router's part in probing the store allows. It returns early once a call for another range has succeeded, or
+// once other routers read the store.
+func (r *Router) waitForRetry(ctx context.Context, keyRange directory.Range, doubled time.Duration) {
+	failedAt := r.now()
+	jitter := 0.5 + rand.Float64()
+	for ctx.Err() == nil && r.checkReadsStore(keyRange) && !r.storeAnsweredSince(failedAt) {
+		pause := time.Duration(jitter * float64(r.retryPause(keyRange, doubled)))
+		if r.now() >= failedAt+pause {
+			return
 		}
-		jitter := time.Duration(rand.Int64N(int64(pause)))
-		sleep(ctx, pause/2+jitter)
-		pause = min(2*pause, maxRetryPause)
+		sleep(ctx, min(failedAt+pause-r.now(), readerPollInterval))
+	}
+}
+
+// retryPause returns the mean pause after a failed call for a range. The ranges share the tries that all routers together
+// may make.
+func (r *Router) retryPause(keyRange directory.Range, doubled time.Duration) time.Duration {
+	r.controlMu.Lock()
+	defer r.controlMu.Unlock()
+	now := r.now()
+	if !r.directory.Mirror(keyRange).Initialized() && now < startRetryPeriod {
+		return min(doubled, maxStartRetryPause)
+	}
+	interval := r.members.ProbeInterval(now) * time.Duration(len(directory.AllRanges()))
+	switch {
+	case r.forceRead[keyRange]:
+		return min(doubled, interval, maxForcedRetryPause)
+	case r.members.IsProber(now):
+		return min(doubled, interval)
 	}
+	return interval
 }
 
-// canDeferToPeers reports whether this router may leave probing a failing store to others. A router without content may
-// not, since it can't serve until it has some.
-func (r *Router) canDeferToPeers(keyRange directory.Range) bool {
+func (r *Router) storeAnsweredSince(at time.Duration) bool {
 	r.controlMu.Lock()
 	defer r.controlMu.Unlock()
-	return r.directory.Mirror(keyRange).Initialized() && r.members.EnoughProbersAhead(r.now())
+	for _, answeredAt := range r.answeredAt {
+		if answeredAt > at {
+			return true
+		}
+	}
+	return false
 }
 
 // checkReadsStore decides whether this router reads the range now, and records a switch to relayed access.
@@ -161,13 +189,13 @@
 	}
 	r.controlMu.Lock()
 	after := r.directory.Mirror(keyRange).Position()
-	wait := watchWait
-	if r.access[keyRange] != peers.Reading {
+	wait, monitored := watchWait, r.access[keyRange] == peers.Reading
+	if !monitored {
 		wait = confirmWait
 		r.storeMonitor.Reset(r.now())
 	}
 	r.controlMu.Unlock()
-	at, events, err := r.watchStore(ctx, prefix, after, wait)
+	at, events, err := r.watchStore(ctx, prefix, after, wait, monitored)
 	if err != nil {
 		return err
 	}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -32,8 +32,10 @@
 	err    error
 }
 
-// watchStore waits for events. It fails before the end of the wait if the store has fallen silent or was restored.
-func (r *Router) watchStore(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) (mirror.Position, []mirror.Event, error) {
+// watchStore waits for events. It fails before the end of the wait if the store was restored, or has fallen silent. With
+// monitored unset the watch is so short that its own timeout shows the silence, and no pings add to the calls to a store
+// that may be down.
+func (r *Router) watchStore(ctx context.Context, prefix string, after mirror.Position, wait time.Duration, monitored bool) (mirror.Position, []mirror.Event, error) {
 	watchCtx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	results := make(chan watchResult, 1)
@@ -51,7 +53,7 @@
 		case result := <-results:
 			return result.at, result.events, result.err
 		case <-check.C:
-			err := r.checkStore(ctx, after.Era)
+			err := r.checkStore(ctx, after.Era, monitored)
 			if err == nil {
 				continue
 			}
@@ -64,18 +66,22 @@
 	}
 }
 
-// checkStore pings the store if that is due. It returns an error if the store has fallen silent, or is in a later era.
-func (r *Router) checkStore(ctx context.Context, era uint64) error {
+// checkStore returns an error if the store is in a later era. With monitored set it also pings the store if that is due, and
+// returns an error if the store has fallen silent.
+func (r *Router) checkStore(ctx context.Context, era uint64, monitored bool) error {
 	r.controlMu.Lock()
 	defer r.controlMu.Unlock()
+	if r.storeEra > era {
+		return errStoreRestored
+	}
+	if !monitored {
+		return nil
+	}
 	now := r.now()
 	if r.storeMonitor.PingDue(now) {
 		go r.pingStore(ctx)
 	}
-	switch {
-	case r.storeEra > era:
-		return errStoreRestored
-	case r.storeMonitor.Silent(now):
+	if r.storeMonitor.Silent(now) {
 		return errStoreSilent
 	}
 	return nil
