Choose targets through one table of exclusions and purposes

Callers see no change. Each place that chooses or asks a target checked its own subset of the reasons for passing a target over, so a new reason had to be added at each of them.

exclusions.go names the reasons and the purposes, and one table states for each reason and purpose whether it applies, with what fallback, or why not. Query.Purpose selects the checks; Allowed replaces MayCall and MayContinue and changes no state, and Continued counts a continuation during a pause when it is sent. The calls that copy and stop a run get a purpose of their own, MoveSource, since they honour pauses today and sources of copies do not. Refusals move to refusal.go.

--- a/internal/backpressure/pause.go
+++ b/internal/backpressure/pause.go
@@ -63,12 +63,18 @@
 	return true
 }
 
-// Continue reports whether a moved run may continue at the instance, and counts it if the instance has asked for a pause.
-func (t *Tracker) Continue(now time.Duration, instance uint64) bool {
+// MayContinue reports whether a moved run may continue at the instance.
+func (t *Tracker) MayContinue(now time.Duration, instance uint64) bool {
 	p := t.pauses[instance]
-	if p == nil || now >= p.until {
-		return true
+	return p == nil || now >= p.until || p.continuations < maxContinuations
+}
+
+// Continue records that a moved run continues at the instance, which counts if the instance has asked for a pause. It
+// reports whether the run may continue there.
+func (t *Tracker) Continue(now time.Duration, instance uint64) bool {
+	allowed := t.MayContinue(now, instance)
+	if p := t.pauses[instance]; p != nil && now < p.until {
+		p.continuations++
 	}
-	p.continuations++
-	return p.continuations <= maxContinuations
+	return allowed
 }
--- a/internal/place/destination.go
+++ b/internal/place/destination.go
@@ -21,10 +21,8 @@
 	if svc == nil {
 		return Choice{}, false
 	}
-	open, _, _ := p.candidates(now, svc, append(slices.Clone(exclude), source.ID))
-	open = slices.DeleteFunc(open, func(candidate *targetState) bool {
-		return candidate.withdrawn || now < candidate.blocked || candidate.target.WarmupRemaining > 0
-	})
+	open := p.candidates(now, svc, Destination, append(slices.Clone(exclude), source.ID)).open
+	open = slices.DeleteFunc(open, func(candidate *targetState) bool { return candidate.target.WarmupRemaining > 0 })
 	if len(open) == 0 {
 		return Choice{}, false
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -52,11 +52,6 @@
 	// connectionShare is the fraction of a target's connection limit that requests may use: a target resets connections
 	// beyond its limit, and a reset request may have run.
 	connectionShare = 0.8
-	// minLimitRetryAfter is the minimum Retry-After of a request that targets with rate limits can't take: a few round
-	// trips, after which another router may have a part of a limit left.
-	minLimitRetryAfter = 100 * time.Millisecond
-	// maxReturnSpread is the time over which requests return whose targets are passed over for long.
-	maxReturnSpread = time.Second
 	// takeoverWait is the longest time that a request may wait for the first part of its response at a target that takes
 	// over requests of targets with rate limits. Callers abandon a stream that has not begun after 2 s.
 	takeoverWait = 400 * time.Millisecond
@@ -91,6 +86,8 @@
 // Query is a request to place.
 type Query struct {
 	Service string
+	// Purpose is FirstAttempt or Retry.
+	Purpose Purpose
 	// Prompt is the part of the prompt that is shared with other requests.
 	Prompt Prompt
 	// PromptTokens is the size of the whole prompt in tokens.
@@ -373,16 +370,6 @@
 	}
 }
 
-// MayCall reports whether the target may get calls other than requests of clients: it has not asked for a pause.
-func (p *LoadTracker) MayCall(now time.Duration, target routes.Target) bool {
-	return p.statements.Admission(now, instanceKey(target)) != backpressure.Paused
-}
-
-// MayContinue reports whether a moved run may continue at the target, and counts it if the target has asked for a pause.
-func (p *LoadTracker) MayContinue(now time.Duration, target routes.Target) bool {
-	return p.statements.Continue(now, instanceKey(target))
-}
-
 // RateLimit returns the rate limit that the target has stated and this process's part of it.
 func (p *LoadTracker) RateLimit(now time.Duration, target routes.Target) (rate, share float64, limited bool) {
 	return p.statements.Limit(now, instanceKey(target))
@@ -505,16 +492,13 @@
 	if svc == nil {
 		return Choice{}, &Refusal{Reason: reason.NoTarget, RetryAfter: blockBase}
 	}
-	open, limited, paused := p.candidates(now, svc, query.Exclude)
-	if len(limited) > 0 {
+	set := p.candidates(now, svc, query.Purpose, query.Exclude)
+	open := set.open
+	if len(set.limited) > 0 {
 		open = slices.DeleteFunc(open, func(state *targetState) bool { return state.overloaded(now) })
 	}
-	switch {
-	case len(open) > 0:
-	case len(limited)+len(paused) > 0:
-		return Choice{}, &Refusal{Reason: reason.OverLimit, RetryAfter: p.passedOverRetryAfter(now, slices.Concat(limited, paused))}
-	default:
-		return Choice{}, &Refusal{Reason: reason.NoTarget, RetryAfter: blockBase}
+	if len(open) == 0 {
+		return Choice{}, p.refusal(now, set)
 	}
 	loads, mean := loadsOf(now, open)
 	var best, rank int
@@ -542,7 +526,7 @@
 		return Choice{}, &Refusal{Reason: reason.OverLimit, RetryAfter: wait / 2}
 	}
 	p.lastNumber++
-	return Choice{Number: p.lastNumber, Prefill: prefill, Target: open[best].target, LoadAge: open[best].loadAge(now), Load: loads[best], Mean: mean.Requests, Rank: rank, Source: source, Limited: len(limited), Paused: len(paused), ConfirmsLimit: confirms}, nil
+	return Choice{Number: p.lastNumber, Prefill: prefill, Target: open[best].target, LoadAge: open[best].loadAge(now), Load: loads[best], Mean: mean.Requests, Rank: rank, Source: source, Limited: len(set.limited), Paused: len(set.paused), ConfirmsLimit: confirms}, nil
 }
 
 // confirmLimit returns the index of a target that is to get the request so that its response shows whether its rate limit
@@ -583,75 +567,6 @@
 	return loads, Load{Requests: unlimited.Requests / count, Prefill: unlimited.Prefill / count}
 }
 
-// passedOverRetryAfter returns when a request is to return that only targets could take which are passed over because of
-// what they state. Requests are spread so that they do not all return at the same time.
-func (p *LoadTracker) passedOverRetryAfter(now time.Duration, passedOver []*targetState) time.Duration {
-	shortest, found := time.Duration(0), false
-	for _, state := range passedOver {
-		if wait, mine := p.statements.Wait(now, state.instance); mine && (!found || wait < shortest) {
-			shortest, found = wait, true
-		}
-	}
-	shortest = max(shortest, minLimitRetryAfter)
-	return shortest + time.Duration(p.rng.Float64()*float64(min(shortest, maxReturnSpread)))
-}
-
-// RejectedRetryAfter returns when a request that targets have rejected is to return, if all targets of the service are
-// passed over because of what they state.
-func (p *LoadTracker) RejectedRetryAfter(now time.Duration, serviceName string) (time.Duration, bool) {
-	svc := p.services[serviceName]
-	if svc == nil {
-		return 0, false
-	}
-	open, limited, paused := p.candidates(now, svc, nil)
-	if len(open) > 0 || len(limited)+len(paused) == 0 {
-		return 0, false
-	}
-	return p.passedOverRetryAfter(now, slices.Concat(limited, paused)), true
-}
-
-// candidates returns the targets that may receive the request: the healthy ones, else those with recent failures, else
-// those that are blocked or were just withdrawn. It also returns those that are passed over because of their rate limits,
-// or because they have asked for a pause.
-func (p *LoadTracker) candidates(now time.Duration, svc *service, exclude []string) (open, limited, paused []*targetState) {
-	var healthy, failing, last []*targetState
-	sum := 0.0
-	for _, state := range svc.targets {
-		sum += state.failuresNow(now)
-	}
-	for _, state := range svc.targets {
-		rate := state.failuresNow(now)
-		_, _, state.limited = p.statements.Limit(now, state.instance)
-		state.sinceLimit, state.recovering = p.statements.Recovering(now, state.instance)
-		admission := p.statements.Admission(now, state.instance)
-		others := (sum - rate) / float64(max(len(svc.targets)-1, 1))
-		switch {
-		case slices.Contains(exclude, state.target.ID) || state.target.Draining || admission == backpressure.Leaving:
-		case admission == backpressure.Limited:
-			limited = append(limited, state)
-		case admission == backpressure.Paused:
-			paused = append(paused, state)
-		case state.withdrawn:
-			if now < state.dropAt {
-				last = append(last, state)
-			}
-		case now < state.blocked:
-			last = append(last, state)
-		case rate > failureLimit && rate > failureRatio*others:
-			failing = append(failing, state)
-		default:
-			healthy = append(healthy, state)
-		}
-	}
-	if len(healthy) > 0 {
-		return healthy, limited, paused
-	}
-	if len(failing) > 0 {
-		return failing, limited, paused
-	}
-	return last, limited, paused
-}
-
 // leastLoaded returns the index of the target with the least load relative to its slots, plus zone and warm-up costs.
 func (p *LoadTracker) leastLoaded(open []*targetState, loads []Load, zone string) int {
 	best, bestCost := 0, math.Inf(1)
--- a/internal/place/prompt.go
+++ b/internal/place/prompt.go
@@ -200,7 +200,7 @@
 		return "", 0
 	}
 	for _, state := range cachedAt {
-		if now >= state.blocked {
+		if p.allowed(now, state, CopySource) {
 			return state.target.Address, prompt.Tokens
 		}
 	}
@@ -228,7 +228,7 @@
 func (p *LoadTracker) rankedSource(now time.Duration, targets []*targetState, chosen *targetState, prompt Prompt) string {
 	var settled []*targetState
 	for _, state := range targets {
-		if !state.withdrawn && now >= state.blocked && state.warmedUp(now) {
+		if state.warmedUp(now) && p.allowed(now, state, CopySource) {
 			settled = append(settled, state)
 		}
 	}
--- a/internal/router/caches.go
+++ b/internal/router/caches.go
@@ -118,7 +118,7 @@
 	slots := make(chan struct{}, maxConcurrentLists)
 	var group sync.WaitGroup
 	for _, engine := range assigned {
-		if !r.mayCall(engine) {
+		if !r.mayListCache(engine) {
 			continue
 		}
 		slots <- struct{}{}
@@ -151,11 +151,11 @@
 	return assigned
 }
 
-// mayCall reports whether the target may get calls other than requests of clients.
-func (r *Router) mayCall(target routes.Target) bool {
+// mayListCache reports whether the target may be asked for its cached prompts.
+func (r *Router) mayListCache(target routes.Target) bool {
 	r.trafficMu.Lock()
 	defer r.trafficMu.Unlock()
-	return r.loadTracker.MayCall(r.now(), target)
+	return r.loadTracker.Allowed(r.now(), target, place.CacheListing)
 }
 
 // listEngineCache queries one engine for its cached prompts and broadcasts them.
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -348,8 +348,13 @@
 	r.trafficMu.Lock()
 	defer r.trafficMu.Unlock()
 	now := r.now()
+	purpose := place.FirstAttempt
+	if x.attempts > 0 {
+		purpose = place.Retry
+	}
 	choice, refusal := r.loadTracker.Choose(now, place.Query{
 		Service:        x.service,
+		Purpose:        purpose,
 		Prompt:         x.prompt,
 		PromptTokens:   x.request.PromptTokens,
 		AnswerTokens:   x.request.ExpectedAnswerTokens(),
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -149,7 +149,7 @@
 		r.meters.Event("stream_slow")
 		return false
 	}
-	if !r.loadTracker.MayCall(now, x.choice.Target) {
+	if !r.loadTracker.Allowed(now, x.choice.Target, place.MoveSource) {
 		x.skipMove("target asked for a pause")
 		return false
 	}
@@ -240,7 +240,7 @@
 	r.trafficMu.Lock()
 	defer r.trafficMu.Unlock()
 	switch now := r.now(); {
-	case !r.loadTracker.MayCall(now, x.choice.Target):
+	case !r.loadTracker.Allowed(now, x.choice.Target, place.MoveSource):
 		return "target asked for a pause"
 	case !r.budget.AllowOptional(now, x.service):
 		return "retry budget"
@@ -419,25 +419,31 @@
 	if x.moved == nil {
 		return x.chooseTarget()
 	}
-	if x.mayContinue() {
+	if x.beginContinuation() {
 		return x.moved.destination, nil
 	}
 	if !x.moved.triedDestination {
 		x.releaseReserved()
 		x.startAtSource()
-		if x.mayContinue() {
+		if x.beginContinuation() {
 			return x.moved.destination, nil
 		}
 	}
 	return place.Choice{}, &place.Refusal{Reason: reason.TargetRefused}
 }
 
-// mayContinue reports whether the moved run may continue at its destination, which may have asked for a pause meanwhile.
-func (x *exchange) mayContinue() bool {
+// beginContinuation reports whether the moved run may continue at its destination, which may have asked for a pause
+// meanwhile, and records that it is sent there.
+func (x *exchange) beginContinuation() bool {
 	r := x.router
 	r.trafficMu.Lock()
 	defer r.trafficMu.Unlock()
-	return r.loadTracker.MayContinue(r.now(), x.moved.destination.Target)
+	now := r.now()
+	if !r.loadTracker.Allowed(now, x.moved.destination.Target, place.Continuation) {
+		return false
+	}
+	r.loadTracker.Continued(now, x.moved.destination.Target)
+	return true
 }
 
 // continueMoved decides what follows an attempt to continue a moved run. It returns true if the next attempt is due
