Decode the fourth figure of a target's load

Targets on shared hosts state a fourth figure, how long work takes at present. The router dropped the whole header then, so that neither the load nor the speed of such a target counted.

The cause was that decodeLoad accepted three fields only. It accepts a fourth one now, as routes.Load.RelativeDuration (1 is usual, 0 unknown). Headers with three figures are decoded as before.

--- a/internal/routes/message.go
+++ b/internal/routes/message.go
@@ -60,6 +60,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// RelativeDuration is how long work takes at present, relative to the usual time: 1 is usual, 2 twice as long. It is
+	// 0 if it is unknown.
+	RelativeDuration float64
 }
 
 // Statements holds what a response header states about the requests that its target takes.
@@ -93,6 +96,9 @@
 	// Load is the target's load, if HasLoad is set.
 	Load    Load
 	HasLoad bool
+	// InvalidRelativeDuration is the beginning of a stated relative duration that is no number above 0, or is too large;
+	// Load.RelativeDuration is 0 then.
+	InvalidRelativeDuration string
 	// KeepAlive is how long the target keeps an idle connection open; zero if not stated.
 	KeepAlive time.Duration
 }
