Weigh how long targets take in choosing a target

Targets on a shared host slow down with their neighbours, but requests went to the least loaded target, however slow it was.

Once a target has stated a relative duration, plain requests go to the better of two targets that are drawn at random, by load and duration, and prompts weigh durations among the first targets in rank and among those that have the prompt. The random draw keeps routers with the same figures from all choosing the same target. Plain requests to services that state no durations are compared by each router's own response times for the same route.

Malformed figures and the first valid one have a counter and a field or line in the log.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -179,6 +179,9 @@
 	// sinceLimit is the time since the end of the limit of a recovering target.
 	sinceLimit time.Duration
 
+	// duration is the relative duration that the target has stated, or that was measured if its service states none.
+	duration relativeDuration
+
 	failures   float64
 	failuresAt time.Duration
 	blocked    time.Duration
@@ -192,6 +195,7 @@
 	targets []*targetState
 	// meanDuration is the moving average of the time to a complete response.
 	meanDuration time.Duration
+	durations    serviceDurations
 }
 
 // LoadTracker tracks the load, health and cached prompts of the targets.
@@ -211,6 +215,8 @@
 	statements *backpressure.Tracker
 	// multiple is the contract's limit on a target's load, as a multiple of the mean.
 	multiple float64
+	// durationsStated is set once a target has stated a relative duration.
+	durationsStated bool
 }
 
 // New returns an empty LoadTracker. The load of a target is limited to multiple times the mean of its service.
@@ -525,7 +531,7 @@
 		cachedAt := p.targetsWith(now, query.Prompt.Key)
 		best = p.confirmLimit(now, open, loads, query.Zone, cachedAt)
 		if confirms = best >= 0; !confirms {
-			best, rank = chooseForPrompt(open, loads, mean, p.multiple, query, cachedAt)
+			best, rank = chooseForPrompt(open, loads, p.relativeDurations(now, svc, open), mean, p.multiple, query, cachedAt)
 		}
 		savedTokens := query.Prompt.Tokens
 		if !slices.Contains(cachedAt, open[best]) {
@@ -533,7 +539,7 @@
 		}
 		prefill = prefillWeight(query.PromptTokens, savedTokens)
 	} else {
-		best = p.leastLoaded(open, loads, query.Zone)
+		best = p.choosePlain(now, svc, open, loads, mean, query)
 	}
 	if limit := connectionShare * float64(query.MaxConnections); limit > 0 && loads[best].Requests >= limit {
 		return Choice{}, &Refusal{Reason: reason.OverLimit, RetryAfter: max(svc.meanDuration, blockBase)}
--- a/internal/place/prompt.go
+++ b/internal/place/prompt.go
@@ -70,7 +70,7 @@
 //
 // Prompts that were copied because of rate limits return to the first target in rank once its limit has ended. Others
 // would keep them all: in a large fleet the load of a target is known too late to spread them by load.
-func chooseForPrompt(open []*targetState, loads []Load, mean Load, multiple float64, query Query, cachedAt []*targetState) (best, rank int) {
+func chooseForPrompt(open []*targetState, loads []Load, durations relativeDurations, mean Load, multiple float64, query Query, cachedAt []*targetState) (best, rank int) {
 	prompt := query.Prompt
 	weight := min(float64(prompt.Tokens)/longPrompt, 1)
 	share := shortShare + weight*(longShare-shortShare)
@@ -84,7 +84,7 @@
 		return cmp.Or(
 			cmp.Compare(boolToInt(open[i].recovering), boolToInt(open[other].recovering)),
 			cmp.Compare(boolToInt(local(i)), boolToInt(local(other))),
-			cmp.Compare(loads[other].total(), loads[i].total()),
+			cmp.Compare(loads[other].total()+durations.delay(other, loads[other], 1), loads[i].total()+durations.delay(i, loads[i], 1)),
 		) > 0
 	}
 	best = -1
@@ -114,15 +114,17 @@
 		return best, 0
 	}
 	fits := func(i int) bool { return loads[i].total()+1 <= min(coldBound, open[i].slots()) }
+	own := 1 + prefillWeight(query.PromptTokens, 0)
+	delay := func(i int) float64 { return durations.delay(i, loads[i], own) }
 	if localCopy {
-		if first, position := firstRanked(inZone, loads, fits); first >= 0 {
+		if first, position := firstRanked(inZone, loads, delay, fits); first >= 0 {
 			return first, position
 		}
 	}
 	if best >= 0 {
 		return best, 0
 	}
-	if first, position := firstRanked(order, loads, fits); first >= 0 {
+	if first, position := firstRanked(order, loads, delay, fits); first >= 0 {
 		return first, position
 	}
 	least := order[0].index
@@ -163,12 +165,13 @@
 	return 0
 }
 
-// firstRanked returns the index and the position of the best target that fits among the first few in rank, or -1.
-func firstRanked(order []ranked, loads []Load, fits func(int) bool) (best, rank int) {
+// firstRanked returns the index and the position of the best target that fits among the first few in rank, or -1. The
+// delay of a target, in requests, is added to its load.
+func firstRanked(order []ranked, loads []Load, delay func(int) float64, fits func(int) bool) (best, rank int) {
 	best = -1
 	lowest := math.Inf(1)
 	for position, candidate := range order[:min(rankChoices, len(order))] {
-		cost := loads[candidate.index].total() + rankCost*float64(position)
+		cost := loads[candidate.index].total() + rankCost*float64(position) + delay(candidate.index)
 		if fits(candidate.index) && cost < lowest {
 			best, rank, lowest = candidate.index, position, cost
 		}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -67,6 +67,9 @@
 	x.markPromptRead()
 	r.trafficMu.Lock()
 	r.loadTracker.End(choice.Target.ID, now, result.outcome, time.Since(startedAt))
+	if result.outcome == place.Good && x.prompt.Key == 0 && x.route.Kind != routes.Stream {
+		r.loadTracker.MeasureDuration(choice.Target.ID, now, x.route.Name, time.Since(startedAt))
+	}
 	r.trafficMu.Unlock()
 	if result.outcome == place.Crashed {
 		x.recordClosed(choice.Target)
@@ -114,6 +117,12 @@
 	if x.answer.InvalidRetryAfter != "" {
 		fields["retry_after_invalid"] = x.answer.InvalidRetryAfter
 	}
+	if x.answer.Load.RelativeDuration > 0 {
+		fields["relative_duration"] = x.answer.Load.RelativeDuration
+	}
+	if x.answer.InvalidRelativeDuration != "" {
+		fields["relative_duration_invalid"] = x.answer.InvalidRelativeDuration
+	}
 	if x.answer.HasRateLimit {
 		fields["rate_limit"] = x.answer.RateLimit
 	}
@@ -211,15 +220,24 @@
 	// Another instance at the address says nothing about the target, and neither does a response that is not from it.
 	stated := !answer.Misdirected && (answer.Sealed || answer.NotRun)
 	var change place.StatementChange
+	firstDuration := false
 	r.trafficMu.Lock()
 	if answer.HasLoad {
 		r.loadTracker.Report(target.ID, r.now(), answer.Load)
 	}
 	if stated {
 		change = r.loadTracker.Stated(r.now(), target, answer.Statements)
+		firstDuration = r.loadTracker.ReportDuration(target.ID, r.now(), answer.Load.RelativeDuration)
 	}
 	r.trafficMu.Unlock()
 	r.logStatements(target, answer.Statements, change)
+	if firstDuration {
+		r.meters.Event("relative_duration_begun")
+		r.log.WithFields(logrus.Fields{"target": target.ID, "relative_duration": answer.Load.RelativeDuration}).Info("targets state how long work takes")
+	}
+	if answer.InvalidRelativeDuration != "" {
+		r.meters.Event("relative_duration_invalid")
+	}
 }
 
 // classifyFailure returns the result of an attempt without a response.
