Obey the operator's evacuations of zones

Requests went on to targets of a zone that the operator evacuates with the key op/evacuate/ZONE, since routers read the configuration's key only.

Where the settings state evac-ms, the key range of the configuration becomes the prefix op/, so one watch serves both and no call is added. The exclusion evacuated applies to every purpose and has no fallback. If it excludes all targets, requests are refused at once as evacuated. A stalled run in the zone is not moved, and one that was stopped does not return there. Routers are not ready until they have the whole range. Without evac-ms nothing changes.

--- a/cmd/amaranth-router/main.go
+++ b/cmd/amaranth-router/main.go
@@ -83,6 +83,10 @@
 
 // routerConfig converts the platform's settings to the router's configuration.
 func routerConfig(settings *platform.Settings) router.Config {
+	configPrefix := platform.ConfigKey
+	if settings.EvacuationBound > 0 {
+		configPrefix = platform.OperatorPrefix
+	}
 	return router.Config{
 		Name:           settings.Name,
 		Zone:           settings.Zone,
@@ -93,7 +97,7 @@
 		MetricsAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 		Seeds:          settings.Seeds,
 		Prefixes: map[directory.Range]string{
-			directory.Config:  platform.ConfigKey,
+			directory.Config:  configPrefix,
 			directory.Targets: platform.TargetPrefix,
 		},
 		StopGrace:      settings.StopGrace,
@@ -104,6 +108,7 @@
 		HeldBytes:      int64(float64(settings.MemoryMB<<20) * heldFraction),
 		LoadMultiple:   settings.LoadMultiple,
 		FirstStart:     settings.FirstStart,
+		Evacuations:    settings.EvacuationBound > 0,
 	}
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -53,6 +53,8 @@
 type Decoder interface {
 	DecodeConfig(item mirror.Item) (*routes.Table, error)
 	DecodeTarget(item mirror.Item) (routes.Target, error)
+	// DecodeEvacuation returns the zone that the item evacuates, also if its value is unreadable; empty for other items.
+	DecodeEvacuation(item mirror.Item) (zone string, err error)
 }
 
 // Change describes the result of one update, for logs.
@@ -74,6 +76,13 @@
 	TargetInvalid  = "target_invalid"
 	TargetRemoved  = "target_removed"
 	TargetRetained = "target_retained"
+	// EvacuationBegun and EvacuationEnded are changes of the operator's order to evacuate a zone.
+	EvacuationBegun = "evacuation_begun"
+	EvacuationEnded = "evacuation_ended"
+	// EvacuationRetained is an order that a restored store lacks and that stays in force for KeptEvacuationTime.
+	EvacuationRetained = "evacuation_retained"
+	// EvacuationInvalid is an order with an unreadable value, which is obeyed, or one for a zone without targets.
+	EvacuationInvalid = "evacuation_invalid"
 	// TargetOutdated is an entry of a restored store from before what the target has said since.
 	TargetOutdated = "target_outdated"
 )
@@ -101,8 +110,11 @@
 	retained  map[string]retainedTarget
 	// departed holds the last descriptions of targets that have left.
 	departed map[string]departedTarget
-	failedAt time.Duration
-	failed   bool
+	// evacuated are the zones whose keys are in the store, kept those whose keys a restored store lacks.
+	evacuated map[string]bool
+	kept      map[string]keptEvacuation
+	failedAt  time.Duration
+	failed    bool
 }
 
 // New returns an empty directory.
@@ -112,6 +124,9 @@
 		targets:  make(map[string]routes.Target),
 		retained: make(map[string]retainedTarget),
 		departed: make(map[string]departedTarget),
+
+		evacuated: make(map[string]bool),
+		kept:      make(map[string]keptEvacuation),
 	}
 	for i := range directory.mirrors {
 		directory.mirrors[i] = mirror.New()
@@ -136,6 +151,9 @@
 func (d *Directory) Reset(now time.Duration, keyRange Range, at mirror.Position, items []mirror.Item) []Change {
 	local := d.mirrors[keyRange]
 	restored := local.Initialized() && at.Era > local.Position().Era
+	if restored && keyRange == Config {
+		d.keepEvacuations(now)
+	}
 	return d.applyEvents(now, keyRange, local.Reset(at, items), restored)
 }
 
@@ -150,6 +168,11 @@
 	for _, event := range events {
 		var change Change
 		if keyRange == Config {
+			zone, err := d.decoder.DecodeEvacuation(event.Item)
+			if zone != "" || err != nil {
+				changes = append(changes, d.applyEvacuation(now, event, zone, err, restored)...)
+				continue
+			}
 			change = d.applyConfig(event)
 		} else {
 			change = d.applyTarget(now, event, restored)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -21,6 +21,17 @@
 	return routes.NewTable(routes.Content{Version: uint64(item.Value[0])}), nil
 }
 
+func (fakeDecoder) DecodeEvacuation(item mirror.Item) (zone string, err error) {
+	zone, _ = strings.CutPrefix(item.Key, "evacuate/")
+	if zone == item.Key {
+		return "", nil
+	}
+	if zone == "" || string(item.Value) != "{}" {
+		return zone, errors.New("unreadable")
+	}
+	return zone, nil
+}
+
 func (fakeDecoder) DecodeTarget(item mirror.Item) (routes.Target, error) {
 	state := string(item.Value)
 	if state != "ready" && state != "draining" {
--- a/internal/place/exclusions.go
+++ b/internal/place/exclusions.go
@@ -38,8 +38,10 @@
 // Exclusions. If several apply to a target, the first one counts. Those without fallback precede those with fallback, so
 // that a target with one of each is never chosen.
 const (
+	// Evacuated targets are in a zone that the operator evacuates.
+	Evacuated Exclusion = iota
 	// Tried targets were tried before by the same request.
-	Tried Exclusion = iota
+	Tried
 	// Leaving targets leave, by their entry or by their own statement.
 	Leaving
 	// Limited targets have a rate limit of which this process may use no more at present.
@@ -106,6 +108,10 @@
 	applies func(s *selection, target *targetState) bool
 	checks  [purposeCount]check
 }{
+	Evacuated: {"evacuated", (*selection).isEvacuated, [purposeCount]check{
+		FirstAttempt: never, Retry: never, Destination: never, BackupHolder: never,
+		Continuation: never, CopySource: never, MoveSource: never, CacheListing: never,
+	}},
 	Tried: {"tried", (*selection).isTried, [purposeCount]check{
 		FirstAttempt: never, Retry: never, Destination: never, BackupHolder: never,
 		Continuation: ignored(chosenThere), CopySource: ignored(noAttempts), MoveSource: ignored(runningSelf), CacheListing: ignored(noAttempts),
@@ -165,20 +171,31 @@
 
 // Allowed reports whether no exclusion for the purpose applies to the target, which need not be listed. It changes no state.
 func (p *LoadTracker) Allowed(now time.Duration, target routes.Target, purpose Purpose) bool {
+	_, excluded := p.Excluded(now, target, purpose)
+	return !excluded
+}
+
+// Excluded returns the first exclusion for the purpose that applies to the target, or false if there is none.
+func (p *LoadTracker) Excluded(now time.Duration, target routes.Target, purpose Purpose) (Exclusion, bool) {
 	state := p.byID[target.ID]
 	if instance := instanceKey(target); state == nil || state.instance != instance {
 		state = &targetState{target: target, instance: instance}
 	}
-	return p.allowed(now, state, purpose)
+	return p.excluded(now, state, purpose)
 }
 
 func (p *LoadTracker) allowed(now time.Duration, state *targetState, purpose Purpose) bool {
+	_, excluded := p.excluded(now, state, purpose)
+	return !excluded
+}
+
+func (p *LoadTracker) excluded(now time.Duration, state *targetState, purpose Purpose) (Exclusion, bool) {
 	s := selection{tracker: p, now: now, purpose: purpose}
 	if svc := p.services[state.target.Service]; svc != nil {
 		s.targets = svc.targets
 	}
-	_, kind := s.excluded(state)
-	return kind == ignores
+	exclusion, kind := s.excluded(state)
+	return exclusion, kind != ignores
 }
 
 // Continued records that a moved run is sent to a target that is allowed for a Continuation.
@@ -192,6 +209,8 @@
 	open []*targetState
 	// limited and paused targets are passed over because of what they state.
 	limited, paused []*targetState
+	// evacuated is the number of targets in evacuated zones, untimed that of targets excluded for a time that is not known.
+	evacuated, untimed int
 }
 
 // candidates returns the targets that may be chosen: those to which no exclusion applies, else those excluded with
@@ -211,10 +230,14 @@
 			set.limited = append(set.limited, state)
 		case exclusion == Paused:
 			set.paused = append(set.paused, state)
+		case exclusion == Evacuated:
+			set.evacuated++
 		case kind == excludesUnlessNone:
 			failing = append(failing, state)
 		case kind == excludesUnlessNoneFailing && !(state.withdrawn && now >= state.dropAt):
 			last = append(last, state)
+		default:
+			set.untimed++
 		}
 	}
 	if len(set.open) == 0 {
@@ -226,6 +249,47 @@
 	return set
 }
 
+// SetEvacuated replaces the zones that the operator evacuates. Targets there get neither requests nor calls; what they
+// have cached stays known.
+func (p *LoadTracker) SetEvacuated(zones map[string]bool) { p.evacuated = zones }
+
+// EvacuatedTargets returns the number of listed targets in evacuated zones.
+func (p *LoadTracker) EvacuatedTargets() int {
+	count := 0
+	for _, state := range p.byID {
+		if !state.withdrawn && p.evacuated[state.target.Zone] {
+			count++
+		}
+	}
+	return count
+}
+
+// EvacuatedServices returns, in order, the names of the services whose listed targets are all in evacuated zones.
+func (p *LoadTracker) EvacuatedServices() []string {
+	if len(p.evacuated) == 0 {
+		return nil
+	}
+	var names []string
+	for name, svc := range p.services {
+		listed, open := 0, 0
+		for _, state := range svc.targets {
+			if !state.withdrawn {
+				listed++
+				open += boolToInt(!p.evacuated[state.target.Zone])
+			}
+		}
+		if listed > 0 && open == 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *selection) isEvacuated(target *targetState) bool {
+	return len(s.tracker.evacuated) > 0 && s.tracker.evacuated[target.target.Zone]
+}
+
 func (s *selection) isTried(target *targetState) bool {
 	return slices.Contains(s.tried, target.target.ID)
 }
--- a/internal/place/exclusions_test.go
+++ b/internal/place/exclusions_test.go
@@ -45,6 +45,13 @@
 
 // exclude makes an exclusion apply to a target at the time of one second.
 var exclude = [exclusionCount]func(p *LoadTracker, target routes.Target){
+	Evacuated: func(p *LoadTracker, target routes.Target) {
+		zones := map[string]bool{target.Zone: true}
+		for zone := range p.evacuated {
+			zones[zone] = true
+		}
+		p.SetEvacuated(zones)
+	},
 	Leaving: func(p *LoadTracker, target routes.Target) { p.Stated(second, target, routes.Statements{Leaving: true}) },
 	Limited: func(p *LoadTracker, target routes.Target) {
 		p.Statements().SetRouters(second, "router", nil)
@@ -116,6 +123,9 @@
 				if Exclusion(i) == Limited || Exclusion(i) == Paused {
 					want, least = reason.OverLimit, minLimitRetryAfter
 				}
+				if Exclusion(i) == Evacuated {
+					want, least = reason.Evacuated, evacuatedRetryAfter
+				}
 				if refusal.Reason != want || refusal.RetryAfter < least || refusal.RetryAfter > 2*second {
 					t.Errorf("%+v, want %s after %v or more", refusal, want, least)
 				}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -206,6 +206,8 @@
 	lastNumber uint64
 	// statements holds what targets have stated about the requests that they take.
 	statements *backpressure.Tracker
+	// evacuated are the zones that the operator evacuates.
+	evacuated map[string]bool
 	// multiple is the contract's limit on a target's load, as a multiple of the mean.
 	multiple float64
 }
@@ -418,7 +420,7 @@
 			continue
 		}
 		listed++
-		if !p.leaves(now, state) && now >= state.blocked {
+		if !p.leaves(now, state) && !p.evacuated[state.target.Zone] && now >= state.blocked {
 			usable++
 		}
 	}
--- a/internal/place/refusal.go
+++ b/internal/place/refusal.go
@@ -14,10 +14,25 @@
 	minLimitRetryAfter = 100 * time.Millisecond
 	// maxReturnSpread is the time over which requests return whose targets are passed over for long.
 	maxReturnSpread = time.Second
+	// evacuatedRetryAfter is the minimum Retry-After of a request whose targets are all in evacuated zones: callers retry
+	// once, and a zone is not returned to service at once.
+	evacuatedRetryAfter = time.Second
 )
 
-// refusal returns the refusal of a request for which no target is open.
+// refusal returns the refusal of a request for which no target is open. Beside evacuated targets, the reason is that of
+// the targets with the shortest time until they may be chosen.
 func (p *LoadTracker) refusal(now time.Duration, set candidateSet) *Refusal {
+	if set.evacuated > 0 {
+		passedOver := slices.Concat(set.limited, set.paused)
+		wait := p.shortestWait(now, passedOver)
+		switch {
+		case len(passedOver) > 0 && wait < evacuatedRetryAfter && (set.untimed == 0 || wait < blockBase):
+		case set.untimed > 0:
+			return &Refusal{Reason: reason.NoTarget, RetryAfter: blockBase}
+		default:
+			return &Refusal{Reason: reason.Evacuated, RetryAfter: evacuatedRetryAfter + time.Duration(p.rng.Float64()*float64(evacuatedRetryAfter))}
+		}
+	}
 	if len(set.limited)+len(set.paused) > 0 {
 		return &Refusal{Reason: reason.OverLimit, RetryAfter: p.passedOverRetryAfter(now, slices.Concat(set.limited, set.paused))}
 	}
@@ -27,26 +42,31 @@
 // passedOverRetryAfter returns when a request is to return that only targets could take which are passed over because of
 // what they state. Requests are spread so that they do not all return at the same time.
 func (p *LoadTracker) passedOverRetryAfter(now time.Duration, passedOver []*targetState) time.Duration {
+	shortest := p.shortestWait(now, passedOver)
+	return shortest + time.Duration(p.rng.Float64()*float64(min(shortest, maxReturnSpread)))
+}
+
+// shortestWait returns the time until the first of the targets may be chosen.
+func (p *LoadTracker) shortestWait(now time.Duration, passedOver []*targetState) time.Duration {
 	shortest, found := time.Duration(0), false
 	for _, state := range passedOver {
 		if wait, mine := p.statements.Wait(now, state.instance); mine && (!found || wait < shortest) {
 			shortest, found = wait, true
 		}
 	}
-	shortest = max(shortest, minLimitRetryAfter)
-	return shortest + time.Duration(p.rng.Float64()*float64(min(shortest, maxReturnSpread)))
+	return max(shortest, minLimitRetryAfter)
 }
 
 // RejectedRetryAfter returns when a request that targets have rejected is to return, if all targets of the service are
-// passed over because of what they state.
+// passed over because of what they state, or because their zones are evacuated.
 func (p *LoadTracker) RejectedRetryAfter(now time.Duration, serviceName string) (time.Duration, bool) {
 	svc := p.services[serviceName]
 	if svc == nil {
 		return 0, false
 	}
 	set := p.candidates(now, svc, Retry, nil)
-	if len(set.open) > 0 || len(set.limited)+len(set.paused) == 0 {
+	if len(set.open) > 0 || len(set.limited)+len(set.paused)+set.evacuated == 0 {
 		return 0, false
 	}
-	return p.passedOverRetryAfter(now, slices.Concat(set.limited, set.paused)), true
+	return p.refusal(now, set).RetryAfter, true
 }
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -49,6 +49,8 @@
 	GateFailed Reason = "gate_failed"
 	// NoTarget means that the pool has no live target.
 	NoTarget Reason = "no_target"
+	// Evacuated means that the operator evacuates the zones of all targets.
+	Evacuated Reason = "evacuated"
 	// NoGate means that the fleet has no live gate.
 	NoGate Reason = "no_gate"
 	// QueueFull means that a bounded queue is full.
@@ -103,7 +105,7 @@
 	return []Reason{
 		BadRequest, BodyTooLarge, UnknownCustomer, ForeignCustomer, UnknownPool, NotReady, Draining,
 		NotOwner, LeaseLost, OverLimit, Probation, TargetLeaving, ModelNotLoaded, TargetUnreachable, TargetFailed,
-		TargetRefused, GateUnreachable, GateFailed, NoTarget, NoGate, QueueFull, QueueTimeout,
+		TargetRefused, GateUnreachable, GateFailed, NoTarget, Evacuated, NoGate, QueueFull, QueueTimeout,
 		DeadlineExceeded, CustomerRate, CustomerConcurrency, RetryBudget, TicketRequired,
 		TicketInvalid, TicketExpired, TicketSealed, WitnessUnreachable, UnknownOutcome, CrashSuspect,
 		BrokenAnswer, StreamGone, CallerGone, Internal,
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -80,8 +80,11 @@
 	count := r.members.Count(now)
 	current := r.members.Current(now)
 	r.directory.Expire(now)
+	ended := r.directory.ExpireEvacuations(now)
 	r.publishDirectory(now)
+	table := r.directory.Table()
 	r.controlMu.Unlock()
+	r.logChanges(ended, table, "expiry")
 	for _, address := range lost {
 		r.meters.Event("peer_lost")
 		r.log.WithField("peer", address).Info("peer lost")
@@ -214,6 +217,7 @@
 	r.controlMu.Lock()
 	defer r.controlMu.Unlock()
 	digest.Store = r.storeAccess()
+	digest.KeptEvacuations = r.keptEvacuations(now)
 	digest.CachesKnown = r.cachesComplete.Load()
 	for _, keyRange := range directory.AllRanges() {
 		content := r.directory.Mirror(keyRange).ContentPosition()
@@ -277,6 +281,7 @@
 	for _, update := range digest.News {
 		r.applyPeerChanges(digest.Address, update)
 	}
+	r.learnEvacuations(digest.Address, digest.KeptEvacuations)
 	if len(digest.RefusedRequests) > 0 {
 		r.applyRefusedRequests(wire.RefusedRequestsFrom(digest.RefusedRequests), digest.Address)
 	}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -140,7 +140,7 @@
 	decoded, err := x.router.wire.DecodeRequest(x.r.Header)
 	x.request = decoded
 	table := x.router.table.Load()
-	if table == nil {
+	if table == nil || !x.router.configured() {
 		return reason.NotReady, x.router.notReadyRetryAfter()
 	}
 	x.version = table.Version
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -149,8 +149,8 @@
 		r.meters.Event("stream_slow")
 		return false
 	}
-	if !r.loadTracker.Allowed(now, x.choice.Target, place.MoveSource) {
-		x.skipMove("target asked for a pause")
+	if exclusion, excluded := r.loadTracker.Excluded(now, x.choice.Target, place.MoveSource); excluded {
+		x.skipMove(causeToStay(exclusion))
 		return false
 	}
 	destination, found := r.loadTracker.ChooseDestination(now, x.choice.Target, r.config.Zone, x.triedTargets)
@@ -239,15 +239,25 @@
 	}
 	r.trafficMu.Lock()
 	defer r.trafficMu.Unlock()
-	switch now := r.now(); {
-	case !r.loadTracker.Allowed(now, x.choice.Target, place.MoveSource):
-		return "target asked for a pause"
+	now := r.now()
+	exclusion, excluded := r.loadTracker.Excluded(now, x.choice.Target, place.MoveSource)
+	switch {
+	case excluded:
+		return causeToStay(exclusion)
 	case !r.budget.AllowOptional(now, x.service):
 		return "retry budget"
 	}
 	return ""
 }
 
+// causeToStay describes why calls that move a run may not be made to its target.
+func causeToStay(exclusion place.Exclusion) string {
+	if exclusion == place.Paused {
+		return "target asked for a pause"
+	}
+	return "target is " + exclusion.String()
+}
+
 // continueFrom makes the copied run the one to continue.
 func (x *exchange) continueFrom(run routes.MovedRun) {
 	x.logMove("stream_moved", "stalled stream moved", nil, "")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -84,6 +84,9 @@
 	HeldBytes int64
 	// LoadMultiple bounds the load of a target, as a multiple of the mean load of its service.
 	LoadMultiple float64
+	// Evacuations is set if the key range of the configuration also holds the operator's orders to evacuate zones. The
+	// router serves nothing until it has the whole range.
+	Evacuations bool
 	// FirstStart indicates that all VMs are starting for the first time, so no target has cached prompts.
 	FirstStart bool
 }
@@ -102,8 +105,10 @@
 	// incarnation distinguishes this process from earlier ones at the same address.
 	incarnation uint64
 
-	table    atomic.Pointer[routes.Table]
-	draining atomic.Bool
+	table atomic.Pointer[routes.Table]
+	// ordersKnown is set once the key range of the configuration, with the operator's orders, is complete and in effect.
+	ordersKnown atomic.Bool
+	draining    atomic.Bool
 	// stop is nil while the process is not stopping.
 	stop atomic.Pointer[stopState]
 	// cutoff ends the requests in progress when the stop grace is over.
@@ -143,6 +148,11 @@
 	cachePeer string
 	// forceRead marks ranges that must be read from the store because a peer failed to deliver them.
 	forceRead map[directory.Range]bool
+	// evacuatedServices were logged at evacuatedLoggedAt as having no targets outside evacuated zones.
+	evacuatedServices []string
+	evacuatedLoggedAt time.Duration
+	// invalidLoggedAt is when an invalid evacuation was last logged.
+	invalidLoggedAt time.Duration
 
 	// trafficMu guards the state that is updated by each request.
 	trafficMu   sync.Mutex
@@ -201,9 +211,15 @@
 // now returns the monotonic time since the start.
 func (r *Router) now() time.Duration { return time.Since(r.start) }
 
+// configured reports whether the configuration and, where there are evacuations, the operator's orders are known. A peer
+// may deliver the configuration alone.
+func (r *Router) configured() bool {
+	return r.table.Load() != nil && (!r.config.Evacuations || r.ordersKnown.Load())
+}
+
 // Ready reports whether the router can serve requests.
 func (r *Router) Ready() bool {
-	if r.draining.Load() || r.table.Load() == nil {
+	if r.draining.Load() || !r.configured() {
 		return false
 	}
 	r.trafficMu.Lock()
--- a/internal/router/statements.go
+++ b/internal/router/statements.go
@@ -83,6 +83,7 @@
 		"rate_limit": int64(counts[backpressure.Limited]),
 		"pause":      int64(counts[backpressure.Paused]),
 		"leaving":    int64(counts[backpressure.Leaving]),
+		"evacuated":  int64(r.loadTracker.EvacuatedTargets()),
 	}
 }
 
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -260,6 +260,9 @@
 	if len(changes) > 0 {
 		r.publishDirectory(now)
 	}
+	if r.directory.Mirror(directory.Config).Initialized() {
+		r.ordersKnown.Store(true)
+	}
 	r.controlMu.Unlock()
 	if len(changes) > 0 {
 		r.logChanges(changes, table, source)
@@ -273,6 +276,10 @@
 	r.trafficMu.Lock()
 	defer r.trafficMu.Unlock()
 	r.loadTracker.SetTargets(now, r.directory.Targets(), r.config.WithdrawnGrace)
+	if r.config.Evacuations {
+		r.loadTracker.SetEvacuated(r.directory.Evacuated())
+		r.logEvacuatedServices(now, r.loadTracker.EvacuatedServices())
+	}
 }
 
 // logChanges counts and logs changes. Large groups of targets listed together, as after a start, share one line: on a
@@ -294,6 +301,10 @@
 		}
 		entry := r.log.WithFields(logrus.Fields{"event": change.Kind, "key": change.Key, "revision": change.Revision, "source": source})
 		switch {
+		case change.Kind == directory.EvacuationInvalid:
+			r.logInvalidEvacuation(entry.WithError(change.Err))
+		case change.Kind == directory.EvacuationBegun || change.Kind == directory.EvacuationEnded || change.Kind == directory.EvacuationRetained:
+			entry.Warn("evacuation of a zone changed")
 		case change.Err != nil:
 			entry.WithError(change.Err).Warn("store item refused")
 		case change.Kind == directory.ConfigApplied:
--- a/internal/router/store_test.go
+++ b/internal/router/store_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,8 +21,10 @@
 	"github.com/amaranthlb/amaranthlb/internal/mirror"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
 	"github.com/amaranthlb/amaranthlb/internal/peers"
+	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
 	"github.com/amaranthlb/amaranthlb/internal/telemetry"
+	"github.com/amaranthlb/amaranthlb/platform"
 	"github.com/amaranthlb/amaranthlb/platform/platformtest"
 )
 
@@ -63,6 +67,7 @@
 var errEmptyStore = errors.New("no content")
 
 func (emptyDecoder) DecodeConfig(mirror.Item) (*routes.Table, error) { return nil, errEmptyStore }
+func (emptyDecoder) DecodeEvacuation(mirror.Item) (string, error)    { return "", nil }
 func (emptyDecoder) DecodeTarget(mirror.Item) (routes.Target, error) {
 	return routes.Target{}, errEmptyStore
 }
@@ -298,3 +303,32 @@
 		t.Errorf("%d pulls, want 1", got)
 	}
 }
+
+// Guards against a router that serves after a restart with a configuration from a peer, but without the operator's orders,
+// and sends requests to a zone that is evacuated.
+func TestNotReadyWithoutOrders(t *testing.T) {
+	for _, evacuations := range []bool{true, false} {
+		r := newReader(t, &slowStore{})
+		r.config.Evacuations = evacuations
+		r.directory = directory.New(platform.Decoder{})
+		config := mirror.Item{Key: platform.ConfigKey, Value: []byte(`{"version":1}`), Revision: 5}
+		r.applyUpdate(func(time.Duration) []directory.Change { return r.directory.ApplySupersedingConfig(config) }, "peer")
+		r.applySnapshot(directory.Targets, mirror.Position{Revision: 5}, []mirror.Item{{
+			Key: platform.TargetPrefix + "t", Revision: 3,
+			Value: []byte(`{"service":"s","addr":"127.0.0.1:9","zone":"a","slots":1,"state":"ready","seq":1}`),
+		}}, "peer")
+		if got := r.Ready(); got == evacuations {
+			t.Errorf("evacuations %v: ready %v before the range is complete", evacuations, got)
+		}
+		answer := httptest.NewRecorder()
+		x := &exchange{router: r, w: answer, r: httptest.NewRequest(http.MethodGet, "/", nil)}
+		r.wire = platform.Wire{}
+		if code, _ := x.prepare(); (code == reason.NotReady) != evacuations {
+			t.Errorf("evacuations %v: a request gets %q", evacuations, code)
+		}
+		r.applySnapshot(directory.Config, mirror.Position{Revision: 5}, []mirror.Item{config}, "store")
+		if !r.Ready() {
+			t.Errorf("evacuations %v: not ready with the complete range", evacuations)
+		}
+	}
+}
