Limit requests to targets that warm up

Routers had no limit on the requests to a target that warms up.

backpressure.Tracker divides such a limit as it divides a stated one, with one bucket for both; the smaller rate applies. The rate is a quarter of the bound.

--- a/internal/backpressure/doc.go
+++ b/internal/backpressure/doc.go
@@ -11,6 +11,12 @@
 // limits until the first response or message. Routers that do not know of each other may exceed the limit, by as many parts
 // as there are groups of them.
 //
+// A target that warms up is limited in the same way, by a rate that each router derives from the target's entry. The rate is
+// a quarter of what the target may get in any second, since a router may send its burst and its part in a second, and two
+// groups of routers that do not hear each other may each send the whole rate. Three such groups may exceed it, and so may
+// two if a router that has the whole of a rate below 1 sends its one request. The limit begins with an empty bucket and ends
+// by the clock. Routers do not tell each other, and need no request to see its end.
+//
 // A target that leaves gets no requests from the first response that states it. This is never revoked: a target that
 // starts again is another instance. Routers tell each other for a minute; one that has missed all messages learns it from
 // its own first request.
--- a/internal/backpressure/tracker.go
+++ b/internal/backpressure/tracker.go
@@ -52,7 +52,11 @@
 	Age time.Duration
 }
 
+// limit is what bounds the requests to an instance: the rate that it has stated, the rate while it warms up, or both. They
+// share one division and one token bucket, which follow the smaller rate.
 type limit struct {
+	// stated is set if a response has stated a rate or its end. The fields up to reportedRate have no meaning otherwise.
+	stated  bool
 	rate    float64
 	limited bool
 	// statedAt is when the latest response arrived that this or another router has seen.
@@ -61,6 +65,12 @@
 	changedAt time.Duration
 	// reportedRate is the rate when a change was last reported to the caller.
 	reportedRate float64
+	// warmupRate is the rate in requests a second until warmupUntil.
+	warmupRate  float64
+	warmupUntil time.Duration
+	// divided is the rate of which share is a part, and dividedWarmup is set if it is that of the warm-up.
+	divided       float64
+	dividedWarmup bool
 	// share is this router's part of the limit in requests a second; 0 if it has none.
 	share    float64
 	tokens   float64
@@ -107,6 +117,8 @@
 	Open Admission = iota
 	// Limited targets have a rate limit of which this router may use no more at present.
 	Limited
+	// Cold targets are warming up, and this router may use no more of the rate that they tolerate at present.
+	Cold
 	// Paused targets have asked this router for a pause, or have not responded since to its first request.
 	Paused
 	// Leaving targets have stated that they leave.
@@ -122,6 +134,9 @@
 		return Paused
 	}
 	if wait, mine := t.limitWait(now, instance); !mine || wait > 0 {
+		if t.limits[instance].dividedWarmup {
+			return Cold
+		}
 		return Limited
 	}
 	return Open
@@ -140,6 +155,7 @@
 	}
 	t.self, t.routers = own, routers
 	for instance, l := range t.limits {
+		l.fill(now)
 		t.divide(now, instance, l)
 	}
 }
@@ -164,32 +180,52 @@
 
 func (t *Tracker) apply(now, statedAt time.Duration, instance uint64, rate float64, limited bool) bool {
 	l := t.limits[instance]
-	if l == nil {
+	switch {
+	case l == nil || !l.stated:
 		if !limited {
 			return false
 		}
-		l = &limit{filledAt: now, tokens: t.rng.Float64()}
-		t.limits[instance] = l
-	} else if statedAt <= l.statedAt {
+		if l == nil {
+			l = &limit{filledAt: now, tokens: t.rng.Float64()}
+			t.limits[instance] = l
+		}
+	case statedAt <= l.statedAt:
 		return false
 	}
 	rate = max(rate, minRate)
 	changed := l.limited != limited || limited && math.Abs(rate-l.reportedRate) > reportedChange*l.reportedRate
-	if limited && l.rate != rate {
+	if limited {
 		l.rate = rate
-		t.divide(now, instance, l)
 	}
-	l.statedAt, l.limited = statedAt, limited
+	l.stated, l.statedAt, l.limited = true, statedAt, limited
+	t.follow(now, instance, l)
 	if changed {
 		l.sentAt, l.changedAt, l.reportedRate = 0, statedAt, rate
 	}
 	return changed
 }
 
-// divide determines this router's part of a limit.
-func (t *Tracker) divide(now time.Duration, instance uint64, l *limit) {
+// follow divides the limit again if the rate in force has changed since it was divided.
+func (t *Tracker) follow(now time.Duration, instance uint64, l *limit) {
+	rate, warmup := l.rate, false
+	if l.warmsUp(now) && !(l.holds(now) && l.rate < l.warmupRate) {
+		rate, warmup = l.warmupRate, true
+	}
+	if rate == l.divided && warmup == l.dividedWarmup {
+		return
+	}
 	l.fill(now)
-	count := min(max(int(l.rate/minShareRate), 1), len(t.routers)+1)
+	l.divided, l.dividedWarmup = rate, warmup
+	t.divide(now, instance, l)
+}
+
+// divide determines this router's part of a limit. Parts of the rate of a target that warms up do not grow if fewer routers
+// are known than may have one: a router that has just started, or is cut off, would take the whole rate otherwise.
+func (t *Tracker) divide(now time.Duration, instance uint64, l *limit) {
+	parts := max(math.Floor(l.divided/minShareRate), 1)
+	if !l.dividedWarmup {
+		parts = min(parts, float64(len(t.routers)+1))
+	}
 	own := rendezvous.Score(instance, t.self)
 	ahead := 0
 	for _, router := range t.routers {
@@ -198,8 +234,8 @@
 		}
 	}
 	share := 0.0
-	if ahead < count {
-		share = l.rate / float64(count)
+	if float64(ahead) < parts {
+		share = l.divided / parts
 	}
 	l.share, l.first = share, ahead == 0
 	l.tokens = min(l.tokens, l.burst())
@@ -208,24 +244,34 @@
 func (l *limit) burst() float64 { return max(1, l.share*burstTime.Seconds()) }
 
 func (l *limit) fill(now time.Duration) {
-	l.tokens = min(l.tokens+l.share*(now-l.filledAt).Seconds(), l.burst())
+	// The conversion keeps processors from rounding the sum once only, which would differ between them.
+	l.tokens = min(l.tokens+float64(l.share*(now-l.filledAt).Seconds()), l.burst())
 	l.filledAt = now
 }
 
-func (l *limit) inForce(now time.Duration) bool { return l.limited && now-l.statedAt < limitRetention }
+// holds reports whether the instance has stated the limit and not its end.
+func (l *limit) holds(now time.Duration) bool { return l.limited && now-l.statedAt < limitRetention }
+
+func (l *limit) inForce(now time.Duration) bool { return l.holds(now) || l.warmsUp(now) }
+
+// isOutdated reports whether what the instance has stated has no effect any more and may be forgotten.
+func (l *limit) isOutdated(now time.Duration) bool {
+	return !l.stated || now-l.statedAt >= limitRetention || !l.limited && (now-l.statedAt >= lifetime || now-l.changedAt >= lifetime)
+}
 
 func (l *limit) isConfirmed(now time.Duration) bool { return l.limited && now-l.statedAt < lifetime }
 
 // inForce returns the limit of a target, or nil if it has none.
 func (t *Tracker) inForce(now time.Duration, instance uint64) *limit {
 	if l := t.limits[instance]; l != nil && l.inForce(now) {
+		t.follow(now, instance, l)
 		return l
 	}
 	return nil
 }
 
 // Wait returns the time until this router may send a request to the instance; 0 if it may now. It returns false if the
-// instance leaves, or if other routers have its whole rate limit.
+// instance leaves, or if other routers have its whole rate limit. A warm-up ends by itself, so that there is always a time.
 func (t *Tracker) Wait(now time.Duration, instance uint64) (time.Duration, bool) {
 	if t.isLeaving(now, instance) {
 		return 0, false
@@ -234,18 +280,26 @@
 	return max(wait, t.pauses[instance].rest(now)), mine
 }
 
-// limitWait returns the time until the rate limit of the instance leaves room for a request of this router, or false if
-// other routers have the whole limit.
+// limitWait returns the time until the rate limit of the instance leaves room for a request of this router, or until its
+// warm-up ends, or false if other routers have the whole limit.
 func (t *Tracker) limitWait(now time.Duration, instance uint64) (time.Duration, bool) {
 	l := t.inForce(now, instance)
 	if l == nil {
 		return 0, true
 	}
+	ends := l.dividedWarmup && !l.holds(now)
 	if l.share == 0 {
+		if ends {
+			return l.warmupUntil - now, true
+		}
 		return 0, false
 	}
 	l.fill(now)
-	return max(time.Duration((1-l.tokens)/l.share*float64(time.Second)), 0), true
+	wait := max(time.Duration((1-l.tokens)/l.share*float64(time.Second)), 0)
+	if ends {
+		wait = min(wait, l.warmupUntil-now)
+	}
+	return wait, true
 }
 
 // Took records a request to the target.
@@ -264,7 +318,7 @@
 // shows whether the limit still holds.
 func (t *Tracker) ConfirmationDue(now time.Duration, instance uint64) bool {
 	l := t.inForce(now, instance)
-	return l != nil && l.first && now-max(l.statedAt, l.tookAt) >= confirmInterval
+	return l != nil && l.holds(now) && l.first && now-max(l.statedAt, l.tookAt) >= confirmInterval
 }
 
 // Limit returns the limit that the target has stated within its lifetime, and this router's part of it.
@@ -278,7 +332,7 @@
 // Recovering reports whether the target stated a limit until recently, and how long ago that has ended.
 func (t *Tracker) Recovering(now time.Duration, instance uint64) (since time.Duration, recovering bool) {
 	l := t.limits[instance]
-	if l == nil || l.limited || now-l.changedAt >= recoveryTime {
+	if l == nil || !l.stated || l.limited || now-l.changedAt >= recoveryTime {
 		return 0, false
 	}
 	return now - l.changedAt, true
@@ -304,8 +358,9 @@
 	var due []dueUpdate
 	for instance, l := range t.limits {
 		switch {
-		case now-l.statedAt >= limitRetention || !l.limited && (now-l.statedAt >= lifetime || now-l.changedAt >= lifetime):
+		case !l.warmsUp(now) && l.isOutdated(now):
 			delete(t.limits, instance)
+		case l.isOutdated(now):
 		case now-l.statedAt >= lifetime:
 		case l.sentAt == 0 || now-l.sentAt >= resendInterval:
 			update := Update{Instance: instance, Rate: l.rate, Limited: l.limited, Age: now - l.statedAt}
