Decode the limits of targets that warm up

An entry with a malformed remaining warm-up time took its target out of service.

The whole entry was dropped, because the time was checked as a sign of another writer.

The configuration's rate and the settings' bound are decoded, and the directory computes when a warm-up ends from the arrival of the entry. A change of this time alone is put into effect only in services with a limit, so that others are unchanged.

--- a/cmd/amaranth-router/main.go
+++ b/cmd/amaranth-router/main.go
@@ -103,6 +103,8 @@
 		RetryWindow:    settings.RetryWindow,
 		HeldBytes:      int64(float64(settings.MemoryMB<<20) * heldFraction),
 		LoadMultiple:   settings.LoadMultiple,
+		WarmupRatio:    settings.WarmupRatio,
+		WarmupSlack:    settings.WarmupSlack,
 		FirstStart:     settings.FirstStart,
 	}
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,11 +7,15 @@
 // immediately. A store that was restored from a backup lists targets as they were then: what a target has said of itself
 // since holds until it writes again, and a target that is missing is retained like one whose entry has expired.
 //
+// The remaining warm-up time that an entry states counts from the arrival of its revision, on the clock of the caller. It
+// runs down whether or not the store responds.
+//
 // The package does no I/O, reads no clock and is not safe for concurrent use.
 package directory
 
 import (
 	"bytes"
+	"fmt"
 	"sort"
 	"time"
 
@@ -74,6 +78,13 @@
 	TargetInvalid  = "target_invalid"
 	TargetRemoved  = "target_removed"
 	TargetRetained = "target_retained"
+	// TargetCold is a listed target that warms up again, of a service with a limit for such targets. WarmupReplaced is a
+	// later entry with another end of the warm-up.
+	TargetCold     = "target_cold"
+	WarmupReplaced = "warmup_replaced"
+	// WarmupInvalid is an entry that is used without its remaining warm-up time, which is malformed. It comes in addition
+	// to another change of the target.
+	WarmupInvalid = "warmup_invalid"
 	// TargetOutdated is an entry of a restored store from before what the target has said since.
 	TargetOutdated = "target_outdated"
 )
@@ -158,6 +169,10 @@
 			change.Key, change.Revision = event.Key, event.Revision
 			changes = append(changes, change)
 		}
+		if target := d.targets[event.Key]; keyRange == Targets && target.InvalidWarmup != "" && change.Kind != TargetOutdated {
+			err := fmt.Errorf("remaining warm-up time: %q is malformed or out of range", target.InvalidWarmup)
+			changes = append(changes, Change{Kind: WarmupInvalid, Key: event.Key, Revision: event.Revision, Err: err})
+		}
 	}
 	return changes
 }
@@ -227,16 +242,34 @@
 		delete(d.targets, event.Key)
 		return Change{Kind: TargetInvalid, Err: err}
 	}
+	if target.WarmupRemaining > 0 {
+		// The entry may be as old as its way here, so that the warm-up ends late and never early.
+		target.WarmupUntil = now + target.WarmupRemaining
+	}
 	d.targets[event.Key] = target
 	switch {
 	case target.Draining && !existing.Draining:
 		return Change{Kind: TargetDraining}
 	case !known || existing.StartedAt != target.StartedAt || existing.Address != target.Address:
 		return Change{Kind: TargetListed}
+	case !d.limitsWarmup(target.Service):
+	case target.WarmupUntil > now && existing.WarmupUntil <= now:
+		return Change{Kind: TargetCold}
+	case target.WarmupUntil != existing.WarmupUntil && max(target.WarmupUntil, existing.WarmupUntil) > now:
+		return Change{Kind: WarmupReplaced}
 	}
 	return Change{}
 }
 
+// limitsWarmup reports whether the requests to targets of the service are limited while they warm up.
+func (d *Directory) limitsWarmup(service string) bool {
+	if d.table == nil {
+		return false
+	}
+	description := d.table.Service(service)
+	return description != nil && description.Warmup.Rate > 0
+}
+
 // isOutdated reports whether the target is known to have changed or left since an entry of a restored store was written.
 func (d *Directory) isOutdated(key string, entry *routes.Target) bool {
 	if existing, ok := d.targets[key]; ok {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -195,3 +195,73 @@
 		t.Errorf("version %d in force, want 5", d.Table().Version)
 	}
 }
+
+// warmupDecoder decodes "start remaining", in milliseconds; a negative time is malformed. Version 2 of the configuration
+// limits targets that warm up.
+type warmupDecoder struct{}
+
+func (warmupDecoder) DecodeConfig(item mirror.Item) (*routes.Table, error) {
+	version := uint64(item.Value[0])
+	return routes.NewTable(routes.Content{Version: version, Services: []routes.Service{{Name: "s", Warmup: routes.Warmup{Rate: float64(version - 1)}}}}), nil
+}
+
+func (warmupDecoder) DecodeTarget(item mirror.Item) (routes.Target, error) {
+	target := routes.Target{ID: item.Key, Service: "s"}
+	var remaining int64
+	if _, err := fmt.Sscan(string(item.Value), &target.StartedAt, &remaining); err != nil {
+		return routes.Target{}, err
+	}
+	if remaining < 0 {
+		target.InvalidWarmup = fmt.Sprint(remaining)
+	}
+	target.WarmupRemaining = time.Duration(max(remaining, 0)) * time.Millisecond
+	return target, nil
+}
+
+// Guards against a warm-up whose end is lost, early, or not put into effect because the entry changes nothing else, and
+// against a change where the configuration limits no such targets.
+func TestWarmupCountsFromArrival(t *testing.T) {
+	const s = time.Second
+	for _, test := range []struct {
+		name    string
+		version byte
+		// first arrives at 10 s, second at 11 s, the third at 12 s; empty for none.
+		first, second, third string
+		changes              string
+		until                time.Duration
+	}{
+		{"starts", 2, "7 3000", "", "", "target_listed", 13 * s},
+		{"written again", 2, "7 3000", "7 2000", "", "target_listed", 13 * s},
+		{"longer", 2, "7 3000", "7 3000", "", "target_listed warmup_replaced", 14 * s},
+		{"shorter", 2, "7 3000", "7 500", "", "target_listed warmup_replaced", 11500 * time.Millisecond},
+		{"ended", 2, "7 3000", "7 0", "", "target_listed warmup_replaced", 0},
+		{"warm and cold again", 2, "7 0", "7 3000", "", "target_listed target_cold", 14 * s},
+		{"cold again after its end", 2, "7 1500", "7 0", "7 3000", "target_listed warmup_replaced target_cold", 15 * s},
+		{"another instance", 2, "7 0", "8 3000", "", "target_listed target_listed", 14 * s},
+		{"malformed", 2, "7 0", "7 -1", "", "target_listed warmup_invalid", 0},
+		{"malformed at first", 2, "7 -1", "", "", "target_listed warmup_invalid", 0},
+		{"warm", 2, "7 0", "7 0", "7 0", "target_listed", 0},
+		{"no limit", 1, "7 3000", "7 0", "7 3000", "target_listed", 15 * s},
+	} {
+		d := New(warmupDecoder{})
+		d.Reset(0, Config, at(1), []mirror.Item{entry("config", string(test.version), 1).Item})
+		var kinds []string
+		for i, value := range []string{test.first, test.second, test.third} {
+			if value == "" {
+				continue
+			}
+			revision := uint64(i + 2)
+			for _, change := range d.Apply(10*s+time.Duration(i)*s, Targets, at(revision), []mirror.Event{entry("a", value, revision)}) {
+				kinds = append(kinds, change.Kind)
+				if (change.Err != nil) != (change.Kind == WarmupInvalid) || change.Key != "a" || change.Revision != revision {
+					t.Errorf("%s: change %+v", test.name, change)
+				}
+			}
+		}
+		// A store that fails changes nothing.
+		d.StoreFailed(12 * s)
+		if got := strings.Join(kinds, " "); got != test.changes || d.Targets()[0].WarmupUntil != test.until {
+			t.Errorf("%s: changes %q, until %v, want %q, %v", test.name, got, d.Targets()[0].WarmupUntil, test.changes, test.until)
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -84,6 +84,10 @@
 	HeldBytes int64
 	// LoadMultiple bounds the load of a target, as a multiple of the mean load of its service.
 	LoadMultiple float64
+	// WarmupRatio and WarmupSlack bound the requests to a target that warms up: in any second, for all routers together, to
+	// WarmupRatio times the number that it tolerates plus WarmupSlack.
+	WarmupRatio float64
+	WarmupSlack float64
 	// FirstStart indicates that all VMs are starting for the first time, so no target has cached prompts.
 	FirstStart bool
 }
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -95,6 +95,17 @@
 	MaxConnections int
 	// MovableRuns is set if the targets are engines that can move a running request to another engine.
 	MovableRuns bool
+	// Warmup is what the targets tolerate while they warm up.
+	Warmup Warmup
+}
+
+// Warmup is what a target tolerates while it warms up.
+type Warmup struct {
+	// Duration is how long a target warms up after its start; 0 if it is not stated. What remains of it at a target is
+	// stated by the target itself.
+	Duration time.Duration
+	// Rate is the number of requests a second that the target tolerates, from all routers together; 0 if there is no limit.
+	Rate float64
 }
 
 // Limits are the limits on callers' requests and connections.
@@ -214,6 +225,10 @@
 	Slots int
 	// WarmupRemaining is the remaining warm-up time, during which the target is slow.
 	WarmupRemaining time.Duration
+	// InvalidWarmup is the beginning of a remaining warm-up time that is malformed; it counts as not stated.
+	InvalidWarmup string
+	// WarmupUntil is when the warm-up ends, on the monotonic clock of this process; 0 if the target is warm.
+	WarmupUntil time.Duration
 	// Draining targets finish their requests and accept no new ones.
 	Draining bool
 	// StartedAt is when the instance started, in Unix milliseconds; 0 when unknown.
