Pass over targets that warm up beyond what they tolerate

Callers saw streams break when a new target got more requests than it tolerates while it warms up.

The choice of a target knew the remaining warm-up time as a cost only.

The exclusion cold passes a target over while this router has no token of its warm-up limit, without fallback, and always as a destination of moves. Such targets are deferred for prompts as those with a stated limit are, unless they are most of the service. Requests that only cold targets could take are refused with the reason cold and the time until the next token.

--- a/internal/place/destination.go
+++ b/internal/place/destination.go
@@ -22,7 +22,9 @@
 		return Choice{}, false
 	}
 	open := p.candidates(now, svc, Destination, append(slices.Clone(exclude), source.ID)).open
-	open = slices.DeleteFunc(open, func(candidate *targetState) bool { return candidate.target.WarmupRemaining > 0 })
+	if p.warmupRates[source.Service] == 0 {
+		open = slices.DeleteFunc(open, func(candidate *targetState) bool { return p.warmsUp(now, candidate) })
+	}
 	if len(open) == 0 {
 		return Choice{}, false
 	}
--- a/internal/place/exclusions.go
+++ b/internal/place/exclusions.go
@@ -44,6 +44,9 @@
 	Leaving
 	// Limited targets have a rate limit of which this process may use no more at present.
 	Limited
+	// Cold targets are warming up, and this process may use no more of the rate that they tolerate at present. For
+	// destinations of moves and holders of copies every target counts that is warming up under such a limit.
+	Cold
 	// Paused targets have asked this process for a pause.
 	Paused
 	// Withdrawn targets are no longer listed.
@@ -118,6 +121,10 @@
 		FirstAttempt: never, Retry: never, Destination: never, BackupHolder: never,
 		Continuation: ignored(chosenThere), CopySource: ignored(noRequest), MoveSource: ignored(noRequest), CacheListing: ignored(noRequest),
 	}},
+	Cold: {"cold", (*selection).isCold, [purposeCount]check{
+		FirstAttempt: never, Retry: never, Destination: never, BackupHolder: never,
+		Continuation: ignored(chosenThere), CopySource: ignored(noRequest), MoveSource: ignored(noRequest), CacheListing: ignored(noRequest),
+	}},
 	Paused: {"paused", (*selection).isPaused, [purposeCount]check{
 		FirstAttempt: never, Retry: never, Destination: never, BackupHolder: never,
 		Continuation: never, CopySource: ignored(notChecked), MoveSource: never, CacheListing: never,
@@ -190,18 +197,26 @@
 type candidateSet struct {
 	// open are the targets among which the cost decides.
 	open []*targetState
-	// limited and paused targets are passed over because of what they state.
-	limited, paused []*targetState
+	// limited, cold and paused targets are passed over because of what they state.
+	limited, cold, paused []*targetState
 }
 
+// passedOver returns the targets that are passed over because of what they state.
+func (c *candidateSet) passedOver() []*targetState { return slices.Concat(c.limited, c.cold, c.paused) }
+
 // candidates returns the targets that may be chosen: those to which no exclusion applies, else those excluded with
 // fallback, else those excluded as a last resort.
 func (p *LoadTracker) candidates(now time.Duration, svc *service, purpose Purpose, tried []string) candidateSet {
 	var set candidateSet
-	var failing, last []*targetState
+	var failing, last, warming []*targetState
 	s := selection{tracker: p, now: now, purpose: purpose, tried: tried, targets: svc.targets}
 	for _, state := range svc.targets {
 		_, _, state.limited = p.statements.Limit(now, state.instance)
+		state.deferred = state.limited
+		if p.statements.WarmsUp(now, state.instance) {
+			state.limited = true
+			warming = append(warming, state)
+		}
 		state.sinceLimit, state.recovering = p.statements.Recovering(now, state.instance)
 		exclusion, kind := s.excluded(state)
 		switch {
@@ -209,6 +224,8 @@
 			set.open = append(set.open, state)
 		case exclusion == Limited:
 			set.limited = append(set.limited, state)
+		case exclusion == Cold:
+			set.cold = append(set.cold, state)
 		case exclusion == Paused:
 			set.paused = append(set.paused, state)
 		case kind == excludesUnlessNone:
@@ -217,6 +234,9 @@
 			last = append(last, state)
 		}
 	}
+	for _, state := range warming {
+		state.deferred = state.deferred || 2*len(warming) < len(svc.targets)
+	}
 	if len(set.open) == 0 {
 		set.open = failing
 	}
@@ -238,6 +258,13 @@
 	return s.admissionOf(target) == backpressure.Limited
 }
 
+func (s *selection) isCold(target *targetState) bool {
+	if s.purpose == Destination || s.purpose == BackupHolder {
+		return s.tracker.statements.WarmsUp(s.now, target.instance)
+	}
+	return s.admissionOf(target) == backpressure.Cold
+}
+
 // isPaused is false for a Continuation that the pause allows.
 func (s *selection) isPaused(target *targetState) bool {
 	if s.purpose == Continuation {
--- a/internal/place/exclusions_test.go
+++ b/internal/place/exclusions_test.go
@@ -51,6 +51,9 @@
 		p.Stated(second, target, routes.Statements{RateLimit: 1, HasRateLimit: true})
 		p.Statements().Took(second, instanceKey(target))
 	},
+	Cold: func(p *LoadTracker, target routes.Target) {
+		p.Statements().SetWarmup(second, instanceKey(target), 5, 4*second)
+	},
 	Paused: func(p *LoadTracker, target routes.Target) {
 		p.Stated(second, target, routes.Statements{RetryAfter: second})
 	},
@@ -113,6 +116,9 @@
 					return
 				}
 				want, least := reason.NoTarget, blockBase
+				if Exclusion(i) == Cold {
+					want, least = reason.Cold, minLimitRetryAfter
+				}
 				if Exclusion(i) == Limited || Exclusion(i) == Paused {
 					want, least = reason.OverLimit, minLimitRetryAfter
 				}
@@ -160,6 +166,7 @@
 			p.Stated(any(), target, routes.Statements{
 				Leaving: rng.IntN(2) == 0, HasRateLimit: rng.IntN(2) == 0, RateLimit: rng.NormFloat64(), RetryAfter: any(),
 			})
+			p.Statements().SetWarmup(any(), instanceKey(target), rng.NormFloat64(), any())
 			if state := p.byID[target.ID]; state != nil {
 				state.blocked, state.dropAt, state.withdrawn = any(), any(), rng.IntN(2) == 0
 				state.failures, state.failuresAt = rng.NormFloat64(), any()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -120,6 +120,8 @@
 	Number uint64
 	// Limited is the number of targets that were passed over because of their rate limits.
 	Limited int
+	// Cold is the number of targets that were passed over because they are warming up and have a limit until then.
+	Cold int
 	// Paused is the number of targets that were passed over because they have asked for a pause.
 	Paused int
 	// ConfirmsLimit is set if the target was chosen to learn whether its rate limit still holds.
@@ -171,8 +173,12 @@
 
 	// waiting holds the start times of this process's requests that the target has not begun to answer.
 	waiting map[uint64]time.Duration
-	// limited is set while the target states a rate limit, recovering for a while after it; both are updated by candidates.
+	// limited is set while the target states a rate limit or warms up under one, recovering for a while after it; both are updated by candidates.
 	limited, recovering bool
+	// deferred targets get prompts that no target has cached only if the others have no room. These are the targets with a
+	// stated limit, and those that warm up unless they are most of the service: the few that are warm would read the prompts
+	// of all otherwise. It is updated by candidates.
+	deferred bool
 	// sinceLimit is the time since the end of the limit of a recovering target.
 	sinceLimit time.Duration
 
@@ -206,6 +212,9 @@
 	lastNumber uint64
 	// statements holds what targets have stated about the requests that they take.
 	statements *backpressure.Tracker
+	// warmupRates holds the rates of services that limit the requests to targets that warm up, in requests a second of all
+	// processes together.
+	warmupRates map[string]float64
 	// multiple is the contract's limit on a target's load, as a multiple of the mean.
 	multiple float64
 }
@@ -224,6 +233,19 @@
 	}
 }
 
+// SetWarmupRates sets the rates in requests a second, by the name of the service, at which all processes together may send
+// requests to a target that warms up. There is no limit in other services. The rates apply from the next call of SetTargets.
+func (p *LoadTracker) SetWarmupRates(rates map[string]float64) { p.warmupRates = rates }
+
+// warmsUp reports whether the target warms up. Where the service has no limit for such targets, the time that it has stated
+// last counts until it states another one.
+func (p *LoadTracker) warmsUp(now time.Duration, state *targetState) bool {
+	if p.warmupRates[state.target.Service] > 0 {
+		return now < state.target.WarmupUntil
+	}
+	return state.target.WarmupRemaining > 0
+}
+
 // SetTargets replaces the list of targets. Targets that are no longer listed stay usable for the grace period if their
 // service has no other, and are then removed.
 func (p *LoadTracker) SetTargets(now time.Duration, targets []routes.Target, grace time.Duration) {
@@ -241,6 +263,7 @@
 		}
 		state.target = target
 		state.instance = instanceKey(target)
+		p.statements.SetWarmup(now, state.instance, p.warmupRates[target.Service], target.WarmupUntil)
 		state.withdrawn = false
 	}
 	for id, state := range p.byID {
@@ -494,7 +517,7 @@
 	}
 	set := p.candidates(now, svc, query.Purpose, query.Exclude)
 	open := set.open
-	if len(set.limited) > 0 {
+	if len(set.limited)+len(set.cold) > 0 {
 		open = slices.DeleteFunc(open, func(state *targetState) bool { return state.overloaded(now) })
 	}
 	if len(open) == 0 {
@@ -517,7 +540,7 @@
 		}
 		prefill = prefillWeight(query.PromptTokens, savedTokens)
 	} else {
-		best = p.leastLoaded(open, loads, query.Zone)
+		best = p.leastLoaded(now, open, loads, query.Zone)
 	}
 	if limit := connectionShare * float64(query.MaxConnections); limit > 0 && loads[best].Requests >= limit {
 		return Choice{}, &Refusal{Reason: reason.OverLimit, RetryAfter: max(svc.meanDuration, blockBase)}
@@ -526,7 +549,7 @@
 		return Choice{}, &Refusal{Reason: reason.OverLimit, RetryAfter: wait / 2}
 	}
 	p.lastNumber++
-	return Choice{Number: p.lastNumber, Prefill: prefill, Target: open[best].target, LoadAge: open[best].loadAge(now), Load: loads[best], Mean: mean.Requests, Rank: rank, Source: source, Limited: len(set.limited), Paused: len(set.paused), ConfirmsLimit: confirms}, nil
+	return Choice{Number: p.lastNumber, Prefill: prefill, Target: open[best].target, LoadAge: open[best].loadAge(now), Load: loads[best], Mean: mean.Requests, Rank: rank, Source: source, Limited: len(set.limited), Cold: len(set.cold), Paused: len(set.paused), ConfirmsLimit: confirms}, nil
 }
 
 // confirmLimit returns the index of a target that is to get the request so that its response shows whether its rate limit
@@ -545,7 +568,7 @@
 	return best
 }
 
-// loadsOf returns the loads of targets and their mean. Targets with rate limits have less load than the others could
+// loadsOf returns the loads of targets and their mean. Targets with rate limits, stated or while they warm up, have less load than the others could
 // have, so they count only where there are no others.
 func loadsOf(now time.Duration, open []*targetState) (loads []Load, mean Load) {
 	loads = make([]Load, len(open))
@@ -568,14 +591,14 @@
 }
 
 // leastLoaded returns the index of the target with the least load relative to its slots, plus zone and warm-up costs.
-func (p *LoadTracker) leastLoaded(open []*targetState, loads []Load, zone string) int {
+func (p *LoadTracker) leastLoaded(now time.Duration, open []*targetState, loads []Load, zone string) int {
 	best, bestCost := 0, math.Inf(1)
 	for i, candidate := range open {
 		cost := loads[i].total()/candidate.slots() + tieBreakJitter*p.rng.Float64()
 		if candidate.target.Zone != zone {
 			cost += remoteZoneCost
 		}
-		if candidate.target.WarmupRemaining > 0 {
+		if p.warmsUp(now, candidate) {
 			cost += remoteZoneCost
 		}
 		if cost < bestCost {
--- a/internal/place/prompt.go
+++ b/internal/place/prompt.go
@@ -138,7 +138,8 @@
 }
 
 // byRateLimit moves the targets with rate limits to the end of an order. The few requests that they take are for prompts
-// that they have cached, which would have to be copied elsewhere otherwise. If most targets had a limit until recently,
+// that they have cached, which would have to be copied elsewhere otherwise. Targets that warm up have none, and are moved
+// unless they are most of the service. If most targets had a limit until recently,
 // they precede the others, which still run what they have taken over.
 func byRateLimit(order []ranked, open []*targetState) []ranked {
 	idle := func(candidate ranked) bool {
@@ -150,7 +151,7 @@
 	}
 	mostIdle := 2*count >= len(order)
 	class := func(candidate ranked) int {
-		return boolToInt(open[candidate.index].limited) - boolToInt(mostIdle && idle(candidate))
+		return boolToInt(open[candidate.index].deferred) - boolToInt(mostIdle && idle(candidate))
 	}
 	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(class(a), class(b)) })
 	return order
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/amaranthlb/amaranthlb/internal/backpressure"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
@@ -24,6 +25,22 @@
 	return tracker
 }
 
+// coldTracker returns a tracker of targets, the first of which warm up for a minute, at a rate for all processes together.
+func coldTracker(now time.Duration, count, cold int, rate float64) *LoadTracker {
+	tracker := limitedTracker(now, count, 0, 0)
+	tracker.SetWarmupRates(map[string]float64{"s": rate})
+	tracker.SetTargets(now, warmingUp(targets(count, 64), cold, now+time.Minute), second)
+	return tracker
+}
+
+// warmingUp lets the first targets of a list warm up until a time.
+func warmingUp(list []routes.Target, cold int, until time.Duration) []routes.Target {
+	for i := range list[:cold] {
+		list[i].WarmupUntil = until
+	}
+	return list
+}
+
 // choosers are all ways in which a target is chosen: for prompts, for plain requests, and for runs that move.
 var choosers = map[string]func(p *LoadTracker, now time.Duration) (Choice, bool){
 	"prompt": func(p *LoadTracker, now time.Duration) (Choice, bool) {
@@ -39,11 +56,23 @@
 	},
 }
 
-// Guards against requests beyond a stated limit by any way on which a target is chosen.
+// trackers are the trackers of targets with a limit, by its source.
+var trackers = map[string]func(now time.Duration, count, limited int, rate float64) *LoadTracker{
+	"stated": limitedTracker, "cold": coldTracker,
+}
+
+// Guards against requests beyond a limit by any way on which a target is chosen, and against runs that move to a target that
+// warms up.
 func TestEveryChoiceAsksForTheLimit(t *testing.T) {
+	for source, newTracker := range trackers {
+		t.Run(source, func(t *testing.T) { testEveryChoiceAsksForTheLimit(t, source, newTracker) })
+	}
+}
+
+func testEveryChoiceAsksForTheLimit(t *testing.T, source string, newTracker func(time.Duration, int, int, float64) *LoadTracker) {
 	const rate, seconds = 2.0, 5
 	for name, choose := range choosers {
-		p := limitedTracker(0, 3, 2, rate)
+		p := newTracker(0, 3, 2, rate)
 		sent := map[string]int{}
 		for i := range 500 {
 			now := time.Duration(i) * seconds * second / 500
@@ -60,6 +89,9 @@
 			if most := int(rate*seconds) + 1; sent[id] > most {
 				t.Errorf("%s: %s got %d requests in %d s, want at most %d", name, id, sent[id], seconds, most)
 			}
+			if source == "cold" && name == "move" && sent[id] > 0 {
+				t.Errorf("%d runs moved to %s", sent[id], id)
+			}
 		}
 	}
 }
@@ -168,7 +200,18 @@
 // Guards against requests that wait for a target although none may take them, and against clients that all return at
 // the same time.
 func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
-	p := limitedTracker(0, 3, 3, 1)
+	testRequestsBeyondAllLimits(t, limitedTracker(0, 3, 3, 1), reason.OverLimit)
+	testRequestsBeyondAllLimits(t, coldTracker(0, 3, 3, 1), reason.Cold)
+	// The reason is that of the target that may be chosen first.
+	p := coldTracker(0, 4, 3, 1)
+	p.Stated(0, targets(4, 64)[3], routes.Statements{RetryAfter: second / 2})
+	testRequestsBeyondAllLimits(t, p, reason.OverLimit)
+	p.Stated(0, targets(4, 64)[3], routes.Statements{RetryAfter: 2 * second})
+	testRequestsBeyondAllLimits(t, p, reason.Cold)
+}
+
+func testRequestsBeyondAllLimits(t *testing.T, p *LoadTracker, want reason.Reason) {
+	t.Helper()
 	times := map[time.Duration]bool{}
 	refused := 0
 	for range 20 {
@@ -179,7 +222,7 @@
 		}
 		refused++
 		times[refusal.RetryAfter] = true
-		if refusal.Reason != reason.OverLimit || refusal.RetryAfter < minLimitRetryAfter || refusal.RetryAfter > 2*second {
+		if refusal.Reason != want || refusal.RetryAfter < minLimitRetryAfter || refusal.RetryAfter > 2*second {
 			t.Errorf("refusal %+v", refusal)
 		}
 	}
@@ -191,9 +234,14 @@
 // Guards against targets without a limit that drown in the requests of those with one: clients leave before a response
 // begins, and nobody is served in time.
 func TestTargetsWithoutLimitAreNotFlooded(t *testing.T) {
+	for source, newTracker := range trackers {
+		t.Run(source, func(t *testing.T) { testTargetsWithoutLimitAreNotFlooded(t, newTracker(0, 12, 11, 0.2)) })
+	}
+}
+
+func testTargetsWithoutLimitAreNotFlooded(t *testing.T, p *LoadTracker) {
 	// One of twelve engines has no limit. It answers a request every 25 ms, one after the other, and gets three times as many.
 	const service, clientPatience, duration = 25 * time.Millisecond, 2 * second, 20 * second
-	p := limitedTracker(0, 12, 11, 0.2)
 	rng := rand.New(rand.NewPCG(5, 5))
 	free := rendezvous.Hash("t11")
 	type pending struct {
@@ -296,11 +344,16 @@
 	mostAtLimited int
 }
 
-// simulateLimitedFleet simulates a fleet whose engines state limits from begin to end.
-func simulateLimitedFleet(t *testing.T, seed uint64) limitedFleetResult {
+// simulateLimitedFleet simulates a fleet whose engines have limits from begin to end. They state them or, if warmupRate is
+// above 0, are known to warm up.
+func simulateLimitedFleet(t *testing.T, seed uint64, warmupRate float64) limitedFleetResult {
 	t.Helper()
 	const begin, end, duration = 1 * second, 6 * second, 14 * second
-	const stableWindow, loadWindow, limitWindow = 3 * second, 5 * second, 4 * second
+	const loadWindow = 5 * second
+	limitedAfter, stableWindow, limitWindow := 3*second, 3*second, 4*second
+	if warmupRate > 0 {
+		limitedAfter, limitWindow = 0, second
+	}
 	rng := rand.New(rand.NewPCG(seed, 0))
 	list := targets(largeEngines, largeSlots)
 	index := map[string]int{}
@@ -317,7 +370,9 @@
 		routers[i].SetTargets(0, list, second)
 		routers[i].Statements().SetRouters(0, addresses[i], slices.Delete(slices.Clone(addresses), i, i+1))
 		routers[i].SetCachesKnown()
+		routers[i].SetWarmupRates(map[string]float64{"s": warmupRate})
 	}
+	cold := false
 	type event struct {
 		at time.Duration
 		do func(now time.Duration)
@@ -347,6 +402,12 @@
 				}
 			}
 		}
+		if now >= begin && warmupRate > 0 && !cold {
+			cold = true
+			for _, router := range routers {
+				router.SetTargets(now, warmingUp(targets(largeEngines, largeSlots), largeLimited, end), second)
+			}
+		}
 		for len(scheduled) > 0 && scheduled[0].at <= now {
 			next := scheduled[0]
 			scheduled = scheduled[1:]
@@ -369,7 +430,7 @@
 		load[i]++
 		running++
 		limited := i < largeLimited && now >= begin && now < end
-		if limited && now >= begin+stableWindow {
+		if limited && now >= begin+limitedAfter {
 			atLimited[i] = append(atLimited[i], now)
 		}
 		if now >= end && i < largeLimited && !asked[i] {
@@ -385,7 +446,7 @@
 		schedule(now+50*time.Millisecond, func(at time.Duration) {
 			router.PromptRead(choice)
 			router.Report(choice.Target.ID, at, routes.Load{Running: load[i], Slots: largeSlots})
-			router.Stated(at, choice.Target, routes.Statements{RateLimit: largeLimit, HasRateLimit: limited})
+			router.Stated(at, choice.Target, routes.Statements{RateLimit: largeLimit, HasRateLimit: limited && warmupRate == 0})
 		})
 		schedule(now+50*time.Millisecond+answer, func(at time.Duration) {
 			router.End(choice.Target.ID, at, Good, at-now)
@@ -422,7 +483,7 @@
 	// Of the requests in five seconds 3 in 100 may reach engines above the load limit. A limited engine may get 1.5 times
 	// what its limit allows in four seconds, and 5 more.
 	const mostOverloaded, mostAtLimited = 0.03, 1.5*4*largeLimit + 5
-	result := simulateLimitedFleet(t, 1)
+	result := simulateLimitedFleet(t, 1, 0)
 	t.Logf("%.3f of the requests at engines above the load limit, each engine asked within %v, at most %d requests at a limited engine",
 		result.overloaded, result.noticedAfter, result.mostAtLimited)
 	if result.overloaded > mostOverloaded {
@@ -432,3 +493,108 @@
 		t.Errorf("a limited engine got %d requests in 4 s, want at most %v", result.mostAtLimited, mostAtLimited)
 	}
 }
+
+// Guards against a service in which most targets warm up that refuses requests, floods those that are warm, sends the others
+// more than they tolerate, or does not return to normal afterwards.
+func TestLargeFleetServesWhileMostTargetsWarmUp(t *testing.T) {
+	// The engines tolerate 10 requests a second, and may get 1.5 times as many and 5 more in any second.
+	const perSecond, mostOverloaded = 10, 0.03
+	const mostAtCold = 1.5*perSecond + 5
+	result := simulateLimitedFleet(t, 1, backpressure.WarmupRate(perSecond, mostAtCold))
+	t.Logf("%.3f of the requests at engines above the load limit, each engine asked within %v, at most %d requests at an engine that warms up",
+		result.overloaded, result.noticedAfter, result.mostAtLimited)
+	if result.overloaded > mostOverloaded {
+		t.Errorf("%.3f of the requests reached engines above the load limit, want at most %v", result.overloaded, mostOverloaded)
+	}
+	if result.mostAtLimited > mostAtCold || result.mostAtLimited == 0 {
+		t.Errorf("an engine that warms up got %d requests in a second, want 1 to %v", result.mostAtLimited, mostAtCold)
+	}
+}
+
+// Guards against routers that send a target which has just started more than it tolerates, on a day of bursts: 21 requests
+// in a second were seen, and 20 are allowed. New targets are preferred, since they are the least loaded.
+func TestFleetKeepsTheBoundOfNewTargetsInBursts(t *testing.T) {
+	// The deployment sends 303 prompts a second to 60 engines, and four times as many in a burst.
+	const routerCount, engines, slots, added, burst, perSecond, bound = 69, 60, 64, 3, 4 * 303, 10, 20
+	const begin, end = 1 * second, 4 * second
+	most := func(rate float64) int {
+		rng := rand.New(rand.NewPCG(3, 3))
+		list := targets(engines, slots)
+		var addresses []string
+		for i := range routerCount {
+			addresses = append(addresses, fmt.Sprint("router-", i))
+		}
+		routers := make([]*LoadTracker, routerCount)
+		for i := range routers {
+			routers[i] = New(2, rand.New(rand.NewPCG(3, uint64(i))))
+			routers[i].SetTargets(0, list[added:], second)
+			routers[i].Statements().SetRouters(0, addresses[i], slices.Delete(slices.Clone(addresses), i, i+1))
+			routers[i].SetWarmupRates(map[string]float64{"s": rate})
+		}
+		arrivals, result, exchanged, listed := map[string][]time.Duration{}, 0, time.Duration(0), false
+		var ends []func()
+		for now := time.Duration(0); now < end; now += second / burst {
+			if now >= begin && !listed {
+				listed = true
+				for _, router := range routers {
+					router.SetTargets(now, warmingUp(targets(engines, slots), added, end), second)
+				}
+			}
+			if now-exchanged >= fleetInterval {
+				exchanged = now
+				exchangeReports(rng, now, routers, fleetExchange{relays: true})
+			}
+			router := routers[rng.IntN(routerCount)]
+			q := query(rng.Uint64(), 600)
+			if rng.IntN(2) == 0 {
+				q.Prompt = Prompt{}
+			}
+			choice := choose(t, router, now, q)
+			router.Start(now, choice, q.Prompt)
+			// Each request ends after those that came in the next second.
+			ends = append(ends, func() { router.PromptRead(choice); router.End(choice.Target.ID, now, Good, second) })
+			if len(ends) > burst {
+				ends[0]()
+				ends = ends[1:]
+			}
+			if choice.Target.WarmupUntil > now {
+				times := append(arrivals[choice.Target.ID], now)
+				arrivals[choice.Target.ID] = times
+				result = max(result, countWithin(times, now-second, second+1))
+			}
+		}
+		return result
+	}
+	if got := most(0); got <= bound {
+		t.Errorf("at most %d requests in a second without a limit: the test's load is too low", got)
+	}
+	if got := most(backpressure.WarmupRate(perSecond, bound)); got > bound || got == 0 {
+		t.Errorf("a target that warms up got %d requests in a second, want 1 to %d", got, bound)
+	}
+}
+
+// Guards against decisions that change where a service has no limit for targets that warm up.
+func TestNoWarmupLimitWithoutRate(t *testing.T) {
+	unknown, known := limitedTracker(0, 6, 0, 0), limitedTracker(0, 6, 0, 0)
+	unknown.SetTargets(0, targets(6, 64), second)
+	known.SetWarmupRates(map[string]float64{"other": 5})
+	known.SetTargets(0, warmingUp(targets(6, 64), 4, time.Minute), second)
+	for _, p := range []*LoadTracker{unknown, known} {
+		// Targets are compared in this order, with a random part.
+		slices.SortFunc(p.services["s"].targets, func(a, b *targetState) int { return cmp.Compare(a.target.ID, b.target.ID) })
+	}
+	for i := range 300 {
+		now := time.Duration(i) * 5 * time.Millisecond
+		for name, choose := range choosers {
+			want, wantOK := choose(unknown, now)
+			got, ok := choose(known, now)
+			if want.Target.ID != got.Target.ID || ok != wantOK {
+				t.Fatalf("%s: request %d goes to %q, %v, want %q, %v", name, i, got.Target.ID, ok, want.Target.ID, wantOK)
+			}
+			if ok {
+				unknown.Start(now, want, Prompt{})
+				known.Start(now, got, Prompt{})
+			}
+		}
+	}
+}
--- a/internal/place/refusal.go
+++ b/internal/place/refusal.go
@@ -18,23 +18,28 @@
 
 // refusal returns the refusal of a request for which no target is open.
 func (p *LoadTracker) refusal(now time.Duration, set candidateSet) *Refusal {
-	if len(set.limited)+len(set.paused) > 0 {
-		return &Refusal{Reason: reason.OverLimit, RetryAfter: p.passedOverRetryAfter(now, slices.Concat(set.limited, set.paused))}
+	if len(set.limited)+len(set.cold)+len(set.paused) > 0 {
+		return p.passedOverRefusal(now, set)
 	}
 	return &Refusal{Reason: reason.NoTarget, RetryAfter: blockBase}
 }
 
-// passedOverRetryAfter returns when a request is to return that only targets could take which are passed over because of
-// what they state. Requests are spread so that they do not all return at the same time.
-func (p *LoadTracker) passedOverRetryAfter(now time.Duration, passedOver []*targetState) time.Duration {
-	shortest, found := time.Duration(0), false
-	for _, state := range passedOver {
+// passedOverRefusal returns the refusal of a request that only targets could take which are passed over because of what they
+// state. The reason is that of the target that may be chosen first. Requests are spread so that they do not all return at the
+// same time.
+func (p *LoadTracker) passedOverRefusal(now time.Duration, set candidateSet) *Refusal {
+	shortest, found, cause := time.Duration(0), false, reason.OverLimit
+	for _, state := range set.passedOver() {
 		if wait, mine := p.statements.Wait(now, state.instance); mine && (!found || wait < shortest) {
-			shortest, found = wait, true
+			shortest, found, cause = wait, true, reason.OverLimit
+			if slices.Contains(set.cold, state) {
+				cause = reason.Cold
+			}
 		}
 	}
 	shortest = max(shortest, minLimitRetryAfter)
-	return shortest + time.Duration(p.rng.Float64()*float64(min(shortest, maxReturnSpread)))
+	spread := time.Duration(p.rng.Float64() * float64(min(shortest, maxReturnSpread)))
+	return &Refusal{Reason: cause, RetryAfter: shortest + spread}
 }
 
 // RejectedRetryAfter returns when a request that targets have rejected is to return, if all targets of the service are
@@ -45,8 +50,8 @@
 		return 0, false
 	}
 	set := p.candidates(now, svc, Retry, nil)
-	if len(set.open) > 0 || len(set.limited)+len(set.paused) == 0 {
+	if len(set.open) > 0 || len(set.limited)+len(set.cold)+len(set.paused) == 0 {
 		return 0, false
 	}
-	return p.passedOverRetryAfter(now, slices.Concat(set.limited, set.paused)), true
+	return p.passedOverRefusal(now, set).RetryAfter, true
 }
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -35,6 +35,8 @@
 	Probation Reason = "probation"
 	// TargetLeaving means that the platform is removing the target.
 	TargetLeaving Reason = "target_leaving"
+	// Cold means that the targets that could take the request are warming up and may get no more requests at present.
+	Cold Reason = "cold"
 	// ModelNotLoaded means that the engine reports a model or version other than that of the catalogue.
 	ModelNotLoaded Reason = "model_not_loaded"
 	// TargetUnreachable means that the connection to the target failed before the first byte was written.
@@ -102,7 +104,7 @@
 func All() []Reason {
 	return []Reason{
 		BadRequest, BodyTooLarge, UnknownCustomer, ForeignCustomer, UnknownPool, NotReady, Draining,
-		NotOwner, LeaseLost, OverLimit, Probation, TargetLeaving, ModelNotLoaded, TargetUnreachable, TargetFailed,
+		NotOwner, LeaseLost, OverLimit, Probation, TargetLeaving, Cold, ModelNotLoaded, TargetUnreachable, TargetFailed,
 		TargetRefused, GateUnreachable, GateFailed, NoTarget, NoGate, QueueFull, QueueTimeout,
 		DeadlineExceeded, CustomerRate, CustomerConcurrency, RetryBudget, TicketRequired,
 		TicketInvalid, TicketExpired, TicketSealed, WitnessUnreachable, UnknownOutcome, CrashSuspect,
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -105,6 +105,9 @@
 	if choice.Limited > 0 {
 		fields["limited"] = choice.Limited
 	}
+	if choice.Cold > 0 {
+		fields["cold"] = choice.Cold
+	}
 	if choice.Paused > 0 {
 		fields["paused"] = choice.Paused
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/amaranthlb/amaranthlb/internal/directory"
 	"github.com/amaranthlb/amaranthlb/internal/eventlog"
 	"github.com/amaranthlb/amaranthlb/internal/liveness"
@@ -120,6 +122,9 @@
 	// promptCrashes finds prompt parts that crash targets.
 	promptCrashes *promptCrashTracker
 
+	// warmupInvalid limits the log lines about malformed warm-up times, which targets write again and again.
+	warmupInvalid rate.Sometimes
+
 	// controlMu guards the state that is updated by the store and by peers.
 	controlMu  sync.Mutex
 	directory  *directory.Directory
@@ -188,6 +193,7 @@
 		crashes:        newCrashTracker(),
 		promptCrashes:  newPromptCrashTracker(),
 		noticesPending: make(chan struct{}, 1),
+		warmupInvalid:  rate.Sometimes{Interval: time.Second},
 		loadTracker:    place.New(config.LoadMultiple, random()),
 		budget:         retry.NewBudget(config.RetryRatio*budgetShare, config.RetrySlack*budgetShare/initialRouters, config.RetryWindow),
 	}
--- a/internal/router/statements.go
+++ b/internal/router/statements.go
@@ -81,6 +81,7 @@
 	counts := r.loadTracker.Admissions(r.now())
 	return map[string]int64{
 		"rate_limit": int64(counts[backpressure.Limited]),
+		"cold":       int64(counts[backpressure.Cold]),
 		"pause":      int64(counts[backpressure.Paused]),
 		"leaving":    int64(counts[backpressure.Leaving]),
 	}
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/amaranthlb/amaranthlb/internal/backpressure"
 	"github.com/amaranthlb/amaranthlb/internal/directory"
 	"github.com/amaranthlb/amaranthlb/internal/mirror"
 	"github.com/amaranthlb/amaranthlb/internal/pb"
@@ -269,10 +270,30 @@
 // publishDirectory puts the directory's content into effect. The caller holds r.controlMu, without which a concurrent
 // update could publish older content last.
 func (r *Router) publishDirectory(now time.Duration) {
-	r.table.Store(r.directory.Table())
+	table, targets := r.directory.Table(), r.directory.Targets()
+	r.table.Store(table)
+	rates := r.warmupRates(table, targets)
 	r.trafficMu.Lock()
 	defer r.trafficMu.Unlock()
-	r.loadTracker.SetTargets(now, r.directory.Targets(), r.config.WithdrawnGrace)
+	r.loadTracker.SetWarmupRates(rates)
+	r.loadTracker.SetTargets(now, targets, r.config.WithdrawnGrace)
+}
+
+// warmupRates returns the rates of all routers together at targets that warm up, in requests a second, for the services that
+// limit them.
+func (r *Router) warmupRates(table *routes.Table, targets []routes.Target) map[string]float64 {
+	rates := make(map[string]float64)
+	for i := range targets {
+		if table == nil {
+			break
+		}
+		if service := table.Service(targets[i].Service); service != nil && service.Warmup.Rate > 0 {
+			// The conversion keeps processors from rounding the sum once only, which would differ between them.
+			bound := float64(service.Warmup.Rate*r.config.WarmupRatio) + r.config.WarmupSlack
+			rates[service.Name] = backpressure.WarmupRate(service.Warmup.Rate, bound)
+		}
+	}
+	return rates
 }
 
 // logChanges counts and logs changes. Large groups of targets listed together, as after a start, share one line: on a
@@ -294,6 +315,10 @@
 		}
 		entry := r.log.WithFields(logrus.Fields{"event": change.Kind, "key": change.Key, "revision": change.Revision, "source": source})
 		switch {
+		case change.Kind == directory.WarmupReplaced:
+			// Targets that warm up write their entries again and again; only the begin is a change of state.
+		case change.Kind == directory.WarmupInvalid:
+			r.warmupInvalid.Do(func() { entry.WithError(change.Err).Warn("warm-up time of target ignored") })
 		case change.Err != nil:
 			entry.WithError(change.Err).Warn("store item refused")
 		case change.Kind == directory.ConfigApplied:
