--- a/internal/place/refusal.go
+++ b/internal/place/refusal.go
@@ -22,9 +22,9 @@
 // refusal returns the refusal of a request for which no target is open. Beside evacuated targets, the reason is that of
 // the targets with the shortest time until they may be chosen.
 func (p *LoadTracker) refusal(now time.Duration, set candidateSet) *Refusal {
+	passedOver := set.passedOver()
 	if set.evacuated > 0 {
-		passedOver := slices.Concat(set.limited, set.paused)
-		wait := p.shortestWait(now, passedOver)
+		wait, _ := p.shortestWait(now, set)
 		switch {
 		case len(passedOver) > 0 && wait < evacuatedRetryAfter && (set.untimed == 0 || wait < blockBase):
 		case set.untimed > 0:
@@ -33,28 +33,28 @@
 			return &Refusal{Reason: reason.Evacuated, RetryAfter: evacuatedRetryAfter + time.Duration(p.rng.Float64()*float64(evacuatedRetryAfter))}
 		}
 	}
-	if len(set.limited)+len(set.paused) > 0 {
-		return &Refusal{Reason: reason.OverLimit, RetryAfter: p.passedOverRetryAfter(now, slices.Concat(set.limited, set.paused))}
+	if len(passedOver) > 0 {
+		shortest, cause := p.shortestWait(now, set)
+		// Requests are spread so that they do not all return at the same time.
+		spread := time.Duration(p.rng.Float64() * float64(min(shortest, maxReturnSpread)))
+		return &Refusal{Reason: cause, RetryAfter: shortest + spread}
 	}
 	return &Refusal{Reason: reason.NoTarget, RetryAfter: blockBase}
 }
 
-// passedOverRetryAfter returns when a request is to return that only targets could take which are passed over because of
-// what they state. Requests are spread so that they do not all return at the same time.
-func (p *LoadTracker) passedOverRetryAfter(now time.Duration, passedOver []*targetState) time.Duration {
-	shortest := p.shortestWait(now, passedOver)
-	return shortest + time.Duration(p.rng.Float64()*float64(min(shortest, maxReturnSpread)))
-}
-
-// shortestWait returns the time until the first of the targets may be chosen.
-func (p *LoadTracker) shortestWait(now time.Duration, passedOver []*targetState) time.Duration {
-	shortest, found := time.Duration(0), false
-	for _, state := range passedOver {
+// shortestWait returns the time until the first of the targets may be chosen that are passed over because of what they
+// state, and the reason for which it may not yet.
+func (p *LoadTracker) shortestWait(now time.Duration, set candidateSet) (time.Duration, reason.Reason) {
+	shortest, found, cause := time.Duration(0), false, reason.OverLimit
+	for _, state := range set.passedOver() {
 		if wait, mine := p.statements.Wait(now, state.instance); mine && (!found || wait < shortest) {
-			shortest, found = wait, true
+			shortest, found, cause = wait, true, reason.OverLimit
+			if slices.Contains(set.cold, state) {
+				cause = reason.Cold
+			}
 		}
 	}
-	return max(shortest, minLimitRetryAfter)
+	return max(shortest, minLimitRetryAfter), cause
 }
 
 // RejectedRetryAfter returns when a request that targets have rejected is to return, if all targets of the service are
@@ -65,7 +65,7 @@
 		return 0, false
 	}
 	set := p.candidates(now, svc, Retry, nil)
-	if len(set.open) > 0 || len(set.limited)+len(set.paused)+set.evacuated == 0 {
+	if len(set.open) > 0 || len(set.passedOver())+set.evacuated == 0 {
 		return 0, false
 	}
 	return p.refusal(now, set).RetryAfter, true
--- a/internal/place/relativeduration.go
+++ b/internal/place/relativeduration.go
@@ -140,7 +140,7 @@
 func (p *LoadTracker) choosePlain(now time.Duration, svc *service, open []*targetState, loads []Load, mean Load, query Query) int {
 	durations := p.relativeDurations(now, svc, open)
 	if durations == nil {
-		return p.leastLoaded(open, loads, query.Zone)
+		return p.leastLoaded(now, open, loads, query.Zone)
 	}
 	// Peers' requests of the last interval are not known yet, so the limit is below that of the contract, as for prompts.
 	limit := mean.Requests*(1+longShare*(p.multiple-1)) + longSlack
@@ -154,7 +154,7 @@
 	}
 	switch len(free) {
 	case 0:
-		return p.leastLoaded(open, loads, query.Zone)
+		return p.leastLoaded(now, open, loads, query.Zone)
 	case 1:
 		return free[0]
 	}
@@ -163,7 +163,7 @@
 		second++
 	}
 	best, other := free[first], free[second]
-	if p.expectedTime(open[other], loads[other], durations[other], query.Zone) < p.expectedTime(open[best], loads[best], durations[best], query.Zone) {
+	if p.expectedTime(now, open[other], loads[other], durations[other], query.Zone) < p.expectedTime(now, open[best], loads[best], durations[best], query.Zone) {
 		return other
 	}
 	return best
@@ -171,12 +171,12 @@
 
 // expectedTime returns the time in which a candidate is expected to complete a plain request, in usual durations, plus
 // zone and warm-up costs. It grows with the load, since a target's slots share its processors.
-func (p *LoadTracker) expectedTime(candidate *targetState, load Load, duration float64, zone string) float64 {
+func (p *LoadTracker) expectedTime(now time.Duration, candidate *targetState, load Load, duration float64, zone string) float64 {
 	cost := float64((1+load.total()/candidate.slots())*duration) + float64(tieBreakJitter*p.rng.Float64())
 	if candidate.target.Zone != zone {
 		cost += remoteZoneCost
 	}
-	if candidate.target.WarmupRemaining > 0 {
+	if p.warmsUp(now, candidate) {
 		cost += remoteZoneCost
 	}
 	return cost
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/amaranthlb/amaranthlb/internal/directory"
 	"github.com/amaranthlb/amaranthlb/internal/eventlog"
 	"github.com/amaranthlb/amaranthlb/internal/liveness"
@@ -87,6 +89,10 @@
 	// Evacuations is set if the key range of the configuration also holds the operator's orders to evacuate zones. The
 	// router serves nothing until it has the whole range.
 	Evacuations bool
+	// WarmupRatio and WarmupSlack bound the requests to a target that warms up: in any second, for all routers together, to
+	// WarmupRatio times the number that it tolerates plus WarmupSlack.
+	WarmupRatio float64
+	WarmupSlack float64
 	// FirstStart indicates that all VMs are starting for the first time, so no target has cached prompts.
 	FirstStart bool
 }
@@ -121,6 +127,9 @@
 	// promptCrashes finds prompt parts that crash targets.
 	promptCrashes *promptCrashTracker
 
+	// warmupInvalid limits the log lines about malformed warm-up times, which targets write again and again.
+	warmupInvalid rate.Sometimes
+
 	// controlMu guards the state that is updated by the store and by peers.
 	controlMu  sync.Mutex
 	directory  *directory.Directory
@@ -194,6 +203,7 @@
 		crashes:        newCrashTracker(),
 		promptCrashes:  newPromptCrashTracker(),
 		noticesPending: make(chan struct{}, 1),
+		warmupInvalid:  rate.Sometimes{Interval: time.Second},
 		loadTracker:    place.New(config.LoadMultiple, random()),
 		budget:         retry.NewBudget(config.RetryRatio*budgetShare, config.RetrySlack*budgetShare/initialRouters, config.RetryWindow),
 	}
