Test an evacuation with router processes

Nothing checked with real processes that the settings enable the evacuation of a zone and that a router which starts during one obeys it. The world of the soak takes additional bounds and the targets' zones.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -135,6 +135,9 @@
 	next    int
 	// starts counts the starts of each target.
 	starts map[string]int
+	// bounds are lines of the settings' bounds beside those of newProcess; zones has the zones of targets that are not in "a".
+	bounds string
+	zones  map[string]string
 	// interruptions are the times in which a router, or the link to a target, may not have passed on what targets state.
 	interruptions []interruption
 }
@@ -157,9 +160,12 @@
 	terminated chan struct{}
 }
 
-func newWorld(t *testing.T, seed uint64) *world {
+func newWorld(t *testing.T, seed uint64, options ...func(*world)) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 0)), store: platformtest.StartStore(t), service: map[string]string{}, starts: map[string]int{}, listed: map[string]string{}}
 	w.statements = rand.New(rand.NewPCG(seed, 1))
+	for _, option := range options {
+		option(w)
+	}
 	var config link.Config
 	for i := range 7 {
 		id, service := fmt.Sprint("llm-", i), "llm"
@@ -225,6 +231,9 @@
 func (w *world) writeEntry(target *platformtest.Target, state string) {
 	entry := target.Entry(w.service[target.ID], state)
 	entry["addr"] = w.links.RouteAddress(target.ID)
+	if zone := w.zones[target.ID]; zone != "" {
+		entry["zone"] = zone
+	}
 	w.mu.Lock()
 	entry["born"] = 1 + w.starts[target.ID]
 	w.mu.Unlock()
@@ -299,9 +308,9 @@
 drain-ms = 2000
 budget-ratio = 0.2
 budget-slack = 54
-[platform]
+%s[platform]
 addr = %q
-`, i, portOf(ports[3]), portOf(ports[3]), *seed, ports[0], ports[1], ports[2], stopGrace.Seconds(), w.links.RouteAddress(fmt.Sprint("store-", i)))
+`, i, portOf(ports[3]), portOf(ports[3]), *seed, ports[0], ports[1], ports[2], stopGrace.Seconds(), w.bounds, w.links.RouteAddress(fmt.Sprint("store-", i)))
 	path := filepath.Join(directory, fmt.Sprintf("vm-%d.toml", i))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
