Let routers report the targets that they can't reach

With 60% of the engines unreachable, callers got target_unreachable after four tries although other engines had room, and each router dialed each such engine for as long as it was away.

Each router learned alone which targets are unreachable: its backoff was not part of a digest.

Digests carry the targets that the router failed to reach in the last second, and those that it reached again. Reports from two zones, or one report beside a failure of its own, block a target until 3 s after the last report; a success of the router or of its zone outweighs them. The first three routers in the target's rendezvous order keep to their own backoff and tell the others.

--- a/internal/backpressure/tracker.go
+++ b/internal/backpressure/tracker.go
@@ -190,6 +190,17 @@
 func (t *Tracker) divide(now time.Duration, instance uint64, l *limit) {
 	l.fill(now)
 	count := min(max(int(l.rate/minShareRate), 1), len(t.routers)+1)
+	ahead := t.RoutersAhead(instance)
+	share := 0.0
+	if ahead < count {
+		share = l.rate / float64(count)
+	}
+	l.share, l.first = share, ahead == 0
+	l.tokens = min(l.tokens, l.burst())
+}
+
+// RoutersAhead returns the number of known routers that precede this one in the rendezvous order of the instance.
+func (t *Tracker) RoutersAhead(instance uint64) int {
 	own := rendezvous.Score(instance, t.self)
 	ahead := 0
 	for _, router := range t.routers {
@@ -197,12 +208,7 @@
 			ahead++
 		}
 	}
-	share := 0.0
-	if ahead < count {
-		share = l.rate / float64(count)
-	}
-	l.share, l.first = share, ahead == 0
-	l.tokens = min(l.tokens, l.burst())
+	return ahead
 }
 
 func (l *limit) burst() float64 { return max(1, l.share*burstTime.Seconds()) }
--- a/internal/place/destination.go
+++ b/internal/place/destination.go
@@ -23,7 +23,7 @@
 	}
 	open, _, _ := p.candidates(now, svc, append(slices.Clone(exclude), source.ID))
 	open = slices.DeleteFunc(open, func(candidate *targetState) bool {
-		return candidate.withdrawn || now < candidate.blocked || candidate.target.WarmupRemaining > 0
+		return candidate.withdrawn || candidate.isBlocked(now) || candidate.target.WarmupRemaining > 0
 	})
 	if len(open) == 0 {
 		return Choice{}, false
--- a/internal/place/heads.go
+++ b/internal/place/heads.go
@@ -62,7 +62,7 @@
 	}
 	var near, far []*targetState
 	for _, state := range targets {
-		if state == chosen || state.withdrawn || now < state.blocked || !p.heads.has(now, head.Key, state) {
+		if state == chosen || state.withdrawn || state.isBlocked(now) || !p.heads.has(now, head.Key, state) {
 			continue
 		}
 		switch {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -183,6 +183,8 @@
 	failuresAt time.Duration
 	blocked    time.Duration
 	blocks     int
+	// contacts is what this and other routers know of attempts to reach the current instance.
+	contacts contactState
 	// withdrawn targets are no longer listed; they are usable until dropAt as a last resort.
 	withdrawn bool
 	dropAt    time.Duration
@@ -310,6 +312,9 @@
 	}
 	state.own = max(state.own-1, 0)
 	failure := 0.0
+	if outcome == Good || outcome == Refused || outcome == Unreachable {
+		p.recordContact(now, state, outcome != Unreachable)
+	}
 	switch outcome {
 	case Neutral, Refused:
 		return
@@ -352,6 +357,9 @@
 // Stated records what the response to a request states. What it does not state has ended.
 func (p *LoadTracker) Stated(now time.Duration, target routes.Target, stated routes.Statements) StatementChange {
 	instance := instanceKey(target)
+	if state := p.byID[target.ID]; state != nil && state.instance == instance {
+		p.recordContact(now, state, true)
+	}
 	change := p.StatedInCall(now, target, stated)
 	if !stated.HasRateLimit {
 		change.RateLimit = p.statements.StatedLimit(now, instance, 0, false)
@@ -431,7 +439,7 @@
 			continue
 		}
 		listed++
-		if !p.leaves(now, state) && now >= state.blocked {
+		if !p.leaves(now, state) && !state.isBlocked(now) {
 			usable++
 		}
 	}
@@ -635,7 +643,7 @@
 			if now < state.dropAt {
 				last = append(last, state)
 			}
-		case now < state.blocked:
+		case state.isBlocked(now):
 			last = append(last, state)
 		case rate > failureLimit && rate > failureRatio*others:
 			failing = append(failing, state)
--- a/internal/place/prompt.go
+++ b/internal/place/prompt.go
@@ -200,7 +200,7 @@
 		return "", 0
 	}
 	for _, state := range cachedAt {
-		if now >= state.blocked {
+		if !state.isBlocked(now) {
 			return state.target.Address, prompt.Tokens
 		}
 	}
@@ -228,7 +228,7 @@
 func (p *LoadTracker) rankedSource(now time.Duration, targets []*targetState, chosen *targetState, prompt Prompt) string {
 	var settled []*targetState
 	for _, state := range targets {
-		if !state.withdrawn && now >= state.blocked && state.warmedUp(now) {
+		if !state.withdrawn && !state.isBlocked(now) && state.warmedUp(now) {
 			settled = append(settled, state)
 		}
 	}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -198,6 +198,7 @@
 		RefusedPrompts:  wire.RefusedPrompts(r.refusedPrompts(now)),
 		RefusedRequests: wire.RefusedRequests(r.refusedRequests(now)),
 	}
+	urgent := false
 	r.trafficMu.Lock()
 	for hash, load := range r.loadTracker.OwnLoads() {
 		digest.TargetHashes = append(digest.TargetHashes, hash)
@@ -209,7 +210,9 @@
 		digest.PromptHashes, digest.HolderHashes = peers.EncodePlacements(slices.Concat(placements.Own, placements.Relayed))
 		digest.RelayedPlacements = uint32(len(placements.Relayed))
 		digest.TargetStatements = wire.TargetStatements(r.loadTracker.Statements().TakeUpdates(now, maxStatementsPerDigest))
+		urgent = r.updateContacts(now)
 	}
+	digest.TargetContacts = wire.TargetContacts(r.loadTracker.Contacts(now, maxContactsPerDigest))
 	r.trafficMu.Unlock()
 	r.controlMu.Lock()
 	defer r.controlMu.Unlock()
@@ -228,8 +231,9 @@
 	if digest.Store == pb.StoreAccess_STORE_ACCESS_READING {
 		r.claimedReadAt, r.claimedRead = now, true
 	}
-	// Those that rely on a reader must also learn that it has lost the store.
-	if r.claimedRead && now-r.claimedReadAt < lossAnnouncementPeriod {
+	// Those that rely on a reader must also learn that it has lost the store. Few routers retry a target that reports block,
+	// and the others go on without it until they hear of the result.
+	if urgent || r.claimedRead && now-r.claimedReadAt < lossAnnouncementPeriod {
 		fanout = readerFanout
 	}
 	return digest, r.members.Recipients(now, fanout)
@@ -258,6 +262,7 @@
 	r.loadTracker.PlacementsFromPeer(now, placements)
 	r.loadTracker.PeerLoads(digest.Address, now, loads)
 	r.trafficMu.Unlock()
+	r.applyContacts(digest)
 	r.mergeStatements(digest.Address, wire.TargetStatementsFrom(digest.TargetStatements))
 	sightings := make([]peers.Sighting, 0, len(digest.Members))
 	for _, member := range digest.Members {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -27,7 +27,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	if err := r.meters.GaugeBy("amaranth_targets_passed_over", "Listed targets that get no requests at present because of what they state.", "cause", r.admissions); err != nil {
+	if err := r.meters.GaugeBy("amaranth_targets_passed_over", "Listed targets that get no requests at present because of what they state, or what other routers report.", "cause", r.admissions); err != nil {
 		return trace.Wrap(err)
 	}
 	return trace.Wrap(r.meters.GaugeBy("amaranth_store_age_ms", "Time since the content of a key range was last confirmed.", "range", r.storeAges))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -148,6 +148,7 @@
 	trafficMu   sync.Mutex
 	loadTracker *place.LoadTracker
 	budget      *retry.Budget
+	contactLog  contactLog
 
 	// noticesPending wakes the gossip loop when loadTracker has notices to send.
 	noticesPending chan struct{}
--- a/internal/router/statements.go
+++ b/internal/router/statements.go
@@ -74,15 +74,17 @@
 	}
 }
 
-// admissions returns the number of listed targets that are passed over, by cause.
+// admissions returns the number of listed targets that are passed over, by cause: their own statements, or the reports of routers that can't reach them.
 func (r *Router) admissions() map[string]int64 {
 	r.trafficMu.Lock()
 	defer r.trafficMu.Unlock()
-	counts := r.loadTracker.Admissions(r.now())
+	now := r.now()
+	counts := r.loadTracker.Admissions(now)
 	return map[string]int64{
 		"rate_limit": int64(counts[backpressure.Limited]),
 		"pause":      int64(counts[backpressure.Paused]),
 		"leaving":    int64(counts[backpressure.Leaving]),
+		"reports":    int64(r.loadTracker.BlockedByReports(now)),
 	}
 }
 
