--- a/internal/place/contacts.go
+++ b/internal/place/contacts.go
@@ -21,8 +21,8 @@
 	retryingRouters = 3
 	// maxReportingZones bounds the zones whose reports on one target are held.
 	maxReportingZones = 8
-	// never is the time of what has not happened: longer ago than any period here.
-	never = -time.Hour
+	// longAgo is the time of what has not happened: longer ago than any period here.
+	longAgo = -time.Hour
 )
 
 // Contact is the latest attempt of a router to reach an instance of a target.
@@ -75,7 +75,7 @@
 func (p *LoadTracker) contactsOf(state *targetState) *contactState {
 	if state.contacts.instance != state.instance {
 		state.contacts = contactState{
-			instance: state.instance, failedAt: never, reachedAt: never, zoneReachedAt: never, toldAt: never,
+			instance: state.instance, failedAt: longAgo, reachedAt: longAgo, zoneReachedAt: longAgo, toldAt: longAgo,
 			retries: p.retries(state),
 		}
 	}
@@ -164,7 +164,7 @@
 		if contact.Reached || len(c.zones) >= maxReportingZones {
 			return
 		}
-		report = zoneReport{failedAt: never, reachedAt: never}
+		report = zoneReport{failedAt: longAgo, reachedAt: longAgo}
 	}
 	if contact.Reached {
 		report.reachedAt = max(report.reachedAt, now-contact.Age)
--- a/internal/place/contacts_test.go
+++ b/internal/place/contacts_test.go
@@ -348,7 +348,7 @@
 		now := second + time.Duration(i)*10*time.Millisecond
 		state := told.byID[fmt.Sprint("t", i%12)]
 		told.MergeContacts(now, "a", fmt.Sprint("z", i%3), "z0", []Contact{{Instance: state.instance}})
-		if open, _, _ := told.candidates(now, told.services["s"], nil); len(open) != 12 {
+		if open := told.candidates(now, told.services["s"], FirstAttempt, nil).open; len(open) != 12 {
 			t.Fatalf("%d candidates, want 12", len(open))
 		}
 		q := query(i%40, 2000)
