--- a/internal/place/exclusions.go
+++ b/internal/place/exclusions.go
@@ -53,7 +53,7 @@
 	Paused
 	// Withdrawn targets are no longer listed.
 	Withdrawn
-	// Blocked targets could not be reached, or have lost a connection, until a moment ago.
+	// Blocked targets could not be reached by this process or by others, or have lost a connection, until a moment ago.
 	Blocked
 	// Failing targets fail more often than the others of their service.
 	Failing
@@ -339,7 +339,7 @@
 
 func (s *selection) isWithdrawn(target *targetState) bool { return target.withdrawn }
 
-func (s *selection) isBlocked(target *targetState) bool { return s.now < target.blocked }
+func (s *selection) isBlocked(target *targetState) bool { return target.isBlocked(s.now) }
 
 // isFailing reports whether the target's failure rate exceeds that of the others.
 func (s *selection) isFailing(target *targetState) bool {
