Describe relative durations; test the load limit of a fleet

The tests did not show that a fleet whose routers know each other's loads late keeps the load limit when a target falsely states that it is fast, and their draws depended on the order of a map. Targets are now in the order of their IDs in these tests.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -4,7 +4,8 @@
 // processes last reported, and the target's own report, each with its age. Choose selects the target for a request.
 // Requests that share a prompt rank targets by rendezvous hashing, so that all processes prefer the same engine and its
 // cache, and fall back to the next rank when the load exceeds a multiple of the mean. Other requests go to the least
-// loaded target, with a preference for the local zone.
+// loaded target, with a preference for the local zone. Where targets state how long work takes at present, that weighs
+// in the load.
 //
 // The package does no I/O, reads no clock and is not safe for concurrent use.
 package place
--- a/internal/place/relativeduration.go
+++ b/internal/place/relativeduration.go
@@ -143,7 +143,7 @@
 		return p.leastLoaded(open, loads, query.Zone)
 	}
 	// Peers' requests of the last interval are not known yet, so the limit is below that of the contract, as for prompts.
-	limit := mean.Requests*(1+longShare*(p.multiple-1)) + longSlack
+	limit := float64(mean.Requests*(1+float64(longShare*(p.multiple-1)))) + longSlack
 	connections := connectionShare * float64(query.MaxConnections)
 	var free []int
 	for i, candidate := range open {
--- a/internal/place/relativeduration_test.go
+++ b/internal/place/relativeduration_test.go
@@ -81,6 +81,7 @@
 		other := routes.Target{ID: "other", Service: "other", Slots: 1}
 		routers[i].SetTargets(0, append(targets(targetCount, slots), other), second)
 		routers[i].ReportDuration("other", 0, 1)
+		ordered(routers[i])
 	}
 	return routers
 }
@@ -138,9 +139,20 @@
 	}
 }
 
-// shares sends plain requests of all routers from one time to another and returns the share of t0. It takes factor times
-// as long as the other three targets, and all of them state that if stated is set.
-func shares(t *testing.T, routers []*LoadTracker, rate int, from, to time.Duration, factor float64, stated bool) float64 {
+// hostLoad is a load of plain requests on a service in which t0 takes factor times as long as the other targets.
+type hostLoad struct {
+	rate   int
+	work   time.Duration
+	factor float64
+	// stated returns the relative duration that a target states; nil if none states one.
+	stated func(actual float64) float64
+	// known is a relative duration of t0 that all routers know at all times. They exchange their loads if it is set.
+	known float64
+}
+
+// send sends the load from one time to another. It returns the share of t0, and the share of all requests that reach a
+// target above the load limit.
+func (l hostLoad) send(t *testing.T, routers []*LoadTracker, from, to time.Duration) (share, above float64) {
 	t.Helper()
 	type ending struct {
 		at time.Duration
@@ -148,37 +160,49 @@
 	}
 	load := rand.New(rand.NewPCG(2, 2))
 	var running []ending
-	count, mine := 0, 0
-	for now := from; now < to; now += second / time.Duration(rate) {
+	held := make(map[string]int)
+	count, mine, over, lastExchange := 0, 0, 0, from
+	for now := from; now < to; now += second / time.Duration(l.rate) {
 		running = slices.DeleteFunc(running, func(e ending) bool {
 			if e.at <= now {
 				e.do()
 			}
 			return e.at <= now
 		})
+		if l.known > 0 && now-lastExchange >= hostInterval {
+			lastExchange = now
+			exchangeReports(load, now, routers, fleetExchange{})
+		}
 		router := routers[load.IntN(len(routers))]
+		router.ReportDuration("t0", now, l.known)
 		choice := choose(t, router, now, Query{Service: "s", Remaining: second})
+		id := choice.Target.ID
 		router.Start(now, choice, Prompt{})
+		held[id]++
 		count++
-		duration := 1.0
-		if choice.Target.ID == "t0" {
+		if mean := float64(len(running)+1) / float64(len(router.services["s"].targets)); float64(held[id]) > 2*mean+3 {
+			over++
+		}
+		actual := 1.0
+		if id == "t0" {
 			mine++
-			duration = factor
+			actual = l.factor
 		}
-		took := time.Duration(duration * (0.5 + load.Float64()) * float64(hostWork))
+		took := time.Duration(actual * (0.5 + load.Float64()) * float64(l.work))
 		running = append(running, ending{now + took, func() {
+			held[id]--
 			router.PromptRead(choice)
-			router.End(choice.Target.ID, now+took, Good, took)
-			router.MeasureDuration(choice.Target.ID, now+took, "route", took)
-			if stated {
-				router.ReportDuration(choice.Target.ID, now+took, duration)
+			router.End(id, now+took, Good, took)
+			router.MeasureDuration(id, now+took, "route", took)
+			if l.stated != nil {
+				router.ReportDuration(id, now+took, l.stated(actual))
 			}
 		}})
 	}
 	for _, e := range running {
 		e.do()
 	}
-	return float64(mine) / float64(count)
+	return float64(mine) / float64(count), float64(over) / float64(count)
 }
 
 // Guards against a slow target that gets as many requests as others, that gets none at all, or that does not get its share
@@ -189,9 +213,14 @@
 	const equal, slow, recovered = 0.25, 20 * time.Second, 40 * time.Second
 	for _, stated := range []bool{true, false} {
 		routers := routersOf(1, 4, hostSlots)
-		share := shares(t, routers, hostRate, second, slow, 3, stated)
-		shares(t, routers, hostRate, slow, slow+measuredDurationLifetime, 1, stated)
-		later := shares(t, routers, hostRate, slow+measuredDurationLifetime, recovered, 1, stated)
+		load := hostLoad{rate: hostRate, work: hostWork, factor: 3}
+		if stated {
+			load.stated = func(actual float64) float64 { return actual }
+		}
+		share, _ := load.send(t, routers, second, slow)
+		load.factor = 1
+		load.send(t, routers, slow, slow+measuredDurationLifetime)
+		later, _ := load.send(t, routers, slow+measuredDurationLifetime, recovered)
 		t.Logf("stated %v: a share of %.3f, %.3f after the recovery", stated, share, later)
 		if share > equal/3 || share == 0 {
 			t.Errorf("stated %v: the slow target gets a share of %.3f, want at most %.3f and some", stated, share, equal/3)
@@ -229,6 +258,20 @@
 	}
 }
 
+// Guards against a fleet that exceeds the load limit at a target which falsely states that it is fast, while routers know
+// each other's loads late. The load limit allows three in 100 requests above it.
+func TestFalseDurationKeepsTheLoadLimitOfTheFleet(t *testing.T) {
+	const allowed = 0.03
+	for _, stated := range []float64{0.1, 10} {
+		load := hostLoad{rate: hostRate, work: hostWork * 3 / 2, factor: 1, known: stated}
+		share, above := load.send(t, routersOf(hostRouters, 4, hostSlots), second, 30*second)
+		t.Logf("stated %v: a share of %.3f, %.3f of the requests above the limit", stated, share, above)
+		if above > allowed {
+			t.Errorf("stated %v: %.3f of the requests reach a target above the limit, want at most %.3f", stated, above, allowed)
+		}
+	}
+}
+
 // Guards against requests that are refused, or queued, because both targets that were drawn have no free slot or no
 // connection left, while another target has.
 func TestDrawnTargetsHaveRoom(t *testing.T) {
