Check pauses and failures of sources of copies

Requests were told to copy prompts from engines that had asked for a pause or that fail, and engines that had stated that they leave were asked for their caches, since these choices did not check the reasons.

The table closes these gaps. One selection serves all sources of a choice, and the first source in rank is found without sorting all targets, which the added checks would have made slower.

--- a/internal/place/exclusions.go
+++ b/internal/place/exclusions.go
@@ -97,6 +97,7 @@
 	noAttempts  = "does not belong to the attempts of a request"
 	chosenThere = "the run's memory is there already, and the run would be lost"
 	serveCopies = "targets that leave still serve copies"
+	listedOnly  = "only listed targets are asked"
 	runningSelf = "the run is at the target"
 )
 
@@ -118,7 +119,7 @@
 	}},
 	Leaving: {"leaving", (*selection).isLeaving, [purposeCount]check{
 		FirstAttempt: never, Retry: never, Destination: never, BackupHolder: never,
-		Continuation: ignored(notChecked), CopySource: ignored(serveCopies), MoveSource: ignored(runningSelf), CacheListing: ignored(notChecked),
+		Continuation: ignored(notChecked), CopySource: ignored(serveCopies), MoveSource: ignored(runningSelf), CacheListing: never,
 	}},
 	Limited: {"limited", (*selection).isLimited, [purposeCount]check{
 		FirstAttempt: never, Retry: never, Destination: never, BackupHolder: never,
@@ -126,11 +127,11 @@
 	}},
 	Paused: {"paused", (*selection).isPaused, [purposeCount]check{
 		FirstAttempt: never, Retry: never, Destination: never, BackupHolder: never,
-		Continuation: never, CopySource: ignored(notChecked), MoveSource: never, CacheListing: never,
+		Continuation: never, CopySource: never, MoveSource: never, CacheListing: never,
 	}},
 	Withdrawn: {"withdrawn", (*selection).isWithdrawn, [purposeCount]check{
 		FirstAttempt: lastResort, Retry: lastResort, Destination: never, BackupHolder: never,
-		Continuation: ignored(chosenThere), CopySource: never, MoveSource: ignored(runningSelf), CacheListing: ignored(notChecked),
+		Continuation: ignored(chosenThere), CopySource: never, MoveSource: ignored(runningSelf), CacheListing: ignored(listedOnly),
 	}},
 	Blocked: {"blocked", (*selection).isBlocked, [purposeCount]check{
 		FirstAttempt: lastResort, Retry: lastResort, Destination: never, BackupHolder: never,
@@ -138,7 +139,7 @@
 	}},
 	Failing: {"failing", (*selection).isFailing, [purposeCount]check{
 		FirstAttempt: fallback, Retry: fallback, Destination: fallback, BackupHolder: never,
-		Continuation: ignored(chosenThere), CopySource: ignored(notChecked), MoveSource: ignored(runningSelf), CacheListing: ignored(notChecked),
+		Continuation: ignored(chosenThere), CopySource: never, MoveSource: ignored(runningSelf), CacheListing: ignored(notChecked),
 	}},
 }
 
@@ -169,6 +170,12 @@
 	return exclusionCount, ignores
 }
 
+// allows reports whether no exclusion applies to a target.
+func (s *selection) allows(target *targetState) bool {
+	_, kind := s.excluded(target)
+	return kind == ignores
+}
+
 // Allowed reports whether no exclusion for the purpose applies to the target, which need not be listed. It changes no state.
 func (p *LoadTracker) Allowed(now time.Duration, target routes.Target, purpose Purpose) bool {
 	_, excluded := p.Excluded(now, target, purpose)
@@ -181,17 +188,8 @@
 	if instance := instanceKey(target); state == nil || state.instance != instance {
 		state = &targetState{target: target, instance: instance}
 	}
-	return p.excluded(now, state, purpose)
-}
-
-func (p *LoadTracker) allowed(now time.Duration, state *targetState, purpose Purpose) bool {
-	_, excluded := p.excluded(now, state, purpose)
-	return !excluded
-}
-
-func (p *LoadTracker) excluded(now time.Duration, state *targetState, purpose Purpose) (Exclusion, bool) {
-	s := selection{tracker: p, now: now, purpose: purpose}
-	if svc := p.services[state.target.Service]; svc != nil {
+	s := &selection{tracker: p, now: now, purpose: purpose}
+	if svc := p.services[target.Service]; svc != nil {
 		s.targets = svc.targets
 	}
 	exclusion, kind := s.excluded(state)
--- a/internal/place/exclusions_test.go
+++ b/internal/place/exclusions_test.go
@@ -153,6 +153,56 @@
 	}
 }
 
+// Guards against a source of a copy that is excluded, however it was found: requests that wait for a target that can't
+// serve a copy are late, and a target that has asked for a pause or fails is not to get more work.
+func TestExcludedTargetsAreNotSources(t *testing.T) {
+	prompt := Prompt{Key: 5, Tokens: 8000, Head: Head{Key: 7, Tokens: 2000}}
+	source := func(p *LoadTracker, holder *targetState) string {
+		svc := p.services["s"]
+		chosen := svc.targets[0]
+		if chosen == holder {
+			chosen = svc.targets[1]
+		}
+		address, _ := p.source(second, svc.targets, chosen, prompt, p.targetsWith(second, prompt.Key))
+		return address
+	}
+	for name, place := range map[string]func(p *LoadTracker, holder *targetState){
+		"has the prompt": func(p *LoadTracker, holder *targetState) { p.Start(0, Choice{Target: holder.target}, prompt) },
+		"has the head": func(p *LoadTracker, holder *targetState) {
+			p.SetCachesKnown()
+			p.Start(0, Choice{Target: holder.target}, Prompt{Key: 6, Tokens: 8000, Head: prompt.Head})
+		},
+		"is first in rank": func(*LoadTracker, *targetState) {},
+	} {
+		for _, i := range []Exclusion{Evacuated, Paused, Withdrawn, Blocked, Failing} {
+			p := picture(3, 64)
+			targets := p.services["s"].targets
+			holder := targets[rankTargets(targets, prompt)[0].index]
+			place(p, holder)
+			if got := source(p, holder); got != holder.target.Address {
+				t.Errorf("%s: source %q, want %q", name, got, holder.target.Address)
+			}
+			exclude[i](p, holder.target)
+			if got := source(p, holder); got == holder.target.Address {
+				t.Errorf("%s, %s: is a source", name, exclusions[i].name)
+			}
+		}
+	}
+}
+
+// Guards against a cache listing of a target that has stated that it leaves: what it holds is of no use.
+func TestLeavingTargetIsNotAskedForItsCache(t *testing.T) {
+	p := picture(1, 64)
+	target := targets(1, 64)[0]
+	if !p.Allowed(second, target, CacheListing) {
+		t.Error("an open target is not asked")
+	}
+	exclude[Leaving](p, target)
+	if p.Allowed(second, target, CacheListing) {
+		t.Error("a leaving target is asked")
+	}
+}
+
 // Guards against a panic of an exclusion, whatever the state of the target: cache listings ask outside of requests, where
 // nothing recovers it.
 func FuzzExclusions(f *testing.F) {
--- a/internal/place/heads.go
+++ b/internal/place/heads.go
@@ -56,13 +56,14 @@
 // headSource returns the address of a target from which another one can copy the head of a prompt, or an empty string.
 // It picks at random among the targets that are known to have prefilled the head, preferably of the same zone: copies
 // from one target are serialized, and copies between zones take twice as long.
-func (p *LoadTracker) headSource(now time.Duration, targets []*targetState, chosen *targetState, head Head) string {
+func (p *LoadTracker) headSource(sources *selection, chosen *targetState, head Head) string {
+	now := sources.now
 	if head.Tokens < sourceTokens {
 		return ""
 	}
 	var near, far []*targetState
-	for _, state := range targets {
-		if state == chosen || !p.heads.has(now, head.Key, state) || !p.allowed(now, state, CopySource) {
+	for _, state := range sources.targets {
+		if state == chosen || !p.heads.has(now, head.Key, state) || !sources.allows(state) {
 			continue
 		}
 		switch {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -433,6 +433,9 @@
 }
 
 func (s *targetState) failuresNow(now time.Duration) float64 {
+	if s.failures == 0 {
+		return 0
+	}
 	age := float64(now-s.failuresAt) / float64(failureHalfLife)
 	return s.failures * math.Exp2(-age)
 }
--- a/internal/place/prompt.go
+++ b/internal/place/prompt.go
@@ -199,25 +199,26 @@
 	if prompt.Tokens < sourceTokens {
 		return "", 0
 	}
+	sources := &selection{tracker: p, now: now, purpose: CopySource, targets: targets}
 	for _, state := range cachedAt {
-		if p.allowed(now, state, CopySource) {
+		if sources.allows(state) {
 			return state.target.Address, prompt.Tokens
 		}
 	}
 	hasHead := prompt.Head.Key != 0 && p.heads.has(now, prompt.Head.Key, chosen)
 	// Until the caches are known, the target that is first in rank is more likely to have the prompt than not.
 	if p.cachesKnown && !hasHead {
-		if address := p.headSource(now, targets, chosen, prompt.Head); address != "" {
+		if address := p.headSource(sources, chosen, prompt.Head); address != "" {
 			return address, prompt.Head.Tokens
 		}
 	}
-	if address := p.rankedSource(now, targets, chosen, prompt); address != "" {
+	if address := rankedSource(sources, chosen, prompt); address != "" {
 		return address, prompt.Tokens
 	}
 	if hasHead {
 		return "", prompt.Head.Tokens
 	}
-	if address := p.headSource(now, targets, chosen, prompt.Head); address != "" {
+	if address := p.headSource(sources, chosen, prompt.Head); address != "" {
 		return address, prompt.Head.Tokens
 	}
 	return "", 0
@@ -225,18 +226,16 @@
 
 // rankedSource returns the address of the first target in rank that has been listed for a while, or an empty string if
 // that is the chosen one.
-func (p *LoadTracker) rankedSource(now time.Duration, targets []*targetState, chosen *targetState, prompt Prompt) string {
-	var settled []*targetState
-	for _, state := range targets {
-		if state.warmedUp(now) && p.allowed(now, state, CopySource) {
-			settled = append(settled, state)
+func rankedSource(sources *selection, chosen *targetState, prompt Prompt) string {
+	var first *targetState
+	highest := uint64(0)
+	for _, state := range sources.targets {
+		score := rendezvous.Score(prompt.Key, state.hash)
+		if (first == nil || score > highest) && state.warmedUp(sources.now) && sources.allows(state) {
+			first, highest = state, score
 		}
 	}
-	if len(settled) == 0 {
-		return ""
-	}
-	first := settled[rankTargets(settled, prompt)[0].index]
-	if first == chosen {
+	if first == nil || first == chosen {
 		return ""
 	}
 	return first.target.Address
