--- a/cmd/amaranth-router/main.go
+++ b/cmd/amaranth-router/main.go
@@ -83,6 +83,10 @@
 
 // routerConfig converts the platform's settings to the router's configuration.
 func routerConfig(settings *platform.Settings) router.Config {
+	configPrefix := platform.ConfigKey
+	if settings.EvacuationBound > 0 {
+		configPrefix = platform.OperatorPrefix
+	}
 	return router.Config{
 		Name:           settings.Name,
 		Zone:           settings.Zone,
@@ -93,7 +97,7 @@
 		MetricsAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 		Seeds:          settings.Seeds,
 		Prefixes: map[directory.Range]string{
-			directory.Config:  platform.ConfigKey,
+			directory.Config:  configPrefix,
 			directory.Targets: platform.TargetPrefix,
 		},
 		StopGrace:      settings.StopGrace,
@@ -106,6 +110,7 @@
 		WarmupRatio:    settings.WarmupRatio,
 		WarmupSlack:    settings.WarmupSlack,
 		FirstStart:     settings.FirstStart,
+		Evacuations:    settings.EvacuationBound > 0,
 	}
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -215,6 +215,8 @@
 	// warmupRates holds the rates of services that limit the requests to targets that warm up, in requests a second of all
 	// processes together.
 	warmupRates map[string]float64
+	// evacuated are the zones that the operator evacuates.
+	evacuated map[string]bool
 	// multiple is the contract's limit on a target's load, as a multiple of the mean.
 	multiple float64
 }
@@ -441,7 +443,7 @@
 			continue
 		}
 		listed++
-		if !p.leaves(now, state) && now >= state.blocked {
+		if !p.leaves(now, state) && !p.evacuated[state.target.Zone] && now >= state.blocked {
 			usable++
 		}
 	}
--- a/internal/router/statements.go
+++ b/internal/router/statements.go
@@ -84,6 +84,7 @@
 		"cold":       int64(counts[backpressure.Cold]),
 		"pause":      int64(counts[backpressure.Paused]),
 		"leaving":    int64(counts[backpressure.Leaving]),
+		"evacuated":  int64(r.loadTracker.EvacuatedTargets()),
 	}
 }
 
--- a/internal/router/store.go
+++ b/internal/router/store.go
@@ -261,6 +261,9 @@
 	if len(changes) > 0 {
 		r.publishDirectory(now)
 	}
+	if r.directory.Mirror(directory.Config).Initialized() {
+		r.ordersKnown.Store(true)
+	}
 	r.controlMu.Unlock()
 	if len(changes) > 0 {
 		r.logChanges(changes, table, source)
@@ -277,6 +280,10 @@
 	defer r.trafficMu.Unlock()
 	r.loadTracker.SetWarmupRates(rates)
 	r.loadTracker.SetTargets(now, targets, r.config.WithdrawnGrace)
+	if r.config.Evacuations {
+		r.loadTracker.SetEvacuated(r.directory.Evacuated())
+		r.logEvacuatedServices(now, r.loadTracker.EvacuatedServices())
+	}
 }
 
 // warmupRates returns the rates of all routers together at targets that warm up, in requests a second, for the services that
@@ -319,6 +326,10 @@
 			// Targets that warm up write their entries again and again; only the begin is a change of state.
 		case change.Kind == directory.WarmupInvalid:
 			r.warmupInvalid.Do(func() { entry.WithError(change.Err).Warn("warm-up time of target ignored") })
+		case change.Kind == directory.EvacuationInvalid:
+			r.logInvalidEvacuation(entry.WithError(change.Err))
+		case change.Kind == directory.EvacuationBegun || change.Kind == directory.EvacuationEnded || change.Kind == directory.EvacuationRetained:
+			entry.Warn("evacuation of a zone changed")
 		case change.Err != nil:
 			entry.WithError(change.Err).Warn("store item refused")
 		case change.Kind == directory.ConfigApplied:
