--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -209,7 +209,7 @@
 
 // warmupDecoder decodes "start remaining", in milliseconds; a negative time is malformed. Version 2 of the configuration
 // limits targets that warm up.
-type warmupDecoder struct{}
+type warmupDecoder struct{ fakeDecoder }
 
 func (warmupDecoder) DecodeConfig(item mirror.Item) (*routes.Table, error) {
 	version := uint64(item.Value[0])
