Move the budget of held memory to a package of its own

Requests need the same bound as responses. The budget and its reservations move from upstream to membudget, with the limit of a single call as a parameter; no decision changes.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -24,6 +24,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/amaranthlb/amaranthlb/internal/membudget"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
 )
 
@@ -59,6 +60,10 @@
 	// maxIdlePerAddress bounds the idle connections to one target. All routers together must stay far below the target's
 	// limit: 80 routers keep 160 of the 480 or more connections that targets allow on the enlarged sites.
 	maxIdlePerAddress = 2
+	// DefaultHeldBytes bounds the held response data of all requests together if no other limit is set.
+	DefaultHeldBytes = 64 << 20
+	// headCost is the memory, in bytes, that a byte of a response head takes at worst when it is parsed: many short fields.
+	headCost = 16
 )
 
 // NotSentError reports a request of which no byte was sent.
@@ -121,7 +126,7 @@
 
 	pool *Pool
 	// held is the data of the response that is held in memory.
-	held           reservation
+	held           membudget.Reservation
 	conn           *conn
 	body           io.ReadCloser
 	stopWatch      func() bool
@@ -178,7 +183,7 @@
 // Pool holds idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	decoder Decoder
-	buffers *buffers
+	held    *membudget.Budget
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	dialed  int64
@@ -186,7 +191,7 @@
 
 // NewPool returns an empty pool. Its responses together hold at most the given number of bytes in memory.
 func NewPool(decoder Decoder, heldBytes int64) *Pool {
-	return &Pool{decoder: decoder, buffers: &buffers{limit: heldBytes}, idle: make(map[string][]*conn)}
+	return &Pool{decoder: decoder, held: membudget.New(heldBytes), idle: make(map[string][]*conn)}
 }
 
 // Dialed returns the number of connections opened so far.
@@ -220,7 +225,7 @@
 }
 
 func newResponse(p *Pool, c *conn) *Response {
-	return &Response{pool: p, conn: c, Reused: c.used, held: reservation{buffers: p.buffers}}
+	return &Response{pool: p, conn: c, Reused: c.used, held: p.held.Reservation()}
 }
 
 // asContextError replaces errors caused by the end of the context, which closes the connection.
@@ -456,10 +461,10 @@
 
 // Hold states how many bytes of the response the caller holds in memory, and reports whether these and those of all other
 // responses are within the pool's limit.
-func (r *Response) Hold(bytes int64) bool { return r.held.hold(bytes) }
+func (r *Response) Hold(bytes int64) bool { return r.held.Hold(bytes) }
 
 // Release states that the caller holds nothing of the response any more.
-func (r *Response) Release() { r.held.hold(0) }
+func (r *Response) Release() { r.held.Hold(0) }
 
 // ReadAll reads the complete body. If the body is longer than the limit, or than what may be held at present, ReadAll
 // returns the data read so far and ErrTooLong; Read continues from there. The caller releases the data with Release.
