Bound the memory of request bodies and the time for each

Clients whose bodies stopped short held the memory of a router until they left: a router with 64 MB reached 92 to 167 MB with 120 of them. Nothing bounded the bodies together or set a read deadline, and the announced length was reserved before the first byte.

A body is charged for the capacity of its buffer as it arrives, up to 15% of the VM's memory or two bodies. Without memory, the body with the least progress gets 503; the one nearest to its end continues. A body that is not complete at the request's deadline gets 408. A body announced over the limit gets 413 unread. In each case nothing has been sent to a target. Without a limit of the configuration, bodies are read as before.

--- a/cmd/amaranth-router/main.go
+++ b/cmd/amaranth-router/main.go
@@ -29,6 +29,9 @@
 	memoryLimitFraction = 0.6
 	// heldFraction is the fraction of the VM's memory that response data may take before it is passed on.
 	heldFraction = 0.1
+	// requestFraction is the fraction of the VM's memory that request bodies may take. It leaves room for the buffers that
+	// are replaced while bodies grow.
+	requestFraction = 0.15
 	// withdrawnGraceFraction is the fraction of the drain bound for which a target without an entry may still be used
 	// as a last resort. The rest is reserved for the propagation delay of the removal.
 	withdrawnGraceFraction = 0.4
@@ -102,6 +105,7 @@
 		RetrySlack:     settings.RetrySlack,
 		RetryWindow:    settings.RetryWindow,
 		HeldBytes:      int64(float64(settings.MemoryMB<<20) * heldFraction),
+		RequestBytes:   int64(float64(settings.MemoryMB<<20) * requestFraction),
 		LoadMultiple:   settings.LoadMultiple,
 		FirstStart:     settings.FirstStart,
 	}
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -15,6 +15,10 @@
 	BadRequest Reason = "bad_request"
 	// BodyTooLarge means that the request body exceeds the configured limit.
 	BodyTooLarge Reason = "body_too_large"
+	// BodyTimeout means that the request body was not complete at the request's deadline.
+	BodyTimeout Reason = "body_timeout"
+	// BodyMemory means that the request body was given up because all bodies together exceed the memory for them.
+	BodyMemory Reason = "body_memory"
 	// UnknownCustomer means that the API key is missing or unknown.
 	UnknownCustomer Reason = "unknown_customer"
 	// ForeignCustomer means that the ticket, token or stream belongs to another customer.
@@ -101,7 +105,7 @@
 // All returns every reason, for counters and documentation.
 func All() []Reason {
 	return []Reason{
-		BadRequest, BodyTooLarge, UnknownCustomer, ForeignCustomer, UnknownPool, NotReady, Draining,
+		BadRequest, BodyTooLarge, BodyTimeout, BodyMemory, UnknownCustomer, ForeignCustomer, UnknownPool, NotReady, Draining,
 		NotOwner, LeaseLost, OverLimit, Probation, TargetLeaving, ModelNotLoaded, TargetUnreachable, TargetFailed,
 		TargetRefused, GateUnreachable, GateFailed, NoTarget, NoGate, QueueFull, QueueTimeout,
 		DeadlineExceeded, CustomerRate, CustomerConcurrency, RetryBudget, TicketRequired,
@@ -114,6 +118,7 @@
 var statuses = map[Reason]int{
 	BadRequest:          http.StatusBadRequest,
 	BodyTooLarge:        http.StatusRequestEntityTooLarge,
+	BodyTimeout:         http.StatusRequestTimeout,
 	UnknownCustomer:     http.StatusUnauthorized,
 	ForeignCustomer:     http.StatusForbidden,
 	UnknownPool:         http.StatusNotFound,
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/amaranthlb/amaranthlb/internal/crashguard"
+	"github.com/amaranthlb/amaranthlb/internal/ingress"
 	"github.com/amaranthlb/amaranthlb/internal/place"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
@@ -64,6 +64,9 @@
 	prompt      place.Prompt
 	header      http.Header
 	body        []byte
+	// heldBody is the memory of the body; nil if it is not bounded. bodyRefused is set if the body was not read to its end.
+	heldBody    *ingress.Held
+	bodyRefused bool
 
 	attempts     int
 	runs         int
@@ -128,8 +131,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{router: r, w: w, r: request, control: http.NewResponseController(w), started: time.Now()}
+	defer x.releaseBody()
 	if code, retryAfter := x.prepare(); code != "" {
 		x.refuse(code, retryAfter)
+		x.discardBody()
 		return
 	}
 	x.run()
@@ -163,7 +168,7 @@
 		return reason.Draining, failureRetryAfter
 	}
 	if code := x.readBody(table.Limits); code != "" {
-		return code, 0
+		return code, bodyRetryAfter(code)
 	}
 	x.service = x.route.Service(xxhash.Sum64String(x.request.ID))
 	if service := table.Service(x.service); service != nil {
@@ -188,45 +193,16 @@
 	x.deadline = x.started.Add(timeout)
 }
 
+// readBody reads the request's body. A body that is refused has not been read to its end, so the connection is closed
+// after the response.
 func (x *exchange) readBody(limits routes.Limits) reason.Reason {
 	if x.r.ContentLength == 0 || x.r.Body == nil {
 		return ""
 	}
-	source := x.r.Body
-	if limits.BodyBytes > 0 {
-		source = http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes)
-	}
-	if x.r.ContentLength > 0 && (limits.BodyBytes == 0 || x.r.ContentLength <= limits.BodyBytes) {
-		x.body = make([]byte, 0, x.r.ContentLength+1)
-	}
-	body, err := readInto(x.body, source)
-	x.body = body
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return reason.BodyTooLarge
-	case err != nil:
-		x.lastErr = err
-		return reason.CallerGone
-	}
-	return ""
-}
-
-// readInto reads until EOF and appends the data to a buffer.
-func readInto(buffer []byte, source io.Reader) ([]byte, error) {
-	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		n, err := source.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if err == io.EOF {
-			return buffer, nil
-		}
-		if err != nil {
-			return buffer, err
-		}
+	if limits.BodyBytes <= 0 {
+		return x.readUnlimitedBody()
 	}
+	return x.readLimitedBody(limits.BodyBytes)
 }
 
 // sharedPrompt describes the prompt parts that may be shared with other requests: all but the last one.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/directory"
 	"github.com/amaranthlb/amaranthlb/internal/eventlog"
+	"github.com/amaranthlb/amaranthlb/internal/ingress"
 	"github.com/amaranthlb/amaranthlb/internal/liveness"
 	"github.com/amaranthlb/amaranthlb/internal/mirror"
 	"github.com/amaranthlb/amaranthlb/internal/peers"
@@ -82,6 +83,9 @@
 	RetryWindow time.Duration
 	// HeldBytes bounds the response data that is held in memory for all requests together; 0 means a default.
 	HeldBytes int64
+	// RequestBytes bounds the memory of request bodies for all requests together, two bodies of the configuration's limit
+	// at least; 0 means a default.
+	RequestBytes int64
 	// LoadMultiple bounds the load of a target, as a multiple of the mean load of its service.
 	LoadMultiple float64
 	// FirstStart indicates that all VMs are starting for the first time, so no target has cached prompts.
@@ -98,6 +102,7 @@
 	meters  *telemetry.Meters
 	link    *peers.Link
 	pool    *upstream.Pool
+	bodies  *ingress.Reader
 	start   time.Time
 	// incarnation distinguishes this process from earlier ones at the same address.
 	incarnation uint64
@@ -159,6 +164,7 @@
 	members := peers.NewMembers(config.PeerAddress, config.Seeds, random())
 	members.SetZone(config.PeerAddress, config.Zone)
 	cutoff, endRequests := context.WithCancel(context.Background())
+	start := time.Now()
 	return &Router{
 		config:         config,
 		wire:           wire,
@@ -167,7 +173,8 @@
 		log:            log,
 		meters:         meters,
 		pool:           upstream.NewPool(wire, cmp.Or(config.HeldBytes, upstream.DefaultHeldBytes)),
-		start:          time.Now(),
+		bodies:         ingress.NewReader(cmp.Or(config.RequestBytes, ingress.DefaultRequestBytes), func() time.Duration { return time.Since(start) }),
+		start:          start,
 		cutoff:         cutoff,
 		endRequests:    endRequests,
 		incarnation:    rand.Uint64(),
