Bound the connections of clients and the memory of request heads

1,000 clients with incomplete heads took 137 to 279 MB of a VM with 64 MB, and clients could take all descriptors. Nothing bounded connections, and a head of short fields takes several times its size when it is parsed.

A listener closes the connection that has been idle longest when there are too many, then the oldest incomplete head; with requests on all, the new one. Incomplete heads share a memory budget. A head over the configuration's limit and the server's read buffer gets 431. Connections with a request in progress are never closed. Without max-fds, memory-mb or max-header-bytes there is no such bound.

--- a/cmd/amaranth-router/main.go
+++ b/cmd/amaranth-router/main.go
@@ -32,6 +32,17 @@
 	// requestFraction is the fraction of the VM's memory that request bodies may take. It leaves room for the buffers that
 	// are replaced while bodies grow.
 	requestFraction = 0.15
+	// headFraction is the fraction of the VM's memory that incomplete request heads may take. Ordinary heads are complete
+	// with their first packet.
+	headFraction = 0.1
+	// connectionFraction is the fraction of the VM's memory that clients' connections may take, at connectionBytes each:
+	// the buffers and the stack of a connection. socketFraction is the fraction of the VM's sockets that they may take; the
+	// rest is for targets, other routers and the store.
+	connectionFraction = 0.1
+	connectionBytes    = 16 << 10
+	socketFraction     = 0.8
+	// reservedDescriptors are those that the platform reserves on a VM.
+	reservedDescriptors = 200
 	// withdrawnGraceFraction is the fraction of the drain bound for which a target without an entry may still be used
 	// as a last resort. The rest is reserved for the propagation delay of the removal.
 	withdrawnGraceFraction = 0.4
@@ -106,11 +117,28 @@
 		RetryWindow:    settings.RetryWindow,
 		HeldBytes:      int64(float64(settings.MemoryMB<<20) * heldFraction),
 		RequestBytes:   int64(float64(settings.MemoryMB<<20) * requestFraction),
+		Connections:    maxConnections(settings),
+		HeadMemory:     int64(float64(settings.MemoryMB<<20) * headFraction),
 		LoadMultiple:   settings.LoadMultiple,
 		FirstStart:     settings.FirstStart,
 	}
 }
 
+// maxConnections returns the number of clients' connections that the VM has room for; 0 if the settings state neither its
+// memory nor its descriptors.
+func maxConnections(settings *platform.Settings) int {
+	limit := 0
+	if settings.MemoryMB > 0 {
+		limit = int(float64(settings.MemoryMB<<20) * connectionFraction / connectionBytes)
+	}
+	if sockets := settings.MaxDescriptors - reservedDescriptors; sockets > 0 {
+		if bySockets := int(float64(sockets) * socketFraction); limit == 0 || bySockets < limit {
+			limit = bySockets
+		}
+	}
+	return limit
+}
+
 // checkSettingsOnHangup validates the settings file on SIGHUP and logs the result; it applies no change. Settings are
 // fixed for the lifetime of the process, apart from the seeds, which are superseded by messages from other routers.
 func checkSettingsOnHangup(path string, log *eventlog.Log) {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -20,6 +20,7 @@
 		{"amaranth_routers", "Routers that count as live, this one included.", r.routerCount},
 		{"amaranth_target_connections_opened", "Connections opened to targets since the start.", r.pool.Dialed},
 		{"amaranth_request_bytes_held", "Memory of callers' request bodies in bytes, beyond the first 16 KB of each.", r.bodies.HeldBytes},
+		{"amaranth_client_connections", "Connections of clients.", r.clientConnections},
 		{"amaranth_log_lines_dropped", "Log lines dropped since the start because the output was not read.", r.log.Dropped},
 		{"amaranth_log_lines", "Log lines since the start, dropped ones included.", r.log.Total},
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -86,6 +86,10 @@
 	// RequestBytes bounds the memory of request bodies for all requests together, two bodies of the configuration's limit
 	// at least; 0 means a default.
 	RequestBytes int64
+	// Connections bounds the clients' connections, HeadMemory the memory of incomplete request heads in bytes; 0 for no
+	// bound.
+	Connections int
+	HeadMemory  int64
 	// LoadMultiple bounds the load of a target, as a multiple of the mean load of its service.
 	LoadMultiple float64
 	// FirstStart indicates that all VMs are starting for the first time, so no target has cached prompts.
@@ -103,6 +107,8 @@
 	link    *peers.Link
 	pool    *upstream.Pool
 	bodies  *ingress.Reader
+	// clients accepts the clients' connections once the router runs.
+	clients atomic.Pointer[ingress.Listener]
 	start   time.Time
 	// incarnation distinguishes this process from earlier ones at the same address.
 	incarnation uint64
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/amaranthlb/amaranthlb/internal/directory"
+	"github.com/amaranthlb/amaranthlb/internal/ingress"
 	"github.com/amaranthlb/amaranthlb/internal/peers"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
 )
@@ -93,6 +94,9 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			if limited, ok := conn.(*ingress.Conn); ok {
+				conn = limited.TCPConn
+			}
 			return context.WithValue(ctx, clientConnection{}, conn)
 		},
 	}
@@ -109,6 +113,11 @@
 		if err != nil {
 			return nil, nil, trace.Wrap(err, "listening on %s", entry.address)
 		}
+		if entry.server == front {
+			clients := r.limitClients(listener)
+			front.ConnState = clients.ConnState
+			listener = clients
+		}
 		go func() {
 			if err := entry.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				serveErrors <- trace.Wrap(err)
