Bound what other processes can take of the control, ready and metrics ports

A router ended when another one connected while clients held all descriptors. 40 calls that stopped short took 228 MB of a VM with 64 MB, heads at the ready port 199 MB, datagrams with forged addresses 67 MB. rpc.Serve returned on any accept error, took messages of 64 MB and any number of callers; digests counted for the address that they state; the ready server had the library's limits.

Serve retries accept errors with a growing pause. Calls are limited to 16 KB, and to 8 connections from hosts that are neither members nor seeds. A datagram counts only from the address that it states; 2,048 routers are known at most. All tests of test/clients pass in one run.

In the run of internal/router with the race detector, TestStatedRateLimitIsKeptByAllRouters/app failed once (request 63: 503 over_limit) beside other load; it passed in the run before this change.

--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -53,7 +53,7 @@
 	}
 	events := make(chan string, 2*heads)
 	listener := Listen(inner, Limits{HeadMemory: 1 << 20, HeadBytes: func() int { return headBytes }, Closed: func(kind string) { events <- kind }})
-	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: listener.ConnState}
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: ConnState}
 	go func() { _ = server.Serve(listener) }() // ends with the test
 	defer func() { _ = server.Close() }()
 	dial := func(text string) net.Conn {
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -36,7 +36,8 @@
 	Closed func(kind string)
 }
 
-// Listener bounds the connections of an HTTP server and the memory of its request heads. The server must call ConnState.
+// Listener bounds the connections of an HTTP server and the memory of its request heads. The server must call the
+// function ConnState.
 type Listener struct {
 	net.Listener
 	limits Limits
@@ -105,12 +106,13 @@
 	return int64(l.connections.Count())
 }
 
-// ConnState records the state of a connection. It is the ConnState function of the server.
-func (l *Listener) ConnState(raw net.Conn, state http.ConnState) {
+// ConnState records the state of a connection of a Listener. It is the ConnState function of the server.
+func ConnState(raw net.Conn, state http.ConnState) {
 	conn, ok := raw.(*Conn)
 	if !ok {
 		return
 	}
+	l := conn.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch state {
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/rendezvous"
@@ -41,6 +42,9 @@
 	substituteCount = 12
 	// substituteDelay is how long the other routers wait for one of them: a read, and the datagram that tells of it.
 	substituteDelay = 400 * time.Millisecond
+	// maxMembers bounds the other routers that are known, far above the largest fleet.
+	// Datagrams may list addresses of routers that do not exist.
+	maxMembers = 2048
 	// readerRankingKey is the rendezvous hashing key by which readers are ranked.
 	readerRankingKey = "store reader"
 )
@@ -97,7 +101,13 @@
 	if address == m.self {
 		return false
 	}
+	if m.members[address] == nil && len(m.members) >= maxMembers {
+		m.evictHearsay()
+	}
 	known := m.getOrCreate(address)
+	if known == nil {
+		return false
+	}
 	isNew := !known.seenDirectly || known.incarnation != incarnation || now-known.lastDirect >= memberTimeout
 	readsUntil := min(known.readsUntil, now)
 	if access == Reading && !leaving {
@@ -126,12 +136,49 @@
 			continue
 		}
 		known := m.getOrCreate(sighting.Address)
+		if known == nil {
+			return
+		}
 		known.lastSeen = max(known.lastSeen, now-sighting.Age)
 	}
 }
 
+// Knows reports whether a current member or a seed has the IP address.
+func (m *Members) Knows(now time.Duration, host string) bool {
+	prefix := host + ":"
+	for _, seed := range m.seeds {
+		if strings.HasPrefix(seed, prefix) {
+			return true
+		}
+	}
+	for address, known := range m.members {
+		if now-known.lastSeen < memberTimeout && strings.HasPrefix(address, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// evictHearsay removes one of the routers that were never heard from directly, the one that was heard of least recently.
+func (m *Members) evictHearsay() {
+	oldest := ""
+	for address, known := range m.members {
+		if known.seenDirectly {
+			continue
+		}
+		if first := m.members[oldest]; first == nil || known.lastSeen < first.lastSeen || known.lastSeen == first.lastSeen && address < oldest {
+			oldest = address
+		}
+	}
+	delete(m.members, oldest)
+}
+
+// getOrCreate returns a member. It returns nil if it is not known and there are too many.
 func (m *Members) getOrCreate(address string) *member {
 	known := m.members[address]
+	if known == nil && len(m.members) >= maxMembers {
+		return nil
+	}
 	if known == nil {
 		known = &member{lastSeen: -memberTimeout}
 		m.members[address] = known
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -11,8 +11,10 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -35,8 +37,16 @@
 	pullTimeout = 800 * time.Millisecond
 	// maxPulledBytes bounds the decompressed content of a reply. Values in the store are at most 1 MB.
 	maxPulledBytes = 16 << 20
+	// maxCallBytes bounds the message of a caller: the prefix of a key range and a position.
+	maxCallBytes = 16 << 10
+	// maxStrangerCalls bounds the connections from hosts that are not those of members. Routers that have just started call
+	// before this one knows them; each call takes a few milliseconds.
+	maxStrangerCalls = 8
 )
 
+// ErrForeignSource reports a datagram that did not come from the address that it states.
+var ErrForeignSource = errors.New("datagram does not come from the address that it states")
+
 // Source provides the content for replies to peers.
 type Source interface {
 	// Changes returns what a peer needs that holds the key range up to the position after; the zero position stands for
@@ -138,12 +148,12 @@
 	return trace.NewAggregate(failures...)
 }
 
-// Receive calls handle for each digest. It returns once the context is cancelled and the link is closed. Read errors
-// and datagrams that cannot be decoded are passed to invalid.
+// Receive calls handle for each digest. It returns once the context is cancelled and the link is closed. Read errors,
+// datagrams that cannot be decoded and ErrForeignSource are passed to invalid.
 func (l *Link) Receive(ctx context.Context, handle func(*pb.Digest), invalid func(error)) {
 	buffer := make([]byte, 64<<10)
 	for {
-		length, err := l.socket.Read(buffer)
+		length, source, err := l.socket.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return
 		}
@@ -159,17 +169,27 @@
 			invalid(err)
 			continue
 		}
+		if stated, err := netip.ParseAddrPort(digest.Address); err != nil || unmapped(stated) != unmapped(source) {
+			invalid(ErrForeignSource)
+			continue
+		}
 		handle(digest)
 	}
 }
 
-// Serve answers calls from peers until the context is cancelled.
-func (l *Link) Serve(ctx context.Context, source Source) error {
+// unmapped returns the IPv4 form of an address that is written as IPv6.
+func unmapped(address netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
+
+// Serve answers calls from peers until the context is cancelled. Known reports whether an IP address is that of a member.
+func (l *Link) Serve(ctx context.Context, source Source, known func(host string) bool) error {
 	mux := drpcmux.New()
 	if err := pb.DRPCRegisterPeers(mux, &server{source: source}); err != nil {
 		return trace.Wrap(err)
 	}
-	return rpc.Serve(ctx, l.listener, drpc.Handler(mux), nil, l.counter)
+	limits := rpc.Limits{MessageBytes: maxCallBytes, Strangers: maxStrangerCalls, Known: known}
+	return rpc.ServeLimited(ctx, l.listener, drpc.Handler(mux), nil, l.counter, limits)
 }
 
 type server struct{ source Source }
--- a/internal/peers/stale_test.go
+++ b/internal/peers/stale_test.go
@@ -78,7 +78,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- source.Serve(ctx, fixedSource{}) }()
+	go func() { ended <- source.Serve(ctx, fixedSource{}, nil) }()
 	t.Cleanup(func() {
 		stop()
 		_, _ = source.Close(), puller.Close()
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -74,12 +74,9 @@
 	}
 	go r.gossip(ctx)
 	go r.discoverCaches(ctx)
-	go r.link.Receive(ctx, r.handleDigest, func(err error) {
-		r.meters.Event("digest_invalid")
-		r.log.WithError(err).Info("failed to receive datagram from peer")
-	})
+	go r.link.Receive(ctx, r.handleDigest, r.digestInvalid)
 	go func() {
-		if err := r.link.Serve(ctx, r); err != nil {
+		if err := r.link.Serve(ctx, r, r.isMemberHost); err != nil {
 			serveErrors <- err
 		}
 	}()
@@ -93,6 +90,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         ingress.ConnState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			if limited, ok := conn.(*ingress.Conn); ok {
 				conn = limited.TCPConn
@@ -100,7 +98,7 @@
 			return context.WithValue(ctx, clientConnection{}, conn)
 		},
 	}
-	admin := &http.Server{Handler: r.admin(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	admin := r.adminServer()
 	listeners := []struct {
 		address string
 		server  *http.Server
@@ -114,9 +112,9 @@
 			return nil, nil, trace.Wrap(err, "listening on %s", entry.address)
 		}
 		if entry.server == front {
-			clients := r.limitClients(listener)
-			front.ConnState = clients.ConnState
-			listener = clients
+			listener = r.limitClients(listener)
+		} else {
+			listener = r.limitAdmin(listener)
 		}
 		go func() {
 			if err := entry.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/router/store_test.go
+++ b/internal/router/store_test.go
@@ -282,7 +282,7 @@
 	source := new(countingSource)
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	go func() { ended <- link.Serve(ctx, source) }()
+	go func() { ended <- link.Serve(ctx, source, nil) }()
 	defer func() {
 		stop()
 		if err := errors.Join(<-ended, link.Close()); err != nil {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -5,10 +5,13 @@
 package rpc
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -39,6 +42,9 @@
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
+	// minAcceptPause and maxAcceptPause bound the pause after a failed accept, as in net/http. It doubles with each failure.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
 )
 
 // Counter counts the bytes of control connections.
@@ -50,9 +56,27 @@
 // keepAlive detects peers whose VM disappeared without closing its connections.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 
-func managerOptions() drpcmanager.Options {
+// EventCounter is implemented by counters that also count failed accepts and refused connections.
+type EventCounter interface {
+	Event(kind string)
+}
+
+// Limits are the limits of a server.
+type Limits struct {
+	// MessageBytes is the largest message from a caller, in bytes; 0 means 64 MB.
+	MessageBytes int
+	// Strangers is the largest number of connections from hosts that Known does not know, all such hosts together. There
+	// is no limit if Known is nil.
+	Strangers int
+	// Known reports whether an IP address is that of a peer.
+	Known func(host string) bool
+}
+
+func managerOptions() drpcmanager.Options { return limitedOptions(maxMessageBytes) }
+
+func limitedOptions(messageBytes int) drpcmanager.Options {
 	return drpcmanager.Options{
-		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: messageBytes},
 		SoftCancel:      true,
 		SoftCancelGrace: softCancelGrace,
 	}
@@ -146,21 +170,68 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Cause }
 
-// Serve accepts connections until the context is cancelled.
+// Serve accepts connections until the context is cancelled or the listener is closed. Other errors of the listener, such
+// as a lack of descriptors, are counted and retried.
 func Serve(ctx context.Context, listener net.Listener, handler drpc.Handler, tlsConfig *tls.Config, counter Counter) error {
-	server := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: managerOptions()})
+	return ServeLimited(ctx, listener, handler, tlsConfig, counter, Limits{})
+}
+
+// ServeLimited is Serve with limits on what callers may send and hold.
+func ServeLimited(ctx context.Context, listener net.Listener, handler drpc.Handler, tlsConfig *tls.Config, counter Counter, limits Limits) error {
+	server := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: limitedOptions(cmp.Or(limits.MessageBytes, maxMessageBytes))})
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
+	events, _ := counter.(EventCounter)
+	event := func(kind string) {
+		if events != nil {
+			events.Event(kind)
+		}
+	}
+	var strangers atomic.Int64
+	pause := minAcceptPause
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
 			}
-			return trace.Wrap(err, "accepting a connection")
+			if errors.Is(err, net.ErrClosed) {
+				return trace.Wrap(err, "accepting a connection")
+			}
+			event("accept_failed")
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(pause):
+			}
+			pause = min(2*pause, maxAcceptPause)
+			continue
+		}
+		pause = minAcceptPause
+		if limits.Known == nil || limits.Known(hostOf(raw)) {
+			go serveOne(ctx, server, raw, tlsConfig, counter)
+			continue
+		}
+		if strangers.Load() >= int64(limits.Strangers) {
+			event("caller_refused")
+			_ = raw.Close()
+			continue
 		}
-		go serveOne(ctx, server, raw, tlsConfig, counter)
+		strangers.Add(1)
+		go func() {
+			defer strangers.Add(-1)
+			serveOne(ctx, server, raw, tlsConfig, counter)
+		}()
+	}
+}
+
+// hostOf returns the IP address of the other end of a connection.
+func hostOf(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return ""
 	}
+	return host
 }
 
 // serveOne reads the class byte and serves calls until the connection closes.
