--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -229,8 +229,6 @@
 	return target, nil
 }
 
-func (warmupDecoder) DecodeEvacuation(mirror.Item) (zone string, err error) { return "", nil }
-
 // Guards against a warm-up whose end is lost, early, or not put into effect because the entry changes nothing else, and
 // against a change where the configuration limits no such targets.
 func TestWarmupCountsFromArrival(t *testing.T) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/directory"
 	"github.com/amaranthlb/amaranthlb/internal/eventlog"
+	"github.com/amaranthlb/amaranthlb/internal/ingress"
 	"github.com/amaranthlb/amaranthlb/internal/liveness"
 	"github.com/amaranthlb/amaranthlb/internal/mirror"
 	"github.com/amaranthlb/amaranthlb/internal/peers"
@@ -84,6 +85,13 @@
 	RetryWindow time.Duration
 	// HeldBytes bounds the response data that is held in memory for all requests together; 0 means a default.
 	HeldBytes int64
+	// RequestBytes bounds the memory of request bodies for all requests together, two bodies of the configuration's limit
+	// at least; 0 means a default.
+	RequestBytes int64
+	// Connections bounds the clients' connections, HeadMemory the memory of incomplete request heads in bytes; 0 for no
+	// bound.
+	Connections int
+	HeadMemory  int64
 	// LoadMultiple bounds the load of a target, as a multiple of the mean load of its service.
 	LoadMultiple float64
 	// Evacuations is set if the key range of the configuration also holds the operator's orders to evacuate zones. The
@@ -107,6 +115,9 @@
 	meters  *telemetry.Meters
 	link    *peers.Link
 	pool    *upstream.Pool
+	bodies  *ingress.Reader
+	// clients accepts the clients' connections once the router runs.
+	clients atomic.Pointer[ingress.Listener]
 	start   time.Time
 	// incarnation distinguishes this process from earlier ones at the same address.
 	incarnation uint64
@@ -179,6 +190,7 @@
 	members := peers.NewMembers(config.PeerAddress, config.Seeds, random())
 	members.SetZone(config.PeerAddress, config.Zone)
 	cutoff, endRequests := context.WithCancel(context.Background())
+	start := time.Now()
 	return &Router{
 		config:         config,
 		wire:           wire,
@@ -187,7 +199,8 @@
 		log:            log,
 		meters:         meters,
 		pool:           upstream.NewPool(wire, cmp.Or(config.HeldBytes, upstream.DefaultHeldBytes)),
-		start:          time.Now(),
+		bodies:         ingress.NewReader(cmp.Or(config.RequestBytes, ingress.DefaultRequestBytes), func() time.Duration { return time.Since(start) }),
+		start:          start,
 		cutoff:         cutoff,
 		endRequests:    endRequests,
 		incarnation:    rand.Uint64(),
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/amaranthlb/amaranthlb/internal/directory"
+	"github.com/amaranthlb/amaranthlb/internal/ingress"
 	"github.com/amaranthlb/amaranthlb/internal/peers"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
 )
@@ -73,12 +74,9 @@
 	}
 	go r.gossip(ctx)
 	go r.discoverCaches(ctx)
-	go r.link.Receive(ctx, r.handleDigest, func(err error) {
-		r.meters.Event("digest_invalid")
-		r.log.WithError(err).Info("failed to receive datagram from peer")
-	})
+	go r.link.Receive(ctx, r.handleDigest, r.digestInvalid)
 	go func() {
-		if err := r.link.Serve(ctx, r); err != nil {
+		if err := r.link.Serve(ctx, r, r.isMemberHost); err != nil {
 			serveErrors <- err
 		}
 	}()
@@ -92,11 +90,15 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         ingress.ConnState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			if limited, ok := conn.(*ingress.Conn); ok {
+				conn = limited.TCPConn
+			}
 			return context.WithValue(ctx, clientConnection{}, conn)
 		},
 	}
-	admin := &http.Server{Handler: r.admin(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	admin := r.adminServer()
 	listeners := []struct {
 		address string
 		server  *http.Server
@@ -109,6 +111,11 @@
 		if err != nil {
 			return nil, nil, trace.Wrap(err, "listening on %s", entry.address)
 		}
+		if entry.server == front {
+			listener = r.limitClients(listener)
+		} else {
+			listener = r.limitAdmin(listener)
+		}
 		go func() {
 			if err := entry.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				serveErrors <- trace.Wrap(err)
