Wait for all targets in two router tests

TestSlowStreamIsNotCut and TestMovesOfAStreamAreBounded started once the router was ready, which needs one target only. Beside other load the second one was not listed yet: the stream was refused as no_target, and the run was not moved. Both wait for all targets now.

--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -196,6 +196,20 @@
 	})
 }
 
+// awaitTargets waits until all routers are ready and know so many targets.
+func (f *fleet) awaitTargets(count int) {
+	f.t.Helper()
+	f.awaitReady()
+	await(f.t, "all routers know the targets", func() bool {
+		for _, inst := range f.routers {
+			if inst.router.ListedTargets() < count {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 type result struct {
 	status int
 	header http.Header
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -132,7 +132,7 @@
 			Events: 30, Work: 10 * time.Millisecond, StallAfter: 3, Stall: 400 * time.Millisecond, Move: http.StatusOK,
 		}))
 	}
-	f.awaitReady()
+	f.awaitTargets(len(all))
 	if got := f.send(post("/chat/", "1")); got.err != nil || got.body != events(30) {
 		t.Errorf("error %v, body %q", got.err, got.body)
 	}
--- a/internal/router/trouble_test.go
+++ b/internal/router/trouble_test.go
@@ -88,7 +88,7 @@
 		f.configure(map[string]any{})
 		f.target("llm-1", "llm", slow)
 		f.target("llm-2", "llm", slow)
-		f.awaitReady()
+		f.awaitTargets(2)
 		a := post(path, "1")
 		a.wait = 8 * time.Second
 		if got := f.send(a); got.err != nil || got.body != events(3) {
