--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -174,7 +174,8 @@
 
 	// waiting holds the start times of this process's requests that the target has not begun to answer.
 	waiting map[uint64]time.Duration
-	// limited is set while the target states a rate limit or warms up under one, recovering for a while after it; both are updated by candidates.
+	// limited is set while the target states a rate limit or warms up under one, recovering for a while after a stated one;
+	// both are updated by candidates.
 	limited, recovering bool
 	// deferred targets get prompts that no target has cached only if the others have no room. These are the targets with a
 	// stated limit, and those that warm up unless they are most of the service: the few that are warm would read the prompts
@@ -588,8 +589,8 @@
 	return best
 }
 
-// loadsOf returns the loads of targets and their mean. Targets with rate limits, stated or while they warm up, have less load than the others could
-// have, so they count only where there are no others.
+// loadsOf returns the loads of targets and their mean. Targets with rate limits, stated or while they warm up, have less
+// load than the others could have, so they count only where there are no others.
 func loadsOf(now time.Duration, open []*targetState) (loads []Load, mean Load) {
 	loads = make([]Load, len(open))
 	var unlimited, all Load
--- a/internal/router/body_test.go
+++ b/internal/router/body_test.go
@@ -16,7 +16,7 @@
 
 // rawRequest is the head of a request to the plain service, with more header lines.
 func rawRequest(lines string) string {
-	return "POST /look/ HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nAmaranthlb-Request-Id: raw\r\nAuthorization: Bearer key\r\n" + lines + "\r\n"
+	return "POST /look/ HTTP/1.1\r\nHost: " + platformtest.Host + "\r\n" + platformtest.RequestIDHeader + ": raw\r\nAuthorization: Bearer key\r\n" + lines + "\r\n"
 }
 
 // dialRaw opens a connection to a router that ends with the test.
@@ -38,8 +38,8 @@
 	target := f.target("app-0", "app", platformtest.Behavior{})
 	f.awaitReady()
 	for name, begin := range map[string]string{
-		"with length": rawRequest("Amaranthlb-Deadline: 300\r\nContent-Length: 50000\r\n") + strings.Repeat("x", 40000),
-		"chunked":     rawRequest("Amaranthlb-Deadline: 300\r\nTransfer-Encoding: chunked\r\n") + "5\r\nhello\r\n",
+		"with length": rawRequest(platformtest.DeadlineHeader+": 300\r\nContent-Length: 50000\r\n") + strings.Repeat("x", 40000),
+		"chunked":     rawRequest(platformtest.DeadlineHeader+": 300\r\nTransfer-Encoding: chunked\r\n") + "5\r\nhello\r\n",
 	} {
 		conn := dialRaw(t, f.routers[0].config.FrontAddress)
 		if _, err := io.WriteString(conn, begin); err != nil {
@@ -75,7 +75,7 @@
 	conn := dialRaw(t, f.routers[0].config.FrontAddress)
 	reader := bufio.NewReader(conn)
 	for i := range 3 {
-		if _, err := io.WriteString(conn, rawRequest("Amaranthlb-Deadline: 300\r\nContent-Length: 5\r\n")+"hello"); err != nil {
+		if _, err := io.WriteString(conn, rawRequest(platformtest.DeadlineHeader+": 300\r\nContent-Length: 5\r\n")+"hello"); err != nil {
 			t.Fatal(err)
 		}
 		response, err := http.ReadResponse(reader, nil)
--- a/internal/router/statements.go
+++ b/internal/router/statements.go
@@ -74,7 +74,8 @@
 	}
 }
 
-// admissions returns the number of listed targets that are passed over, by cause: their own statements, or the reports of routers that can't reach them.
+// admissions returns the number of listed targets that are passed over, by cause: their own statements, the operator's
+// evacuations, or the reports of routers that can't reach them.
 func (r *Router) admissions() map[string]int64 {
 	r.trafficMu.Lock()
 	defer r.trafficMu.Unlock()
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -72,7 +72,7 @@
 
 // head returns a request head without its last empty line.
 func head(extra string) string {
-	return "POST /look/ HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nAmaranthlb-Request-Id: load\r\n" + extra
+	return "POST /look/ HTTP/1.1\r\nHost: " + platformtest.Host + "\r\n" + platformtest.RequestIDHeader + ": load\r\n" + extra
 }
 
 func chunk(bytes int) string { return fmt.Sprintf("%x\r\n%s\r\n", bytes, strings.Repeat("x", bytes)) }
--- a/test/clients/process_test.go
+++ b/test/clients/process_test.go
@@ -1,4 +1,4 @@
-// Package clients tests router processes under load from clients that no one controls.
+// Package clients tests router processes under load from clients that do not keep to the limits.
 //
 // The tests run one at a time. Each load is bounded in count and time. A test checks that the process is still running,
 // that its resident memory and its open descriptors stayed below what the VM of the settings has, and that an ordinary
