--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -3,9 +3,11 @@
 package stage
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -339,3 +341,50 @@
 	_, _ = w.Write([]byte(body)) // the caller may be gone
 	p.record.Line("replica %s has answered %s", p.ID, id)
 }
+
+// Connection is a client's connection, which it keeps for several requests.
+type Connection struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// Answer is a complete answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+}
+
+// Connect opens a connection to a router.
+func Connect(address string) (*Connection, error) {
+	conn, err := net.DialTimeout("tcp4", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &Connection{conn: conn, reader: bufio.NewReader(conn)}, nil
+}
+
+// Call sends a request and waits for its complete answer. An empty ID leaves out the header.
+func (c *Connection) Call(method, path, id, body string, wait time.Duration) (Answer, error) {
+	_ = c.conn.SetDeadline(time.Now().Add(wait + time.Second))
+	var head strings.Builder
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nAmaranthlb-Deadline: %d\r\nAuthorization: Bearer %s\r\n", method, path, Host, wait.Milliseconds(), Key)
+	if id != "" {
+		fmt.Fprintf(&head, "Amaranthlb-Request-Id: %s\r\n", id)
+	}
+	if body != "" {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
+	}
+	if _, err := io.WriteString(c.conn, head.String()+"\r\n"+body); err != nil {
+		return Answer{}, err
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return Answer{}, err
+	}
+	content, err := io.ReadAll(response.Body)
+	return Answer{response.StatusCode, response.Header, string(content)}, err
+}
+
+// Close closes the connection.
+func (c *Connection) Close() { _ = c.conn.Close() }
