Review: a client whose request has no ID gets the answer to another tenant's request

Cause: responses are matched by the ID only if the request has one, also on kept connections where a replica may send a late copy.

--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -364,11 +364,16 @@
 	return &Connection{conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
-// Call sends a request and waits for its complete answer. An empty ID leaves out the header.
+// Call sends a request with Key and waits for its complete answer. An empty ID leaves out the header.
 func (c *Connection) Call(method, path, id, body string, wait time.Duration) (Answer, error) {
+	return c.CallAs(Key, method, path, id, body, wait)
+}
+
+// CallAs is Call with another key.
+func (c *Connection) CallAs(key, method, path, id, body string, wait time.Duration) (Answer, error) {
 	_ = c.conn.SetDeadline(time.Now().Add(wait + time.Second))
 	var head strings.Builder
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nAmaranthlb-Deadline: %d\r\nAuthorization: Bearer %s\r\n", method, path, Host, wait.Milliseconds(), Key)
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nAmaranthlb-Deadline: %d\r\nAuthorization: Bearer %s\r\n", method, path, Host, wait.Milliseconds(), key)
 	if id != "" {
 		fmt.Fprintf(&head, "Amaranthlb-Request-Id: %s\r\n", id)
 	}
