Review: orders go to a replica that has left more than the drain bound ago

Cause: within 4 s of a failed store call, removed targets are retained for 2.5 s if they are half of all entries; the bounds are 3 s and 2 s.

--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -281,11 +281,19 @@
 type Replica struct {
 	ID, Address string
 	record      *Record
-	// Work is how long a run takes.
+	// work is how long a run takes.
 	work time.Duration
 
+	server *http.Server
+
 	mu   sync.Mutex
-	runs []string
+	runs []Run
+}
+
+// Run is a request that a replica has begun to run.
+type Run struct {
+	ID string
+	At time.Time
 }
 
 // StartReplica serves a replica on loopback.
@@ -295,15 +303,26 @@
 		return nil, err
 	}
 	replica := &Replica{ID: id, Address: listener.Addr().String(), record: record, work: work}
-	go func() { _ = http.Serve(listener, replica) }() // ends with the process
+	replica.server = &http.Server{Handler: replica}
+	go func() { _ = replica.server.Serve(listener) }() // ends with the process or with Exit
 	return replica, nil
 }
 
+// Exit ends the replica: its listener and its connections close.
+func (p *Replica) Exit() { _ = p.server.Close() }
+
+// Runs returns what the replica has run.
+func (p *Replica) Runs() []Run {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.runs)
+}
+
 // Ran reports whether the replica has begun to run the request.
 func (p *Replica) Ran(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Contains(p.runs, id)
+	return slices.ContainsFunc(p.runs, func(r Run) bool { return r.ID == id })
 }
 
 // ServeHTTP implements http.Handler.
@@ -326,7 +345,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.runs = append(p.runs, id)
+	p.runs = append(p.runs, Run{id, time.Now()})
 	p.mu.Unlock()
 	p.record.Line("replica %s runs %s %s %s", p.ID, id, r.Method, r.RequestURI)
 	select {
