--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,27 +1,34 @@
-// Command 7 stops a router while it has requests in progress, asks it to stop once more a second later, and checks whether
-// each request that it had passed on gets its answer.
+// Command 7 takes a replica away in a planned way, some seconds after the platform's store was down for a moment, and
+// checks whether routers still send requests there after the bound.
 package main
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/amaranthlb/amaranthlb/review/stage"
 )
 
 const (
-	clients = 12
-	// work is how long a replica runs an order. The deadline of the clients leaves room for it.
-	work = 2500 * time.Millisecond
-	wait = 6 * time.Second
-	// stopAfter is the time from the orders to the first SIGTERM, againAfter that from the first to the second one.
-	stopAfter  = 500 * time.Millisecond
-	againAfter = time.Second
-	// grace is that of the settings, after which the platform kills the process.
-	grace = 8 * time.Second
+	routers = 2
+	// clients send an order every pause each. A replica runs it for the time of work.
+	clients = 10
+	pause   = 40 * time.Millisecond
+	work    = 100 * time.Millisecond
+	wait    = time.Second
+	// storeDown is how long the store refuses all calls. leaveAfter is the time from its return until the replica leaves:
+	// the store is stable again after stableWindow.
+	storeDown    = 800 * time.Millisecond
+	stableWindow = 3 * time.Second
+	leaveAfter   = stableWindow + 50*time.Millisecond
+	// drainTime is the bound of the settings. exitAfter is when the replica exits, "a little longer" after it.
+	drainTime = 2 * time.Second
+	exitAfter = 2400 * time.Millisecond
+	afterTime = 2 * time.Second
 )
 
 func main() { os.Exit(run()) }
@@ -44,7 +51,7 @@
 	}
 	store.Configure(1, []string{"orders"}, stage.Route("order", "unsafe", "orders", wait, 1))
 	var replicas []*stage.Replica
-	for i := range 3 {
+	for i := range 2 {
 		replica, err := stage.StartReplica(record, fmt.Sprint("i-", i), work)
 		if err != nil {
 			return cantRun(err)
@@ -52,61 +59,58 @@
 		replicas = append(replicas, replica)
 		store.List(replica.ID, "orders", replica.Address, "ready", 1)
 	}
-	router, err := stage.StartRouter(temporary, "vm-0", store, 284, 4100)
-	if err != nil {
-		return cantRun(err)
+	var fleet []*stage.Router
+	var seeds []string
+	for i := range routers {
+		router, err := stage.StartRouter(temporary, fmt.Sprint("vm-", i), store, 284, 4100, seeds...)
+		if err != nil {
+			return cantRun(err)
+		}
+		defer router.Kill()
+		fleet = append(fleet, router)
+		seeds = append(seeds, router.Control)
 	}
-	defer router.Kill()
-
+	stop := make(chan struct{})
 	var group sync.WaitGroup
-	lost := make([]bool, clients)
+	var lost atomic.Int64
 	for i := range clients {
-		group.Go(func() {
-			id := fmt.Sprint("order-", i)
-			conn, err := stage.Connect(router.Front)
-			if err != nil {
-				record.Line("%s: no connection: %v", id, err)
-				return
-			}
-			defer conn.Close()
-			record.Line("%s sent", id)
-			answer, err := conn.Call("POST", "/order/1", id, "one roller", wait)
-			if err == nil {
-				record.Line("%s got %d", id, answer.Status)
-				return
-			}
-			record.Line("%s: its connection ended without an answer: %v", id, err)
-			for _, replica := range replicas {
-				lost[i] = lost[i] || replica.Ran(id)
-			}
-		})
+		group.Go(func() { callOften(record, fleet[i%routers].Front, i, &lost, stop) })
 	}
-	time.Sleep(stopAfter)
-	record.Line("SIGTERM")
-	router.Signal(syscall.SIGTERM)
-	kill := time.After(grace)
-	time.Sleep(againAfter)
+	time.Sleep(stableWindow)
 	if stage.Trouble() {
-		record.Line("SIGTERM again")
-		router.Signal(syscall.SIGTERM)
+		record.Line("the store refuses all calls with 503")
+		store.Refuse(func(string) int { return http.StatusServiceUnavailable })
+		time.Sleep(storeDown)
+		store.Refuse(nil)
+		record.Line("the store is back")
 	}
-	select {
-	case <-router.Ended():
-		record.Line("the router has ended")
-	case <-kill:
-		record.Line("SIGKILL at the end of the grace")
-	}
-	router.Kill()
+	time.Sleep(leaveAfter)
+	leaving := replicas[1]
+	store.Remove("servers/" + leaving.ID)
+	leftAt := time.Now()
+	record.Line("%s leaves: its entry is removed", leaving.ID)
+	lostBefore := lost.Load()
+	time.Sleep(exitAfter)
+	leaving.Exit()
+	record.Line("%s has exited", leaving.ID)
+	time.Sleep(afterTime)
+	close(stop)
 	group.Wait()
-	count := 0
-	for _, is := range lost {
-		if is {
-			count++
+
+	late := 0
+	var latest time.Duration
+	for _, arrival := range leaving.Runs() {
+		if age := arrival.At.Sub(leftAt); age > drainTime {
+			late++
+			latest = max(latest, age)
+			record.Line("LATE: %s reached %s %d ms after its entry was removed", arrival.ID, leaving.ID, age.Milliseconds())
 		}
 	}
-	fmt.Printf("%d orders sent, %d passed on to a replica and ended without an answer\n", clients, count)
-	record.Line("%d of %d orders were passed on to a replica and ended without an answer", count, clients)
-	if count > 0 {
+	text := fmt.Sprintf("%d orders reached the replica later than %d ms after its entry was removed, the last one after %d ms; %d orders without success since",
+		late, drainTime.Milliseconds(), latest.Milliseconds(), lost.Load()-lostBefore)
+	fmt.Println(text)
+	record.Line("%s", text)
+	if late > 0 {
 		return stage.Broken
 	}
 	return stage.Held
@@ -116,3 +120,41 @@
 	fmt.Fprintln(os.Stderr, "the case can't run:", err)
 	return stage.CantRun
 }
+
+// callOften sends orders on a kept connection.
+func callOften(record *stage.Record, address string, client int, lost *atomic.Int64, stop <-chan struct{}) {
+	var conn *stage.Connection
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	time.Sleep(time.Duration(client) * (pause + work) / clients) // clients send one after the other
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+		}
+		if conn == nil {
+			var err error
+			if conn, err = stage.Connect(address); err != nil {
+				record.Line("client %d: no connection: %v", client, err)
+				continue
+			}
+		}
+		id := fmt.Sprintf("c%d-%d", client, n)
+		answer, err := conn.Call("POST", "/order/1", id, "one roller", wait)
+		if err != nil {
+			lost.Add(1)
+			record.Line("client %d: %s got no answer: %v", client, id, err)
+			conn.Close()
+			conn = nil
+			continue
+		}
+		record.Line("client %d: %s got %d", client, id, answer.Status)
+		if answer.Status != http.StatusOK {
+			lost.Add(1)
+		}
+	}
+}
