Responses with an invalid status are broken

What callers saw: a target's response with a status below 100, 000 too, was skipped like an interim response, and what followed on the connection, even the body of that response, was taken for the answer: 200 with content that was not the answer. A status from 600 on was forwarded. So were 101, which net/http returns like an interim response, signs in the status (+20, -00), and other versions than HTTP/1.

Cause: http.ReadResponse takes any three characters that make a number as the status, any version and any number of blanks, and the readers of responses only asked whether the status is below 200.

Change: the new package stricthttp checks the status line on the connection, before net/http parses it; a read that would complete an invalid line fails. All clients read through it: the requests to targets (upstream), also after a skipped response to another request, and by way of its Transport the control calls of engines, the store, the platform's documents, the gate's targets, the calls of amaranthctl and of amaranth-replay. Such a response is broken: the request may have run, so it goes to another target only if it may be repeated, and gets 502 otherwise. The error follows on data, so that net/http does not take the connection for one that was closed while idle and repeat a GET.

--- a/internal/ctl/admin.go
+++ b/internal/ctl/admin.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"strings"
 	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/stricthttp"
 )
 
 const (
@@ -33,7 +35,9 @@
 
 // getAdmin fetches JSON from a daemon's admin endpoint.
 func getAdmin(address, path string, into any) error {
-	client := http.Client{Timeout: adminTimeout}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DisableKeepAlives = true
+	client := http.Client{Timeout: adminTimeout, Transport: stricthttp.NewTransport(transport)}
 	response, err := client.Get("http://" + address + path)
 	if err != nil {
 		return fmt.Errorf("%s can't be reached: %w", address, err)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,6 +18,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/amaranthlb/amaranthlb/internal/control"
+	"github.com/amaranthlb/amaranthlb/internal/stricthttp"
 )
 
 // Errors returned by Client.
@@ -67,7 +68,8 @@
 
 // NewClient returns a client for the platform at a base URL.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	return &Client{base: base, http: &http.Client{Transport: stricthttp.NewTransport(transport)}}
 }
 
 // Config returns a document newer than the given revision. It waits at most the given time.
--- a/internal/replay/client.go
+++ b/internal/replay/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/control"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
+	"github.com/amaranthlb/amaranthlb/internal/stricthttp"
 )
 
 // Headers of the caller API.
@@ -66,10 +67,10 @@
 
 // NewClient returns a client; progress may be nil.
 func NewClient(t *Trace, fleet *Fleet, progress *Progress) *Client {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: stricthttp.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost:   256,
 		ResponseHeaderTimeout: patience,
-	}}
+	})}
 	return &Client{
 		trace:    t,
 		fleet:    fleet,
--- /dev/null
+++ b/internal/router/malformed_test.go
@@ -0,0 +1,200 @@
+package router_test
+
+import (
+	"encoding/hex"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/router"
+	"github.com/amaranthlb/amaranthlb/internal/stricthttp/stricthttptest"
+	"github.com/amaranthlb/amaranthlb/platform/platformtest"
+)
+
+// kind is a kind of route, see fleet.configure.
+type kind struct {
+	service, path string
+	// repeatable requests are answered by another target.
+	repeatable bool
+	stream     bool
+}
+
+var kinds = []kind{
+	{"app", "/order/", false, false},
+	{"app", "/look/", true, false},
+	{"llm", "/chat/", false, true},
+	{"llm", "/check/", true, true},
+}
+
+const (
+	eventFields = "Content-Type: text/event-stream\r\n"
+	wholeAnswer = "the whole answer"
+	longBody    = 3 << 20
+)
+
+// body returns the body of a complete answer from a raw target.
+func (k kind) body() string {
+	if k.stream {
+		return events(3)
+	}
+	return wholeAnswer
+}
+
+func (k kind) fields(identity string) string {
+	if k.stream {
+		return identity + eventFields
+	}
+	return identity
+}
+
+// rawFleet is a router with targets of which the first that gets a request may respond in any way.
+type rawFleet struct {
+	*fleet
+	targets []*platformtest.Target
+
+	mu sync.Mutex
+	// responses holds what the first target responds to a request, by the request's ID.
+	responses map[string]platformtest.RawResponse
+}
+
+func newRawFleet(t *testing.T) *rawFleet {
+	t.Helper()
+	// The retry budget is not what is tested.
+	f := &rawFleet{fleet: newFleetWith(t, 1, func(c *router.Config) { c.RetrySlack = 1000 }), responses: make(map[string]platformtest.RawResponse)}
+	f.configure(map[string]any{"limits": map[string]any{
+		"max-header-bytes": 16384, "max-body-bytes": 2 * longBody, "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
+	}})
+	for service, sound := range map[string]platformtest.Behavior{"app": {}, "llm": {Events: 3, Work: time.Millisecond}} {
+		for i := range 2 {
+			target := f.target(fmt.Sprint(service, "-", i), service, sound)
+			target.SetRaw(f.takeResponse)
+			f.targets = append(f.targets, target)
+		}
+	}
+	f.awaitTargets(len(f.targets))
+	return f
+}
+
+func (f *rawFleet) takeResponse(request *http.Request) platformtest.RawResponse {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := platformtest.RequestID(request)
+	response := f.responses[id]
+	delete(f.responses, id)
+	return response
+}
+
+// sendTo sends a request whose first target responds as given, and returns what the client gets and the number of targets
+// that got the request.
+func (f *rawFleet) sendTo(respond platformtest.RawResponse, a call) (result, int) {
+	f.mu.Lock()
+	f.responses[a.id] = respond
+	f.mu.Unlock()
+	got := f.send(a)
+	arrivals := 0
+	for _, target := range f.targets {
+		for _, arrival := range target.Arrivals() {
+			if arrival.RequestID == a.id {
+				arrivals++
+			}
+		}
+	}
+	return got, arrivals
+}
+
+// text returns a raw response that is written once the request has been read.
+func text(response func(fields string) string) platformtest.RawResponse {
+	return func(conn *net.TCPConn, request *http.Request, fields string) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, response(fields))
+	}
+}
+
+// checkBroken checks what a client gets if the first target's answer is broken: the answer of another target if the
+// request may run again, and otherwise an error that does not say that the request has not run.
+func (k kind) checkBroken(t *testing.T, got result, arrivals int) {
+	t.Helper()
+	if k.repeatable {
+		sound := got.body == events(3)
+		if !k.stream {
+			sound = strings.HasPrefix(got.body, "answer of ")
+		}
+		if got.status != http.StatusOK || got.err != nil || !sound || arrivals != 2 {
+			t.Errorf("the client got %d, %q, %v after %d attempts; want the answer of another target", got.status, got.body, got.err, arrivals)
+		}
+		return
+	}
+	if got.err == nil && got.status != http.StatusBadGateway || arrivals != 1 {
+		t.Errorf("the client got %d, %q after %d attempts; want 502 or a broken answer after one", got.status, got.body, arrivals)
+	}
+}
+
+// testBroken sends a request of each kind for each answer that the table returns.
+func testBroken(t *testing.T, table func(fields, body string) map[string]string) {
+	t.Helper()
+	f := newRawFleet(t)
+	for _, k := range kinds {
+		for _, name := range slices.Sorted(maps.Keys(table("", k.body()))) {
+			id := k.path + name
+			t.Run(id, func(t *testing.T) {
+				a := post(k.path, hex.EncodeToString([]byte(id)))
+				got, arrivals := f.sendTo(text(func(fields string) string { return table(k.fields(fields), k.body())[name] }), a)
+				k.checkBroken(t, got, arrivals)
+			})
+		}
+	}
+}
+
+// Guards against a response with an invalid status that is skipped or forwarded, and against data in its body that is taken
+// for the answer.
+func TestResponseWithInvalidStatusIsBroken(t *testing.T) { testBroken(t, stricthttptest.InvalidStatus) }
+
+// Guards against well-formed answers that are taken for broken ones: with and without a length, after interim responses,
+// early, and after a long request body.
+func TestWellFormedResponsesAreForwarded(t *testing.T) {
+	f := newRawFleet(t)
+	for _, k := range kinds {
+		for _, name := range slices.Sorted(maps.Keys(stricthttptest.WellFormed("", ""))) {
+			for when, c := range map[string]struct {
+				length int
+				early  bool
+			}{"short body": {100, false}, "long body": {longBody, false}, "early": {longBody, true}} {
+				t.Run(k.path+" "+name+", "+when, func(t *testing.T) {
+					a := post(k.path, hex.EncodeToString([]byte(t.Name())))
+					a.body = strings.Repeat("x", c.length)
+					got, arrivals := f.sendTo(func(conn *net.TCPConn, request *http.Request, fields string) {
+						response := stricthttptest.WellFormed(k.fields(fields), k.body())[name]
+						if c.early {
+							stricthttptest.EndAfter(conn, response)
+							return
+						}
+						text(func(string) string { return response })(conn, request, fields)
+					}, a)
+					if got.status != http.StatusOK || got.err != nil || got.body != k.body() || arrivals != 1 {
+						t.Errorf("the client got %d, %q, %v after %d attempts", got.status, got.body, got.err, arrivals)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a target's failure that is no longer forwarded as it is.
+func TestStatusOfTargetIsForwarded(t *testing.T) {
+	f := newRawFleet(t)
+	for _, status := range []int{http.StatusCreated, 299, 399, http.StatusNotFound, 499, http.StatusInternalServerError, 599} {
+		got, arrivals := f.sendTo(text(func(fields string) string {
+			return fmt.Sprintf("HTTP/1.1 %d Text\r\n%sContent-Length: 4\r\n\r\nbody", status, fields)
+		}), post("/order/", fmt.Sprint(status)))
+		if got.status != status || got.body != "body" || arrivals != 1 {
+			t.Errorf("status %d: the client got %d, %q, %v after %d attempts", status, got.status, got.body, got.err, arrivals)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stricthttp/head.go
@@ -0,0 +1,97 @@
+package stricthttp
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+// maxQuoted bounds the bytes of an invalid line that its error quotes.
+const maxQuoted = 80
+
+// SyntaxError reports a line of a response head that is not valid.
+type SyntaxError struct {
+	Reason string
+	// Line is the beginning of the invalid line.
+	Line string
+}
+
+func (e *SyntaxError) Error() string {
+	return fmt.Sprintf("malformed response: %s: %q", e.Reason, e.Line)
+}
+
+func syntaxError(reason string, line []byte) error {
+	return &SyntaxError{Reason: reason, Line: string(line[:min(len(line), maxQuoted)])}
+}
+
+// headChecker checks response heads as they arrive.
+type headChecker struct {
+	// pending is set until the head of a response that is not an interim one has ended.
+	pending bool
+	// status is the status of the current head; 0 before its status line.
+	status int
+	// line is the beginning of a line whose end has not arrived.
+	line []byte
+}
+
+// check checks data that has arrived. It returns the length of the valid part, and an error if there is an invalid line,
+// whose end is not within that part.
+func (h *headChecker) check(data []byte) (int, error) {
+	start := 0
+	for h.pending {
+		length := bytes.IndexByte(data[start:], '\n')
+		if length < 0 {
+			h.line = append(h.line, data[start:]...)
+			break
+		}
+		line := data[start : start+length]
+		if len(h.line) > 0 {
+			h.line = append(h.line, line...)
+			line = h.line
+		}
+		if err := h.checkLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return start + length, err
+		}
+		h.line = nil
+		start += length + 1
+	}
+	return len(data), nil
+}
+
+// checkLine checks a line without its end.
+func (h *headChecker) checkLine(line []byte) error {
+	switch {
+	case h.status == 0:
+		status, err := parseStatusLine(line)
+		h.status = status
+		return err
+	case len(line) == 0:
+		h.pending = h.status < http.StatusOK
+		h.status = 0
+	}
+	return nil
+}
+
+// parseStatusLine returns the status. Responses of HTTP/1.0 are valid.
+func parseStatusLine(line []byte) (int, error) {
+	const version, codeLength = "HTTP/1.x ", 3
+	if len(line) < len(version)+codeLength || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !isDigit(line[7]) || line[8] != ' ' {
+		return 0, syntaxError("invalid status line", line)
+	}
+	code, rest := line[len(version):len(version)+codeLength], line[len(version)+codeLength:]
+	status, err := strconv.ParseUint(string(code), 10, 16)
+	if err != nil || len(rest) > 0 && rest[0] != ' ' || status < http.StatusContinue || status > maxStatus {
+		return 0, syntaxError("invalid status", line)
+	}
+	if status == http.StatusSwitchingProtocols {
+		// No client of this package asks for another protocol.
+		return 0, syntaxError("unexpected switch of protocols", line)
+	}
+	return int(status), nil
+}
+
+// maxStatus is the highest status that HTTP defines a class for.
+const maxStatus = 599
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- /dev/null
+++ b/internal/stricthttp/stricthttp_test.go
@@ -0,0 +1,149 @@
+package stricthttp
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+
+	"github.com/amaranthlb/amaranthlb/internal/stricthttp/stricthttptest"
+)
+
+const body = "the body of a response"
+
+// readResponse reads a response to a GET request from a connection on which the text arrives, and its body.
+func readResponse(text string, oneByteReads bool) (string, error) {
+	near, far := net.Pipe()
+	go func() {
+		_, _ = io.WriteString(far, text) // fails if the reader stops
+		_ = far.Close()
+	}()
+	conn := NewConn(near)
+	defer func() { _ = conn.Close() }()
+	if err := conn.ExpectResponse(nil); err != nil {
+		return "", err
+	}
+	var source io.Reader = conn
+	if oneByteReads {
+		source = iotest.OneByteReader(conn)
+	}
+	reader := bufio.NewReader(source)
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return "", err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		content, err := io.ReadAll(response.Body)
+		return string(content), err
+	}
+}
+
+// Guards against an invalid line that is noticed only if it arrives in one piece, and against a valid one that is rejected.
+func TestConnChecksLinesInPieces(t *testing.T) {
+	for _, oneByteReads := range []bool{false, true} {
+		for name, text := range stricthttptest.InvalidStatus("", body) {
+			if got, err := readResponse(text, oneByteReads); err == nil {
+				t.Errorf("%s, one byte a read %v: got %q", name, oneByteReads, got)
+			}
+		}
+		for name, text := range stricthttptest.WellFormed("", body) {
+			if got, err := readResponse(text, oneByteReads); err != nil || got != body {
+				t.Errorf("%s, one byte a read %v: got %q, %v", name, oneByteReads, got, err)
+			}
+		}
+	}
+}
+
+// Guards against a response that is not checked since the data that was read before already holds its beginning.
+func TestExpectResponseChecksBegunResponse(t *testing.T) {
+	for begun, valid := range map[string]bool{
+		"":                               true,
+		"HTTP/1.1 2":                     true,
+		"HTTP/1.1 200 OK\r\n\r\nHTTP/9":  true,
+		"HTTP/1.1 100 Go on\r\n\r\nHTTP": true,
+		"HTTP/1.1 000 Trouble\r\n":       false,
+		"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 000 Trouble\r\n": false,
+	} {
+		near, _ := net.Pipe()
+		err := NewConn(near).ExpectResponse([]byte(begun))
+		var invalid *SyntaxError
+		if (err == nil) != valid || err != nil && !errors.As(err, &invalid) {
+			t.Errorf("%q: %v", begun, err)
+		}
+	}
+}
+
+func get(client *http.Client, address string) (string, error) {
+	response, err := client.Get("http://" + address + "/")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return string(content), err
+}
+
+// Guards against a client of net/http that accepts a malformed response, or rejects a valid one.
+func TestTransport(t *testing.T) {
+	client := &http.Client{Transport: NewTransport(&http.Transport{})}
+	defer client.CloseIdleConnections()
+	call := func(address string) error {
+		got, err := get(client, address)
+		if err == nil && got != body {
+			return fmt.Errorf("got body %q", got)
+		}
+		return err
+	}
+	stricthttptest.ExpectErrors(t, stricthttptest.Malformed("", body), call)
+	stricthttptest.ExpectSuccess(t, stricthttptest.WellFormed("", body), call)
+}
+
+// Guards against a malformed response on a reused connection that makes net/http repeat the request, and against one that
+// is accepted because an earlier response on the connection was valid.
+func TestTransportDoesNotRepeatRequestAfterMalformedResponse(t *testing.T) {
+	valid := stricthttptest.WellFormed("", body)["length"]
+	for _, name := range slices.Sorted(maps.Keys(stricthttptest.Malformed("", body))) {
+		malformed := stricthttptest.Malformed("", body)[name]
+		var requests atomic.Int64
+		address := stricthttptest.Serve(t, func(conn *net.TCPConn, _ *http.Request) {
+			requests.Add(1)
+			_, _ = io.WriteString(conn, valid)
+			reader := bufio.NewReader(conn)
+			for {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				requests.Add(1)
+				_, _ = io.WriteString(conn, malformed)
+				_ = conn.CloseWrite()
+			}
+		})
+		client := &http.Client{Transport: NewTransport(&http.Transport{})}
+		if got, err := get(client, address); err != nil || got != body {
+			t.Fatalf("first response: %q, %v", got, err)
+		}
+		if got, err := get(client, address); err == nil || requests.Load() != 2 {
+			t.Errorf("%s: got %q, %v after %d requests", name, got, err, requests.Load())
+		}
+		client.CloseIdleConnections()
+	}
+}
+
+// Guards against an error that quotes a line without a bound.
+func TestQuotedLineIsBounded(t *testing.T) {
+	_, err := readResponse("HTTP/1.1 999 "+strings.Repeat("x", 4000)+"\r\n\r\n", false)
+	if err == nil || len(err.Error()) > 2*maxQuoted {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/target/malformed_test.go
@@ -0,0 +1,81 @@
+package target
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/amaranthlb/amaranthlb/internal/stricthttp/stricthttptest"
+)
+
+// Guards against a malformed response of a target that is taken for an answer, or after which the request counts as not
+// sent.
+func TestMalformedResponsesOfTargets(t *testing.T) {
+	client := NewClient()
+	defer client.Close()
+	request := Request{ID: "1", Method: http.MethodPost, Path: "/", Body: []byte("body")}
+	for name, c := range map[string]struct {
+		body string
+		call func(address string) error
+	}{
+		"request": {"the answer", func(address string) error {
+			attempt := new(Attempt)
+			response, err := client.Do(t.Context(), address, request, attempt)
+			return readAnswer(t, response, err, attempt)
+		}},
+		"request that must not be repeated": {"the answer", func(address string) error {
+			attempt := new(Attempt)
+			response, err := client.DoOnce(t.Context(), address, request, attempt)
+			return readAnswer(t, response, err, attempt)
+		}},
+		"resumed stream": {"id: 1\ndata: a\n\n", func(address string) error {
+			response, err := client.Resume(t.Context(), address, "1", 0)
+			return readAnswer(t, response, err, nil)
+		}},
+		"cancellation": {"", func(address string) error { return client.Cancel(t.Context(), address, "1") }},
+		"status":       {`{"load":1}`, func(address string) error { _, err := client.Status(t.Context(), address); return err }},
+		"request state": {`{"state":"done","status":200}`, func(address string) error {
+			_, err := client.RequestState(t.Context(), address, "1")
+			return err
+		}},
+		"order":     {"", func(address string) error { return failedOrder(t, client, address) }},
+		"KV export": {"content", func(address string) error { _, err := client.ExportKV(t.Context(), address, nil); return err }},
+		"KV import": {"", func(address string) error { return client.ImportKV(t.Context(), address, nil) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			malformed := stricthttptest.Malformed("", c.body)
+			stricthttptest.ExpectErrors(t, malformed, c.call)
+			stricthttptest.ExpectSuccess(t, stricthttptest.WellFormed("", c.body), c.call)
+		})
+	}
+}
+
+// readAnswer reads a response. It returns the error of the call or of the read.
+func readAnswer(t *testing.T, response *Response, err error, attempt *Attempt) error {
+	t.Helper()
+	if attempt != nil && !attempt.Started() {
+		t.Errorf("the request counts as not sent: %v", err)
+	}
+	var failed *Error
+	if err != nil && (!errors.As(err, &failed) || failed.Kind != Failed) {
+		t.Errorf("got %v, want a failure of a request that may have run", err)
+	}
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	return err
+}
+
+// failedOrder sends an order. A malformed response does not say whether the engine has accepted it.
+func failedOrder(t *testing.T, client *Client, address string) error {
+	t.Helper()
+	err := client.SendOrder(t.Context(), address, Order{}, nil)
+	var failed *Error
+	if err != nil && (!errors.As(err, &failed) || failed.Kind != Failed) {
+		t.Errorf("got %v, want an order that may have been accepted", err)
+	}
+	return err
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -16,6 +16,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/amaranthlb/amaranthlb/internal/stricthttp"
 )
 
 const (
@@ -115,7 +117,7 @@
 		ReadBufferSize:      readBufferBytes,
 	}
 	return &http.Client{
-		Transport:     transport,
+		Transport:     stricthttp.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -160,8 +162,8 @@
 func send(ctx context.Context, client *http.Client, address string, request Request, attempt *Attempt) (*Response, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*guardedConn); ok {
-				conn.attempt.Store(attempt)
+			if checked, ok := info.Conn.(*stricthttp.Conn); ok {
+				checked.NetConn().(*guardedConn).attempt.Store(attempt)
 			}
 		},
 	})
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,7 +3,7 @@
 // It never retries a request. Its errors tell whether the request may have run: NotSentError if no byte of it left this
 // process, BrokenError otherwise. A connection is reused only after a response that ended cleanly without trailing
 // data, and only while the target is certain to keep it open. A response that carries another request's ID is skipped;
-// data that is not an HTTP response breaks the connection.
+// data that is not a valid HTTP response breaks the connection.
 package upstream
 
 import (
@@ -26,6 +26,7 @@
 
 	"github.com/amaranthlb/amaranthlb/internal/membudget"
 	"github.com/amaranthlb/amaranthlb/internal/routes"
+	"github.com/amaranthlb/amaranthlb/internal/stricthttp"
 )
 
 // Limits of connections.
@@ -137,7 +138,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*stricthttp.Conn
 	reader *bufio.Reader
 	// unread is the number of bytes that may still be read from the connection. Once it is used up, extend may allow more.
 	unread int64
@@ -259,7 +260,7 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	c := &conn{Conn: raw, address: call.Address}
+	c := &conn{Conn: stricthttp.NewConn(raw), address: call.Address}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
 }
@@ -316,7 +317,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.NetConn().(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -398,6 +399,9 @@
 		return headStep
 	}
 	defer func() { r.conn.unread, r.conn.extend = math.MaxInt64, nil }()
+	if err := r.conn.expectResponse(); err != nil {
+		return err
+	}
 	for skipped := 0; ; {
 		raw, err := http.ReadResponse(r.conn.reader, method)
 		if r.conn.exhausted {
@@ -426,9 +430,24 @@
 		if rest, err := io.CopyN(io.Discard, raw.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
 			return &BrokenError{Cause: fmt.Errorf("%w: could not skip its body: read %d bytes: %v", errWrongRequestID, rest, err), Closed: true}
 		}
+		if err := r.conn.expectResponse(); err != nil {
+			return err
+		}
 	}
 }
 
+// expectResponse states that the next data, of which the reader may already hold a part, begins a response.
+func (c *conn) expectResponse() error {
+	begun, err := c.reader.Peek(c.reader.Buffered())
+	if err == nil {
+		err = c.ExpectResponse(begun)
+	}
+	if err != nil {
+		return &BrokenError{Cause: err, Closed: true}
+	}
+	return nil
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
@@ -547,7 +566,7 @@
 
 // reset makes the next Close drop what has not been sent yet.
 func (c *conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.NetConn().(*net.TCPConn); ok {
 		// An error means that the connection is closed already.
 		_ = tcp.SetLinger(0)
 	}
