Responses with a malformed field are broken

What callers saw: a target's response with a blank in the name of a field, also before the colon, reached the client as 200 without that line. If the line was Content-Length or Transfer-Encoding, the client got a part of the body, or the chunks with their sizes, as a complete answer.

Cause: net/http keeps a name with a blank as it is, under a key that neither it nor a reader looks up. Its relatives: a line that begins with a blank is joined to the one before it, a coding in a response of HTTP/1.0 is deleted, and an interim response that announces a body is read as if it had none, so that its body was taken for the answer. Names with control bytes, without a name, and values with control bytes were broken before; the tests keep these cases.

Change: stricthttp checks the name of each field, of interim responses too, and rejects a body of an interim response (a length of 0 is allowed) and a coding in HTTP/1.0. Trailer fields are checked at the end of the body.

--- a/internal/router/malformed_test.go
+++ b/internal/router/malformed_test.go
@@ -156,6 +156,13 @@
 // for the answer.
 func TestResponseWithInvalidStatusIsBroken(t *testing.T) { testBroken(t, stricthttptest.InvalidStatus) }
 
+// Guards against a response with a malformed field whose other fields and whose body, which may be framed wrongly, reach
+// the client as an answer.
+func TestResponseWithMalformedFieldIsBroken(t *testing.T) {
+	testBroken(t, stricthttptest.InvalidFields)
+	testBroken(t, stricthttptest.InvalidTrailers)
+}
+
 // Guards against well-formed answers that are taken for broken ones: with and without a length, after interim responses,
 // early, and after a long request body.
 func TestWellFormedResponsesAreForwarded(t *testing.T) {
--- a/internal/stricthttp/doc.go
+++ b/internal/stricthttp/doc.go
@@ -1,9 +1,11 @@
 // Package stricthttp detects malformed HTTP/1.1 responses that net/http accepts.
 //
-// A target in trouble may send a status that doesn't exist. net/http returns it like any other, so that a client may skip
-// the response or forward it. This package checks the head of each response before net/http parses it: a read that would
-// complete an invalid line fails with a SyntaxError instead.
+// A target in trouble may send a status that doesn't exist, or a field whose name holds a blank. net/http returns such a
+// status like any other, so that a client may skip the response or forward it, and keeps such a field under a name that
+// nobody looks up: a length or a transfer coding is then ignored. This package checks the head of each response before
+// net/http parses it: a read that would complete an invalid line fails with a SyntaxError instead. Trailer fields are
+// checked at the end of the body.
 //
-// Clients based on http.Transport use Transport. Others read through a Conn, and call ExpectResponse before they read a
-// response. Connections with TLS are not checked.
+// Clients based on http.Transport use Transport. Others read through a Conn, call ExpectResponse before they read a
+// response, and CheckTrailer after its head. Connections with TLS are not checked.
 package stricthttp
--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxQuoted bounds the bytes of an invalid line that its error quotes.
@@ -29,8 +32,9 @@
 type headChecker struct {
 	// pending is set until the head of a response that is not an interim one has ended.
 	pending bool
-	// status is the status of the current head; 0 before its status line.
+	// status is the status of the current head; 0 before its status line. http10 is set if its version is HTTP/1.0.
 	status int
+	http10 bool
 	// line is the beginning of a line whose end has not arrived.
 	line []byte
 }
@@ -64,11 +68,33 @@
 	switch {
 	case h.status == 0:
 		status, err := parseStatusLine(line)
-		h.status = status
+		h.status, h.http10 = status, bytes.HasPrefix(line, []byte("HTTP/1.0"))
 		return err
 	case len(line) == 0:
-		h.pending = h.status < http.StatusOK
+		h.pending = h.interim()
 		h.status = 0
+		return nil
+	}
+	return h.checkField(line)
+}
+
+func (h *headChecker) interim() bool { return h.status < http.StatusOK }
+
+// checkField checks the name of a field, and the fields that frame the body. The syntax of values is left to net/http.
+func (h *headChecker) checkField(line []byte) error {
+	name, value, found := strings.Cut(string(line), ":")
+	// A line that begins with a blank is invalid too: it would continue the one before it, which HTTP/1.1 no longer allows.
+	if !found || !httpguts.ValidHeaderFieldName(name) {
+		return syntaxError("invalid field name", line)
+	}
+	hasLength := strings.EqualFold(name, "Content-Length") && strings.TrimSpace(value) != "0"
+	hasCoding := strings.EqualFold(name, "Transfer-Encoding")
+	switch {
+	case h.interim() && (hasLength || hasCoding):
+		return syntaxError("interim response with a body", line)
+	case h.http10 && hasCoding:
+		// net/http ignores the coding and returns the encoded body.
+		return syntaxError("transfer coding in HTTP/1.0", line)
 	}
 	return nil
 }
--- a/internal/stricthttp/stricthttp_test.go
+++ b/internal/stricthttp/stricthttp_test.go
@@ -52,7 +52,7 @@
 // Guards against an invalid line that is noticed only if it arrives in one piece, and against a valid one that is rejected.
 func TestConnChecksLinesInPieces(t *testing.T) {
 	for _, oneByteReads := range []bool{false, true} {
-		for name, text := range stricthttptest.InvalidStatus("", body) {
+		for name, text := range stricthttptest.Malformed("", body) {
 			if got, err := readResponse(text, oneByteReads); err == nil {
 				t.Errorf("%s, one byte a read %v: got %q", name, oneByteReads, got)
 			}
@@ -73,6 +73,7 @@
 		"HTTP/1.1 200 OK\r\n\r\nHTTP/9":  true,
 		"HTTP/1.1 100 Go on\r\n\r\nHTTP": true,
 		"HTTP/1.1 000 Trouble\r\n":       false,
+		"HTTP/1.1 200 OK\r\nA : b\r\n":   false,
 		"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 000 Trouble\r\n": false,
 	} {
 		near, _ := net.Pipe()
@@ -106,6 +107,7 @@
 		return err
 	}
 	stricthttptest.ExpectErrors(t, stricthttptest.Malformed("", body), call)
+	stricthttptest.ExpectErrors(t, stricthttptest.InvalidTrailers("", body), call)
 	stricthttptest.ExpectSuccess(t, stricthttptest.WellFormed("", body), call)
 }
 
--- a/internal/stricthttp/stricthttptest/responses.go
+++ b/internal/stricthttp/stricthttptest/responses.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 )
 
@@ -27,7 +28,9 @@
 
 // Malformed returns responses that no client may accept, by name.
 func Malformed(fields, body string) map[string]string {
-	return InvalidStatus(fields, body)
+	responses := InvalidStatus(fields, body)
+	maps.Copy(responses, InvalidFields(fields, body))
+	return responses
 }
 
 // InvalidStatus returns responses whose status line is not one of HTTP/1.1, or whose status no client can have asked for,
@@ -46,6 +49,42 @@
 	return responses
 }
 
+// InvalidFields returns responses with status 200 and a field that is malformed, or that a response of that kind can't have,
+// by name. If a malformed field is the length or the coding, the connection ends within the body.
+func InvalidFields(fields, body string) map[string]string {
+	responses := make(map[string]string)
+	for _, line := range []string{
+		"X Trouble: 1", "X-Trouble : 1", "X-Trouble\t: 1", " X-Trouble: 1", "\tX-Trouble: 1", ": 1", "X-Trouble",
+		"X\x00Trouble: 1", "X\x01Trouble: 1", "X\x7fTrouble: 1", "X\rTrouble: 1", "X\xe4Trouble: 1", "X(Trouble): 1", "X-Trouble: a\x00b", "X-Trouble: a\rb",
+	} {
+		responses[fmt.Sprintf("%q, first", line)] = withLength("HTTP/1.1 200 OK", line+"\r\n"+fields, body)
+		responses[fmt.Sprintf("%q, later", line)] = withLength("HTTP/1.1 200 OK", fields+line+"\r\n", body)
+		responses[fmt.Sprintf("%q, interim", line)] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + withLength("HTTP/1.1 200 OK", fields, body)
+	}
+	part := body[:len(body)/2]
+	for _, line := range []string{"Content-Length : %d", "Content Length: %d", " Content-Length: %d", "Content-Length\t: %d"} {
+		responses[line] = "HTTP/1.1 200 OK\r\n" + fields + fmt.Sprintf(line, len(body)) + "\r\n\r\n" + part
+	}
+	for _, line := range []string{"Transfer-Encoding : chunked", "Transfer Encoding: chunked", " Transfer-Encoding: chunked"} {
+		responses[line] = "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n\r\n" + chunked(body) + "\r\n"
+		responses[line+", and a length"] = "HTTP/1.1 200 OK\r\n" + fields + line + "\r\nContent-Length: 1\r\n\r\n" + chunked(body) + "\r\n"
+	}
+	hidden := withLength("HTTP/1.1 200 OK", fields, body)
+	responses["interim with a length"] = withLength("HTTP/1.1 103 Early Hints", "", hidden)
+	responses["interim with chunks"] = "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + hidden
+	responses["coding in HTTP/1.0"] = "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body) + "\r\n"
+	return responses
+}
+
+// InvalidTrailers returns responses with status 200 and a malformed field after the body, by name.
+func InvalidTrailers(fields, body string) map[string]string {
+	responses := make(map[string]string)
+	for _, line := range []string{"X Trouble: 1", "X-Trouble : 1", " X-Trouble: 1", "X\x01Trouble: 1", "X-Trouble"} {
+		responses[fmt.Sprintf("%q, trailer", line)] = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body) + line + "\r\n\r\n"
+	}
+	return responses
+}
+
 func withLength(statusLine, fields, body string) string {
 	return fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", statusLine, fields, len(body), body)
 }
--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -33,7 +33,12 @@
 			_ = conn.ExpectResponse(nil) // fails only if all reads do
 		}
 	}}
-	return t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	CheckTrailer(response)
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections that serve no request.
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/amaranthlb/amaranthlb/internal/stricthttp"
 )
 
@@ -18,6 +20,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: -1\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 000 OK\r\nId: 1\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\nHTTP/1.1 700 OK\r\nId: 1\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 3\r\n\r\none"))
 	f.Add([]byte("HTTP/1.1 204 OK\r\nId: 1\r\n\r\nextra"))
 	f.Fuzz(func(t *testing.T, content []byte) {
 		near, far := net.Pipe()
@@ -39,6 +42,11 @@
 		if response.Status < 200 || response.Status > 599 {
 			t.Errorf("a response with status %d was accepted", response.Status)
 		}
+		for name := range response.Header {
+			if !httpguts.ValidHeaderFieldName(name) {
+				t.Errorf("a response with field %q was accepted", name)
+			}
+		}
 		_, _ = response.ReadAll(1<<20, time.Now().Add(time.Second))
 	})
 }
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"testing"
@@ -24,7 +25,9 @@
 // after one: as the first response on a connection, on a reused connection, and after the response to another request.
 func TestMalformedResponsesAreBroken(t *testing.T) {
 	const foreign = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nno"
-	for name, text := range stricthttptest.Malformed(answerFields, "one") {
+	responses := stricthttptest.Malformed(answerFields, "one")
+	maps.Copy(responses, stricthttptest.InvalidTrailers(answerFields, "one"))
+	for name, text := range responses {
 		for place, scripts := range map[string][]func(net.Conn, *http.Request){
 			"first":                   {closing(raw(text))},
 			"reused connection":       {write(ok1), closing(raw(text))},
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -413,6 +413,7 @@
 		if raw.StatusCode < http.StatusOK {
 			continue
 		}
+		stricthttp.CheckTrailer(raw)
 		answer := r.pool.decoder.DecodeAnswer(raw.StatusCode, raw.Header)
 		// A rejection may lack the ID. On a reused connection it may also be a copy of an earlier one.
 		mayLackID := answer.ID == "" && answer.NotRun && !r.Reused
