A response that is reset during the request body is broken

What callers saw: a target answered a long request at once with a 200 without a length, sent a part of its body and reset the connection while the request was still being written. The client got the part as a complete answer; of a stream, the events so far and a regular end.

Cause: the kernel reports the reset of a connection to one call only. The write of the request body, which runs beside the read of the response, took it, and the read then found the end of the data, which completes a response without a length. It is the same with a connection that timed out. The clients of net/http have the same fault, but close the connection after a failed write, so that it shows rarely.

Change: stricthttp.Conn serializes writes and keeps the error of the last one. A read that finds the end of the data stops a write in progress and returns its error, unless the write was only interrupted, or failed with EPIPE: that is what the kernel returns for a reset after the other side has ended its data, so the response is complete. The wait is short, since the write deadline has passed.

Early responses without a length that the target ends, and those that it ends before a reset, are forwarded as before.

--- a/internal/router/malformed_test.go
+++ b/internal/router/malformed_test.go
@@ -163,6 +163,25 @@
 	testBroken(t, stricthttptest.InvalidTrailers)
 }
 
+// Guards against a part of a response without a length that passes as complete because the reset of the connection was
+// reported to the writer of the request body only.
+func TestEarlyResponseThatIsResetIsBroken(t *testing.T) {
+	const count = 40
+	f := newRawFleet(t)
+	for _, k := range kinds {
+		t.Run(k.path, func(t *testing.T) {
+			for i := range count {
+				a := post(k.path, fmt.Sprint(k.path, i))
+				a.body = strings.Repeat("x", longBody)
+				got, arrivals := f.sendTo(func(conn *net.TCPConn, _ *http.Request, fields string) {
+					stricthttptest.ResetAfter(conn, "HTTP/1.1 200 OK\r\n"+k.fields(fields)+"\r\n"+k.body())
+				}, a)
+				k.checkBroken(t, got, arrivals)
+			}
+		})
+	}
+}
+
 // Guards against well-formed answers that are taken for broken ones: with and without a length, after interim responses,
 // early, and after a long request body.
 func TestWellFormedResponsesAreForwarded(t *testing.T) {
@@ -171,15 +190,18 @@
 		for _, name := range slices.Sorted(maps.Keys(stricthttptest.WellFormed("", ""))) {
 			for when, c := range map[string]struct {
 				length int
-				early  bool
-			}{"short body": {100, false}, "long body": {longBody, false}, "early": {longBody, true}} {
+				early  func(conn *net.TCPConn, response string)
+			}{
+				"short body": {100, nil}, "long body": {longBody, nil},
+				"early": {longBody, stricthttptest.EndAfter}, "early, then reset": {longBody, stricthttptest.EndAndResetAfter},
+			} {
 				t.Run(k.path+" "+name+", "+when, func(t *testing.T) {
 					a := post(k.path, hex.EncodeToString([]byte(t.Name())))
 					a.body = strings.Repeat("x", c.length)
 					got, arrivals := f.sendTo(func(conn *net.TCPConn, request *http.Request, fields string) {
 						response := stricthttptest.WellFormed(k.fields(fields), k.body())[name]
-						if c.early {
-							stricthttptest.EndAfter(conn, response)
+						if c.early != nil {
+							c.early(conn, response)
 							return
 						}
 						text(func(string) string { return response })(conn, request, fields)
--- a/internal/stricthttp/conn.go
+++ b/internal/stricthttp/conn.go
@@ -1,8 +1,13 @@
 package stricthttp
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // Conn is a client's connection.
@@ -13,6 +18,10 @@
 	head headChecker
 	// headErr is the error of the first invalid line.
 	headErr error
+
+	// writing is held during a write. writeErr is the error of the latest write that failed.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // NewConn returns a connection that checks the responses that it is told to expect.
@@ -34,9 +43,13 @@
 }
 
 // Read implements io.Reader. It returns a SyntaxError in place of the end of an invalid line, with the data before it: a
-// reader that gets no data at all might take the connection for one that was closed while idle, and repeat its request.
+// reader that gets no data at all might take the connection for one that was closed while idle, and repeat its request. At
+// the end of the data it stops a write in progress, and returns io.EOF only if the other side has ended the data.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
+	if err == io.EOF {
+		err = c.endError()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	valid := 0
@@ -48,3 +61,28 @@
 	}
 	return n, err
 }
+
+// endError returns the error of a read at the end of the data. The kernel reports that a connection has failed to one call
+// only. If that is a write, a read finds the data at an end, as if the other side had ended it.
+func (c *Conn) endError() error {
+	// The end of the data means that a write in progress has failed, or that its data is not needed any more.
+	_ = c.SetWriteDeadline(time.Now())
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	// After a reset, a write fails with EPIPE if the other side had ended the data before.
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) || errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return io.EOF
+	}
+	return c.writeErr
+}
+
+// Write implements io.Writer.
+func (c *Conn) Write(data []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(data)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
--- a/internal/stricthttp/stricthttp_test.go
+++ b/internal/stricthttp/stricthttp_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -149,3 +151,58 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// Guards against a part of a response without a length that a client of net/http takes for the whole one since the reset of
+// the connection is reported to the writer of a long body only, and against a complete one that it takes for a part.
+func TestTransportReportsResetDuringRequestBody(t *testing.T) {
+	const tries = 100
+	client := &http.Client{Transport: NewTransport(&http.Transport{})}
+	for name, c := range map[string]struct {
+		respond  func(conn *net.TCPConn, response string)
+		complete bool
+	}{
+		"reset": {stricthttptest.ResetAfter, false},
+		"ended": {stricthttptest.EndAfter, true},
+	} {
+		for range tries {
+			address := stricthttptest.Serve(t, func(conn *net.TCPConn, _ *http.Request) {
+				c.respond(conn, stricthttptest.WellFormed("", body)["unframed"])
+			})
+			response, err := client.Post("http://"+address, "text/plain", bytes.NewReader(make([]byte, 3<<20)))
+			var content []byte
+			if err == nil {
+				content, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+			if complete := err == nil && string(content) == body; complete != c.complete {
+				t.Errorf("%s: body %q, error %v", name, content, err)
+			}
+		}
+	}
+}
+
+// Guards against a write that goes on, and keeps the end of the response from its reader, after the other side has ended
+// the response and reads nothing more.
+func TestEndOfDataStopsWrite(t *testing.T) {
+	address := stricthttptest.Serve(t, func(conn *net.TCPConn, _ *http.Request) {
+		_ = conn.CloseWrite()
+		<-t.Context().Done()
+	})
+	raw, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := NewConn(raw)
+	defer func() { _ = conn.Close() }()
+	written := make(chan error, 1)
+	go func() {
+		_, err := conn.Write(append([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 67108864\r\n\r\n"), make([]byte, 64<<20)...))
+		written <- err
+	}()
+	if n, err := conn.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	if err := <-written; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the write ended with %v", err)
+	}
+}
--- a/internal/stricthttp/stricthttptest/server.go
+++ b/internal/stricthttp/stricthttptest/server.go
@@ -46,6 +46,22 @@
 	})
 }
 
+// ResetAfter writes a response and resets the connection at once, while the request's body is still being sent.
+func ResetAfter(conn *net.TCPConn, response string) {
+	_, _ = io.WriteString(conn, response)
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// EndAndResetAfter writes a response at once, ends it, and resets the connection while the request's body is still being
+// sent: the response is complete.
+func EndAndResetAfter(conn *net.TCPConn, response string) {
+	_, _ = io.WriteString(conn, response)
+	_ = conn.CloseWrite()
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
 // drainTime is how long EndAfter goes on reading a request whose sender does not stop.
 const drainTime = 5 * time.Second
 
--- a/internal/target/malformed_test.go
+++ b/internal/target/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -79,3 +80,35 @@
 	}
 	return err
 }
+
+// Guards against a part of a response without a length that is taken for the whole one since the reset of the connection is
+// reported to the writer of a long request only.
+func TestEarlyResponseThatIsResetIsNotComplete(t *testing.T) {
+	const tries = 60
+	client := NewClient()
+	defer client.Close()
+	request := Request{ID: "1", Method: http.MethodPost, Path: "/", Body: make([]byte, 3<<20)}
+	for name, call := range map[string]func(address string) error{
+		"request": func(address string) error {
+			attempt := new(Attempt)
+			response, err := client.Do(t.Context(), address, request, attempt)
+			return readAnswer(t, response, err, attempt)
+		},
+		"request that must not be repeated": func(address string) error {
+			attempt := new(Attempt)
+			response, err := client.DoOnce(t.Context(), address, request, attempt)
+			return readAnswer(t, response, err, attempt)
+		},
+		"KV export": func(address string) error { _, err := client.ExportKV(t.Context(), address, request.Body); return err },
+		"KV import": func(address string) error { return client.ImportKV(t.Context(), address, request.Body) },
+	} {
+		for range tries {
+			address := stricthttptest.Serve(t, func(conn *net.TCPConn, _ *http.Request) {
+				stricthttptest.ResetAfter(conn, stricthttptest.WellFormed("", "a part")["unframed"])
+			})
+			if err := call(address); err == nil {
+				t.Errorf("%s: the part was accepted as complete", name)
+			}
+		}
+	}
+}
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -62,3 +62,32 @@
 		pool.Close()
 	}
 }
+
+// Guards against a part of a response without a length that is taken for the whole one since the reset of the connection is
+// reported to the writer of a long body only, and against a complete one that is taken for a part.
+func TestEarlyResponseWithoutLength(t *testing.T) {
+	const tries = 20
+	for name, c := range map[string]struct {
+		respond  func(conn *net.TCPConn, response string)
+		complete bool
+	}{
+		"reset":             {stricthttptest.ResetAfter, false},
+		"ended":             {stricthttptest.EndAfter, true},
+		"ended, then reset": {stricthttptest.EndAndResetAfter, true},
+	} {
+		for range tries {
+			address := stricthttptest.Serve(t, func(conn *net.TCPConn, _ *http.Request) {
+				c.respond(conn, "HTTP/1.1 200 OK\r\n"+answerFields+"\r\none")
+			})
+			pool := NewPool(decoder{}, DefaultHeldBytes)
+			long := call(address, "1")
+			long.Body = make([]byte, 3<<20)
+			body, _, err := exchange(t, pool, long)
+			var broken *BrokenError
+			if complete := err == nil && body == "one"; complete != c.complete || !complete && (!errors.As(err, &broken) || !broken.Closed) {
+				t.Errorf("%s: body %q, error %v", name, body, err)
+			}
+			pool.Close()
+		}
+	}
+}
