Recorded and relayed answers with an invalid status are broken

What callers saw: a target that is asked for the recorded outcome of a request states the status in the body of its response, and a gate states that of an answer in a message. An entry wrote any of them to the caller: net/http panics at a status below 100 or above 999, so that the connection broke off, and writes the others, 700 for example. A message of a witness without an answer, too, was an answer with status 0.

Cause: the status was checked nowhere on its way, only that of a response that net/http reads.

Change: stricthttp.ValidStatus holds the range. The client of targets takes a recorded outcome with another status as a failure, so that the outcome stays unknown, and an entry refuses such an answer as broken_answer, which may have run.

--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/placement"
 	"github.com/amaranthlb/amaranthlb/internal/reason"
 	"github.com/amaranthlb/amaranthlb/internal/stream"
+	"github.com/amaranthlb/amaranthlb/internal/stricthttp"
 )
 
 const (
@@ -87,6 +89,9 @@
 }
 
 func (r *response) acceptAdmitted(admitted *pb.Admitted) error {
+	if !stricthttp.ValidStatus(int(admitted.Status)) {
+		return &Refusal{Reason: reason.BrokenAnswer, Ran: reason.MayHaveRun, Message: fmt.Sprintf("the answer has status %d", admitted.Status)}
+	}
 	r.admitted = admitted
 	r.buffer = r.buffer[:0]
 	return nil
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -299,7 +299,9 @@
 	if result.Answer == nil {
 		return &Refusal{Reason: result.Reason, Ran: result.Ran, Message: "the ticket was settled without its executor"}
 	}
-	r.admitted = &pb.Admitted{Status: int32(result.Answer.Status), ContentType: result.Answer.ContentType}
-	r.buffer = append(r.buffer[:0], result.Answer.Body...)
+	if err := r.acceptAdmitted(&pb.Admitted{Status: int32(result.Answer.Status), ContentType: result.Answer.ContentType}); err != nil {
+		return err
+	}
+	r.buffer = append(r.buffer, result.Answer.Body...)
 	return nil
 }
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -31,8 +31,6 @@
 	admitRetryInterval   = 100 * time.Millisecond
 	outcomeQueryTimeout  = 2 * time.Second
 	outcomeQueryInterval = 200 * time.Millisecond
-	outcomeDone          = "done"
-	outcomeRunning       = "running"
 )
 
 // ticketRequests keeps the requests of open ticket calls until their runs end.
@@ -289,9 +287,9 @@
 	for {
 		fate, err := g.targets.RequestState(ctx, t.Address, id.String())
 		switch {
-		case err == nil && fate.State == outcomeDone:
+		case err == nil && fate.State == target.StateDone:
 			return atmostonce.Result{Answer: &atmostonce.Answer{Status: fate.Status, ContentType: fate.ContentType, Body: fate.Body}}
-		case err != nil || fate.State != outcomeRunning || ctx.Err() != nil:
+		case err != nil || fate.State != target.StateRunning || ctx.Err() != nil:
 			return unknown
 		}
 		control.Sleep(ctx, outcomeQueryInterval)
--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -10,8 +10,12 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// maxQuoted bounds the bytes of an invalid line that its error quotes.
-const maxQuoted = 80
+const (
+	// maxStatus is the highest status in the classes that HTTP defines.
+	maxStatus = 599
+	// maxQuoted bounds the bytes of an invalid line that its error quotes.
+	maxQuoted = 80
+)
 
 // SyntaxError reports a line of a response head that is not valid.
 type SyntaxError struct {
@@ -74,8 +78,9 @@
 		h.pending = h.interim()
 		h.status = 0
 		return nil
+	default:
+		return h.checkField(line)
 	}
-	return h.checkField(line)
 }
 
 func (h *headChecker) interim() bool { return h.status < http.StatusOK }
@@ -107,17 +112,15 @@
 	}
 	code, rest := line[len(version):len(version)+codeLength], line[len(version)+codeLength:]
 	status, err := strconv.ParseUint(string(code), 10, 16)
-	if err != nil || len(rest) > 0 && rest[0] != ' ' || status < http.StatusContinue || status > maxStatus {
+	// No client of this package asks for another protocol.
+	interim := status/100 == 1 && status != http.StatusSwitchingProtocols
+	if err != nil || len(rest) > 0 && rest[0] != ' ' || !interim && !ValidStatus(int(status)) {
 		return 0, syntaxError("invalid status", line)
 	}
-	if status == http.StatusSwitchingProtocols {
-		// No client of this package asks for another protocol.
-		return 0, syntaxError("unexpected switch of protocols", line)
-	}
 	return int(status), nil
 }
 
-// maxStatus is the highest status that HTTP defines a class for.
-const maxStatus = 599
+// ValidStatus reports whether a status is one of a response that is not an interim one.
+func ValidStatus(status int) bool { return http.StatusOK <= status && status <= maxStatus }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/tmaxmax/go-sse"
+
+	"github.com/amaranthlb/amaranthlb/internal/stricthttp"
 )
 
 const (
@@ -76,9 +78,15 @@
 	return response.Body.Close()
 }
 
+// States of a request that its target knows.
+const (
+	StateRunning = "running"
+	StateDone    = "done"
+)
+
 // RequestState is the state of a request as its target reports it.
 type RequestState struct {
-	// State is absent, running or done.
+	// State is absent, StateRunning or StateDone. The other fields describe the response of a request that is done.
 	State       string          `json:"state"`
 	Status      int             `json:"status"`
 	ContentType string          `json:"content_type"`
@@ -88,8 +96,13 @@
 // RequestState queries a target for the state of a request.
 func (c *Client) RequestState(ctx context.Context, address, id string) (RequestState, error) {
 	var state RequestState
-	err := c.getJSON(ctx, address, "/v1/requests/"+url.PathEscape(id), &state)
-	return state, err
+	if err := c.getJSON(ctx, address, "/v1/requests/"+url.PathEscape(id), &state); err != nil {
+		return RequestState{}, err
+	}
+	if state.State == StateDone && !stricthttp.ValidStatus(state.Status) {
+		return RequestState{}, &Error{Kind: Failed, Address: address, Cause: fmt.Errorf("recorded status %d", state.Status)}
+	}
+	return state, nil
 }
 
 // Status is a target's report of its load and state.
--- a/internal/target/malformed_test.go
+++ b/internal/target/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -112,3 +113,21 @@
 		}
 	}
 }
+
+// Guards against a recorded outcome whose status no response can have, which reached the caller.
+func TestRecordedOutcomeWithInvalidStatus(t *testing.T) {
+	client := NewClient()
+	defer client.Close()
+	for status, valid := range map[int]bool{-1: false, 0: false, 99: false, 100: false, 199: false, 200: true, 404: true, 599: true, 600: false, 1000: false} {
+		body := fmt.Sprintf(`{"state":"done","status":%d,"content_type":"text/plain","body":"1"}`, status)
+		address := stricthttptest.ServeText(t, stricthttptest.WellFormed("", body)["length"])
+		state, err := client.RequestState(t.Context(), address, "1")
+		if (err == nil) != valid {
+			t.Errorf("status %d: got %+v, %v", status, state, err)
+		}
+	}
+	address := stricthttptest.ServeText(t, stricthttptest.WellFormed("", `{"state":"running"}`)["length"])
+	if state, err := client.RequestState(t.Context(), address, "1"); err != nil || state.State != "running" {
+		t.Errorf("a running request: %+v, %v", state, err)
+	}
+}
