Tests of malformed responses to later attempts and moved runs

The tests send a malformed response to an attempt after a rejection, after another malformed response, to a stream that is resumed, and to a request that continues a moved run. A request that may have run must not be reported as not run, and no part of such a response may reach the client.

The retry budget of the tests is larger: a router that just started has a small part of it, and a trial with more retries than that got target_failed after one attempt.

--- a/internal/router/malformed_test.go
+++ b/internal/router/malformed_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,20 +55,20 @@
 	return identity
 }
 
-// rawFleet is a router with targets of which the first that gets a request may respond in any way.
+// rawFleet is a router with targets of which the first ones that get a request may respond in any way.
 type rawFleet struct {
 	*fleet
 	targets []*platformtest.Target
 
 	mu sync.Mutex
-	// responses holds what the first target responds to a request, by the request's ID.
-	responses map[string]platformtest.RawResponse
+	// responses holds what the next targets respond to a request, by the request's ID.
+	responses map[string][]platformtest.RawResponse
 }
 
 func newRawFleet(t *testing.T) *rawFleet {
 	t.Helper()
-	// The retry budget is not what is tested.
-	f := &rawFleet{fleet: newFleetWith(t, 1, func(c *router.Config) { c.RetrySlack = 1000 }), responses: make(map[string]platformtest.RawResponse)}
+	// The retry budget is not what is tested. A router that just started has a small part of it.
+	f := &rawFleet{fleet: newFleetWith(t, 1, func(c *router.Config) { c.RetrySlack = 1e6 }), responses: make(map[string][]platformtest.RawResponse)}
 	f.configure(map[string]any{"limits": map[string]any{
 		"max-header-bytes": 16384, "max-body-bytes": 2 * longBody, "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
 	}})
@@ -86,16 +87,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := platformtest.RequestID(request)
-	response := f.responses[id]
-	delete(f.responses, id)
-	return response
+	responses := f.responses[id]
+	if len(responses) == 0 {
+		return nil
+	}
+	f.responses[id] = responses[1:]
+	return responses[0]
 }
 
-// sendTo sends a request whose first target responds as given, and returns what the client gets and the number of targets
+// sendTo sends a request whose first targets respond as given, and returns what the client gets and the number of targets
 // that got the request.
-func (f *rawFleet) sendTo(respond platformtest.RawResponse, a call) (result, int) {
+func (f *rawFleet) sendTo(a call, responses ...platformtest.RawResponse) (result, int) {
 	f.mu.Lock()
-	f.responses[a.id] = respond
+	f.responses[a.id] = responses
 	f.mu.Unlock()
 	got := f.send(a)
 	arrivals := 0
@@ -145,7 +149,7 @@
 			id := k.path + name
 			t.Run(id, func(t *testing.T) {
 				a := post(k.path, hex.EncodeToString([]byte(id)))
-				got, arrivals := f.sendTo(text(func(fields string) string { return table(k.fields(fields), k.body())[name] }), a)
+				got, arrivals := f.sendTo(a, text(func(fields string) string { return table(k.fields(fields), k.body())[name] }))
 				k.checkBroken(t, got, arrivals)
 			})
 		}
@@ -163,6 +167,72 @@
 	testBroken(t, stricthttptest.InvalidTrailers)
 }
 
+// Guards against a malformed response to a later attempt that reaches the client: after a rejection, after another
+// malformed one, and to a stream that is resumed. None of these requests may be reported as not run.
+func TestMalformedResponseToLaterAttemptIsBroken(t *testing.T) {
+	f := newRawFleet(t)
+	for _, k := range kinds {
+		first := text(platformtest.Rejection)
+		switch {
+		case k.repeatable && k.stream:
+			first = text(func(fields string) string {
+				return "HTTP/1.1 200 OK\r\n" + k.fields(fields) + "Content-Length: 1000\r\n\r\n" + events(2)
+			})
+		case k.repeatable:
+			first = text(func(fields string) string { return "HTTP/1.1 000 Trouble\r\n" + fields + "\r\n" })
+		}
+		for _, name := range slices.Sorted(maps.Keys(stricthttptest.Malformed("", k.body()))) {
+			id := k.path + name
+			t.Run(id, func(t *testing.T) {
+				got, arrivals := f.sendTo(post(k.path, hex.EncodeToString([]byte(id))), first, text(func(fields string) string {
+					return stricthttptest.Malformed(k.fields(fields), k.body())[name]
+				}))
+				if got.err == nil && got.status != http.StatusBadGateway || arrivals != 2 {
+					t.Errorf("the client got %d, %q after %d attempts; want 502 or a broken answer after two", got.status, got.body, arrivals)
+				}
+				if got.status == http.StatusOK && got.body != events(2) {
+					t.Errorf("the client got %q", got.body)
+				}
+			})
+		}
+	}
+}
+
+// malformedNames names a malformed response of each sort.
+var malformedNames = []string{
+	"HTTP/1.1 000 Trouble", "HTTP/1.1 600 Trouble", "HTTP/1.1 101 Switching Protocols", `"X-Trouble : 1", later`, "Transfer-Encoding : chunked", "interim with a length",
+}
+
+// Guards against a malformed response to a request that continues a moved run and that reaches the client as the rest of
+// its stream.
+func TestMalformedResponseToMovedRunIsBroken(t *testing.T) {
+	const count = 30
+	for _, name := range malformedNames {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			var continued atomic.Int64
+			for i := range 3 {
+				target := f.target(fmt.Sprint("llm-", i), "llm", platformtest.Behavior{
+					Events: count, Work: 10 * time.Millisecond, StallAfter: 6, Stall: time.Second, Move: http.StatusOK,
+				})
+				target.SetRaw(func(request *http.Request) platformtest.RawResponse {
+					if !platformtest.ContinuesRun(request) || continued.Add(1) > 1 {
+						return nil
+					}
+					return text(func(fields string) string {
+						return stricthttptest.Malformed(fields+eventFields, "id: 31\ndata: not of this run\n\n")[name]
+					})
+				})
+			}
+			f.awaitTargets(3)
+			got := f.send(post("/chat/", "1"))
+			if whole := got.err == nil; !strings.HasPrefix(events(count), got.body) || whole && got.body != events(count) || continued.Load() == 0 {
+				t.Errorf("the client got %q, %v; the run was continued %d times", got.body, got.err, continued.Load())
+			}
+		})
+	}
+}
+
 // Guards against a part of a response without a length that passes as complete because the reset of the connection was
 // reported to the writer of the request body only.
 func TestEarlyResponseThatIsResetIsBroken(t *testing.T) {
@@ -173,9 +243,9 @@
 			for i := range count {
 				a := post(k.path, fmt.Sprint(k.path, i))
 				a.body = strings.Repeat("x", longBody)
-				got, arrivals := f.sendTo(func(conn *net.TCPConn, _ *http.Request, fields string) {
+				got, arrivals := f.sendTo(a, func(conn *net.TCPConn, _ *http.Request, fields string) {
 					stricthttptest.ResetAfter(conn, "HTTP/1.1 200 OK\r\n"+k.fields(fields)+"\r\n"+k.body())
-				}, a)
+				})
 				k.checkBroken(t, got, arrivals)
 			}
 		})
@@ -198,14 +268,14 @@
 				t.Run(k.path+" "+name+", "+when, func(t *testing.T) {
 					a := post(k.path, hex.EncodeToString([]byte(t.Name())))
 					a.body = strings.Repeat("x", c.length)
-					got, arrivals := f.sendTo(func(conn *net.TCPConn, request *http.Request, fields string) {
+					got, arrivals := f.sendTo(a, func(conn *net.TCPConn, request *http.Request, fields string) {
 						response := stricthttptest.WellFormed(k.fields(fields), k.body())[name]
 						if c.early != nil {
 							c.early(conn, response)
 							return
 						}
 						text(func(string) string { return response })(conn, request, fields)
-					}, a)
+					})
 					if got.status != http.StatusOK || got.err != nil || got.body != k.body() || arrivals != 1 {
 						t.Errorf("the client got %d, %q, %v after %d attempts", got.status, got.body, got.err, arrivals)
 					}
@@ -219,9 +289,9 @@
 func TestStatusOfTargetIsForwarded(t *testing.T) {
 	f := newRawFleet(t)
 	for _, status := range []int{http.StatusCreated, 299, 399, http.StatusNotFound, 499, http.StatusInternalServerError, 599} {
-		got, arrivals := f.sendTo(text(func(fields string) string {
+		got, arrivals := f.sendTo(post("/order/", fmt.Sprint(status)), text(func(fields string) string {
 			return fmt.Sprintf("HTTP/1.1 %d Text\r\n%sContent-Length: 4\r\n\r\nbody", status, fields)
-		}), post("/order/", fmt.Sprint(status)))
+		}))
 		if got.status != status || got.body != "body" || arrivals != 1 {
 			t.Errorf("status %d: the client got %d, %q, %v after %d attempts", status, got.status, got.body, got.err, arrivals)
 		}
