Documents and KV caches over the size limit are rejected

What callers saw: of a document of the platform over 8 MiB, and of an engine's KV cache over 64 MiB, the beginning was taken for the whole: the daemons could apply a catalogue that lacks its end, and a target import a cache that does.

Cause: the readers stop at their limit without looking whether there is more. The other readers of responses do look, or decode JSON, which a missing end breaks.

Change: both read one byte more than the limit, and fail if there is one.

Evidence: TestDocumentOverTheLimitIsRejected of internal/platform and TestKVCacheOverTheLimitIsRejected of target failed before with one byte over the limit; both pass now, also with a body of exactly the limit.

--- a/internal/platform/malformed_test.go
+++ b/internal/platform/malformed_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -28,3 +29,14 @@
 		})
 	}
 }
+
+// Guards against the beginning of a document over the size limit that is taken for the whole one.
+func TestDocumentOverTheLimitIsRejected(t *testing.T) {
+	for length, valid := range map[int]bool{maxBodyBytes: true, maxBodyBytes + 1: false} {
+		address := stricthttptest.ServeText(t, stricthttptest.WellFormed("X-Revision: 3\r\n", strings.Repeat("a: 1\n", length/5)+strings.Repeat("#", length%5))["length"])
+		document, err := NewClient("http://"+address).Config(t.Context(), "key", 0, time.Second)
+		if (err == nil) != valid || valid && len(document.Body) != length {
+			t.Errorf("%d bytes: got %d, %v", length, len(document.Body), err)
+		}
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -134,10 +134,13 @@
 		return nil, nil, trace.ConnectionProblem(err, "platform unreachable")
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
 	if err != nil {
 		return nil, nil, trace.ConnectionProblem(err, "platform response truncated")
 	}
+	if len(body) > maxBodyBytes {
+		return nil, nil, trace.LimitExceeded("platform response exceeds %d bytes", maxBodyBytes)
+	}
 	return body, response.Header, statusError(response.StatusCode)
 }
 
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -37,6 +37,8 @@
 // ErrNoSequence means that an event has no valid sequence number.
 var ErrNoSequence = errors.New("the engine sent an event without a number")
 
+var errTooLong = errors.New("the response exceeds the size limit")
+
 // Events decodes an engine's event stream. If the stream is truncated, the sequence ends without a Done event.
 func Events(body io.Reader) iter.Seq2[Event, error] {
 	return func(yield func(Event, error) bool) {
@@ -200,7 +202,10 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errTooLong
+	}
 	if err != nil {
 		return nil, &Error{Kind: Failed, Address: address, Cause: err}
 	}
--- a/internal/target/malformed_test.go
+++ b/internal/target/malformed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/amaranthlb/amaranthlb/internal/stricthttp/stricthttptest"
@@ -131,3 +132,16 @@
 		t.Errorf("a running request: %+v, %v", state, err)
 	}
 }
+
+// Guards against the beginning of a KV cache over the size limit that is imported elsewhere as the whole one.
+func TestKVCacheOverTheLimitIsRejected(t *testing.T) {
+	client := NewClient()
+	defer client.Close()
+	for length, valid := range map[int]bool{maxKVBytes: true, maxKVBytes + 1: false} {
+		address := stricthttptest.ServeText(t, stricthttptest.WellFormed("", strings.Repeat("x", length))["length"])
+		cache, err := client.ExportKV(t.Context(), address, nil)
+		if (err == nil) != valid || valid && len(cache) != length {
+			t.Errorf("%d bytes: got %d, %v", length, len(cache), err)
+		}
+	}
+}
