--- a/internal/router/malformed_test.go
+++ b/internal/router/malformed_test.go
@@ -80,6 +80,7 @@
 		}
 	}
 	f.awaitTargets(len(f.targets))
+	await(t, "the configuration is in force", func() bool { return strings.Contains(f.routers[0].output.String(), `"version":6`) })
 	return f
 }
 
--- a/internal/stricthttp/stricthttp_test.go
+++ b/internal/stricthttp/stricthttp_test.go
@@ -13,8 +13,10 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/amaranthlb/amaranthlb/internal/stricthttp/stricthttptest"
 )
@@ -181,6 +183,34 @@
 	}
 }
 
+// endedConn is a connection whose data has ended and whose writes fail.
+type endedConn struct {
+	net.Conn
+	writeErr error
+}
+
+func (c endedConn) Read([]byte) (int, error)         { return 0, io.EOF }
+func (c endedConn) Write([]byte) (int, error)        { return 0, c.writeErr }
+func (c endedConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against a failed connection that a reader takes for one that the other side has ended, and the other way round.
+func TestEndOfDataAfterFailedWrite(t *testing.T) {
+	for _, c := range []struct{ writeErr, want error }{
+		{nil, io.EOF},
+		{syscall.EPIPE, io.EOF},
+		{os.ErrDeadlineExceeded, io.EOF},
+		{syscall.ECONNRESET, syscall.ECONNRESET},
+		{syscall.ETIMEDOUT, syscall.ETIMEDOUT},
+		{syscall.EHOSTUNREACH, syscall.EHOSTUNREACH},
+	} {
+		conn := NewConn(endedConn{writeErr: c.writeErr})
+		_, _ = conn.Write([]byte("request"))
+		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, c.want) {
+			t.Errorf("after a write that failed with %v: read %v, want %v", c.writeErr, err, c.want)
+		}
+	}
+}
+
 // Guards against a write that goes on, and keeps the end of the response from its reader, after the other side has ended
 // the response and reads nothing more.
 func TestEndOfDataStopsWrite(t *testing.T) {
