A reset is kept if a later write fails too

What callers could see: a part of a response without a length as a complete one, if another write follows the one that found the reset. No client does so today: their writers stop at the first error. It was not seen through a router.

Cause: stricthttp.Conn kept the error of the latest write that failed. After a reset that one is EPIPE, which says that the other side had ended its data, or an expired deadline, which says nothing.

Change: the first error that says that the connection has failed is kept, and the two others are not taken for one.

Evidence: TestEndOfDataAfterFailedWrite, with several writes, failed for a reset followed by EPIPE and by an expired deadline, and passes now. The tests of early responses, resets and well-formed responses pass three times with the race detector in stricthttp, upstream, target and router.

--- a/internal/stricthttp/conn.go
+++ b/internal/stricthttp/conn.go
@@ -19,9 +19,9 @@
 	// headErr is the error of the first invalid line.
 	headErr error
 
-	// writing is held during a write. writeErr is the error of the latest write that failed.
-	writing  sync.Mutex
-	writeErr error
+	// writing is held during a write. failure is the error of the first write that found the connection failed.
+	writing sync.Mutex
+	failure error
 }
 
 // NewConn returns a connection that checks the responses that it is told to expect.
@@ -69,11 +69,10 @@
 	_ = c.SetWriteDeadline(time.Now())
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	// After a reset, a write fails with EPIPE if the other side had ended the data before.
-	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) || errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
-		return io.EOF
+	if c.failure != nil {
+		return c.failure
 	}
-	return c.writeErr
+	return io.EOF
 }
 
 // Write implements io.Writer.
@@ -81,8 +80,9 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(data)
-	if err != nil {
-		c.writeErr = err
+	// EPIPE means that the other side had ended the data before the connection failed, or that an earlier write has failed.
+	if err != nil && c.failure == nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.failure = err
 	}
 	return n, err
 }
--- a/internal/stricthttp/stricthttp_test.go
+++ b/internal/stricthttp/stricthttp_test.go
@@ -183,30 +183,43 @@
 	}
 }
 
-// endedConn is a connection whose data has ended and whose writes fail.
+// endedConn is a connection whose data has ended and whose writes fail in turn.
 type endedConn struct {
 	net.Conn
-	writeErr error
+	writeErrs []error
 }
 
-func (c endedConn) Read([]byte) (int, error)         { return 0, io.EOF }
-func (c endedConn) Write([]byte) (int, error)        { return 0, c.writeErr }
-func (c endedConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *endedConn) Read([]byte) (int, error)         { return 0, io.EOF }
+func (c *endedConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (c *endedConn) Write([]byte) (int, error) {
+	err := c.writeErrs[0]
+	c.writeErrs = c.writeErrs[1:]
+	return 0, err
+}
 
 // Guards against a failed connection that a reader takes for one that the other side has ended, and the other way round.
 func TestEndOfDataAfterFailedWrite(t *testing.T) {
-	for _, c := range []struct{ writeErr, want error }{
-		{nil, io.EOF},
-		{syscall.EPIPE, io.EOF},
-		{os.ErrDeadlineExceeded, io.EOF},
-		{syscall.ECONNRESET, syscall.ECONNRESET},
-		{syscall.ETIMEDOUT, syscall.ETIMEDOUT},
-		{syscall.EHOSTUNREACH, syscall.EHOSTUNREACH},
+	for _, c := range []struct {
+		writeErrs []error
+		want      error
+	}{
+		{[]error{nil}, io.EOF},
+		{[]error{syscall.EPIPE}, io.EOF},
+		{[]error{os.ErrDeadlineExceeded}, io.EOF},
+		{[]error{syscall.ECONNRESET}, syscall.ECONNRESET},
+		{[]error{syscall.ETIMEDOUT}, syscall.ETIMEDOUT},
+		{[]error{syscall.EHOSTUNREACH}, syscall.EHOSTUNREACH},
+		{[]error{syscall.ECONNRESET, syscall.EPIPE}, syscall.ECONNRESET},
+		{[]error{syscall.ECONNRESET, os.ErrDeadlineExceeded}, syscall.ECONNRESET},
+		{[]error{os.ErrDeadlineExceeded, syscall.ECONNRESET}, syscall.ECONNRESET},
 	} {
-		conn := NewConn(endedConn{writeErr: c.writeErr})
-		_, _ = conn.Write([]byte("request"))
+		conn := NewConn(&endedConn{writeErrs: c.writeErrs})
+		for range c.writeErrs {
+			_, _ = conn.Write([]byte("request"))
+		}
 		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, c.want) {
-			t.Errorf("after a write that failed with %v: read %v, want %v", c.writeErr, err, c.want)
+			t.Errorf("after writes that failed with %v: read %v, want %v", c.writeErrs, err, c.want)
 		}
 	}
 }
