--- a/internal/entry/response_test.go
+++ b/internal/entry/response_test.go
@@ -9,8 +9,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/wire"
 )
 
-// Guards against an answer of a gate or a witness with a status that can't be written to the caller: net/http panics at
-// some, and writes others.
+// Guards against a status from a gate or a witness that no response can have: net/http panics at some and writes others.
 func TestAnswerWithInvalidStatusIsBroken(t *testing.T) {
 	accept := map[string]func(r *response, status int32) error{
 		"answer in progress": func(r *response, status int32) error {
--- a/internal/replay/malformed_test.go
+++ b/internal/replay/malformed_test.go
@@ -7,8 +7,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/stricthttp/stricthttptest"
 )
 
-// Guards against a malformed answer that a replay counts as one, and against measures that are read from a malformed
-// response.
+// Guards against a malformed response that a replay counts as an answer, or reads measures from.
 func TestMalformedAnswers(t *testing.T) {
 	client := NewClient(parse(t, firstTurn), &Fleet{}, nil)
 	defer client.http.CloseIdleConnections()
--- a/internal/router/malformed_test.go
+++ b/internal/router/malformed_test.go
@@ -157,19 +157,16 @@
 	}
 }
 
-// Guards against a response with an invalid status that is skipped or forwarded, and against data in its body that is taken
-// for the answer.
+// Guards against a response with an invalid status that is skipped or forwarded, and a body that is taken for the answer.
 func TestResponseWithInvalidStatusIsBroken(t *testing.T) { testBroken(t, stricthttptest.InvalidStatus) }
 
-// Guards against a response with a malformed field whose other fields and whose body, which may be framed wrongly, reach
-// the client as an answer.
+// Guards against a response with a malformed field whose body, which may be framed wrongly, reaches the client.
 func TestResponseWithMalformedFieldIsBroken(t *testing.T) {
 	testBroken(t, stricthttptest.InvalidFields)
 	testBroken(t, stricthttptest.InvalidTrailers)
 }
 
-// Guards against a malformed response to a later attempt that reaches the client: after a rejection, after another
-// malformed one, and to a stream that is resumed. None of these requests may be reported as not run.
+// Guards against a malformed response to a later attempt that reaches the client, and a request reported as not run.
 func TestMalformedResponseToLaterAttemptIsBroken(t *testing.T) {
 	f := newRawFleet(t)
 	for _, k := range kinds {
@@ -204,8 +201,7 @@
 	"HTTP/1.1 000 Trouble", "HTTP/1.1 600 Trouble", "HTTP/1.1 101 Switching Protocols", `"X-Trouble : 1", later`, "Transfer-Encoding : chunked", "interim with a length",
 }
 
-// Guards against a malformed response to a request that continues a moved run and that reaches the client as the rest of
-// its stream.
+// Guards against a malformed response that reaches the client as the rest of a stream whose run was moved.
 func TestMalformedResponseToMovedRunIsBroken(t *testing.T) {
 	const count = 30
 	for _, name := range malformedNames {
@@ -234,8 +230,7 @@
 	}
 }
 
-// Guards against a part of a response without a length that passes as complete because the reset of the connection was
-// reported to the writer of the request body only.
+// Guards against a part of a response that passes as complete, since only the write of the body was told of the reset.
 func TestEarlyResponseThatIsResetIsBroken(t *testing.T) {
 	const count = 40
 	f := newRawFleet(t)
@@ -253,8 +248,7 @@
 	}
 }
 
-// Guards against well-formed answers that are taken for broken ones: with and without a length, after interim responses,
-// early, and after a long request body.
+// Guards against well-formed answers that are taken for broken ones.
 func TestWellFormedResponsesAreForwarded(t *testing.T) {
 	f := newRawFleet(t)
 	for _, k := range kinds {
--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// codeLength is the number of digits of a status.
+	codeLength = 3
 	// maxStatus is the highest status in the classes that HTTP defines.
 	maxStatus = 599
 	// maxQuoted bounds the bytes of an invalid line that its error quotes.
@@ -71,9 +73,7 @@
 func (h *headChecker) checkLine(line []byte) error {
 	switch {
 	case h.status == 0:
-		status, err := parseStatusLine(line)
-		h.status, h.http10 = status, bytes.HasPrefix(line, []byte("HTTP/1.0"))
-		return err
+		return h.checkStatusLine(line)
 	case len(line) == 0:
 		h.pending = h.interim()
 		h.status = 0
@@ -104,23 +104,23 @@
 	return nil
 }
 
-// parseStatusLine returns the status. Responses of HTTP/1.0 are valid.
-func parseStatusLine(line []byte) (int, error) {
-	const version, codeLength = "HTTP/1.x ", 3
-	if len(line) < len(version)+codeLength || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !isDigit(line[7]) || line[8] != ' ' {
-		return 0, syntaxError("invalid status line", line)
+// checkStatusLine checks a status line, which begins a head.
+func (h *headChecker) checkStatusLine(line []byte) error {
+	version, rest, _ := strings.Cut(string(line), " ")
+	code, _, _ := strings.Cut(rest, " ")
+	major, minor, ok := http.ParseHTTPVersion(version)
+	if !ok || major != 1 {
+		return syntaxError("invalid status line", line)
 	}
-	code, rest := line[len(version):len(version)+codeLength], line[len(version)+codeLength:]
-	status, err := strconv.ParseUint(string(code), 10, 16)
+	status, err := strconv.ParseUint(code, 10, 16)
 	// No client of this package asks for another protocol.
 	interim := status/100 == 1 && status != http.StatusSwitchingProtocols
-	if err != nil || len(rest) > 0 && rest[0] != ' ' || !interim && !ValidStatus(int(status)) {
-		return 0, syntaxError("invalid status", line)
+	if err != nil || len(code) != codeLength || !interim && !ValidStatus(int(status)) {
+		return syntaxError("invalid status", line)
 	}
-	return int(status), nil
+	h.status, h.http10 = int(status), minor == 0
+	return nil
 }
 
 // ValidStatus reports whether a status is one of a response that is not an interim one.
 func ValidStatus(status int) bool { return http.StatusOK <= status && status <= maxStatus }
-
-func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- a/internal/stricthttp/stricthttp_test.go
+++ b/internal/stricthttp/stricthttp_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// Guards against an invalid line that is noticed only if it arrives in one piece, and against a valid one that is rejected.
+// Guards against an invalid line that is noticed only if it arrives in one piece.
 func TestConnChecksLinesInPieces(t *testing.T) {
 	for _, oneByteReads := range []bool{false, true} {
 		for name, text := range stricthttptest.Malformed("", body) {
@@ -69,7 +69,7 @@
 	}
 }
 
-// Guards against a response that is not checked since the data that was read before already holds its beginning.
+// Guards against a response that is not checked since a reader already holds its beginning.
 func TestExpectResponseChecksBegunResponse(t *testing.T) {
 	for begun, valid := range map[string]bool{
 		"":                               true,
@@ -100,7 +100,7 @@
 }
 
 // Guards against a client of net/http that accepts a malformed response, or rejects a valid one.
-func TestTransport(t *testing.T) {
+func TestTransportRejectsMalformedResponses(t *testing.T) {
 	client := &http.Client{Transport: NewTransport(&http.Transport{})}
 	defer client.CloseIdleConnections()
 	call := func(address string) error {
@@ -115,8 +115,7 @@
 	stricthttptest.ExpectSuccess(t, stricthttptest.WellFormed("", body), call)
 }
 
-// Guards against a malformed response on a reused connection that makes net/http repeat the request, and against one that
-// is accepted because an earlier response on the connection was valid.
+// Guards against a malformed response on a reused connection that is accepted, or that makes net/http repeat the request.
 func TestTransportDoesNotRepeatRequestAfterMalformedResponse(t *testing.T) {
 	valid := stricthttptest.WellFormed("", body)["length"]
 	for _, name := range slices.Sorted(maps.Keys(stricthttptest.Malformed("", body))) {
@@ -154,8 +153,7 @@
 	}
 }
 
-// Guards against a part of a response without a length that a client of net/http takes for the whole one since the reset of
-// the connection is reported to the writer of a long body only, and against a complete one that it takes for a part.
+// Guards against a part of a response that net/http takes for the whole one, since only the write was told of the reset.
 func TestTransportReportsResetDuringRequestBody(t *testing.T) {
 	const tries = 100
 	client := &http.Client{Transport: NewTransport(&http.Transport{})}
@@ -224,8 +222,7 @@
 	}
 }
 
-// Guards against a write that goes on, and keeps the end of the response from its reader, after the other side has ended
-// the response and reads nothing more.
+// Guards against a write that keeps the end of the response from its reader.
 func TestEndOfDataStopsWrite(t *testing.T) {
 	address := stricthttptest.Serve(t, func(conn *net.TCPConn, _ *http.Request) {
 		_ = conn.CloseWrite()
--- a/internal/target/malformed_test.go
+++ b/internal/target/malformed_test.go
@@ -12,8 +12,7 @@
 	"github.com/amaranthlb/amaranthlb/internal/stricthttp/stricthttptest"
 )
 
-// Guards against a malformed response of a target that is taken for an answer, or after which the request counts as not
-// sent.
+// Guards against a malformed response that is taken for an answer, or after which the request counts as not sent.
 func TestMalformedResponsesOfTargets(t *testing.T) {
 	client := NewClient()
 	defer client.Close()
@@ -83,8 +82,7 @@
 	return err
 }
 
-// Guards against a part of a response without a length that is taken for the whole one since the reset of the connection is
-// reported to the writer of a long request only.
+// Guards against a part of a response that is taken for the whole one, since only the write was told of the reset.
 func TestEarlyResponseThatIsResetIsNotComplete(t *testing.T) {
 	const tries = 60
 	client := NewClient()
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -21,8 +21,7 @@
 	}
 }
 
-// Guards against a malformed response that is skipped or accepted, and against a request that is reported as not sent
-// after one: as the first response on a connection, on a reused connection, and after the response to another request.
+// Guards against a malformed response that is skipped or accepted, and a request that is reported as not sent after one.
 func TestMalformedResponsesAreBroken(t *testing.T) {
 	const foreign = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nno"
 	responses := stricthttptest.Malformed(answerFields, "one")
@@ -63,8 +62,7 @@
 	}
 }
 
-// Guards against a part of a response without a length that is taken for the whole one since the reset of the connection is
-// reported to the writer of a long body only, and against a complete one that is taken for a part.
+// Guards against a part of a response that is taken for the whole one, since only the write was told of the reset.
 func TestEarlyResponseWithoutLength(t *testing.T) {
 	const tries = 20
 	for name, c := range map[string]struct {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -65,10 +65,7 @@
 }
 
 func write(text string) func(net.Conn, *http.Request) {
-	return func(conn net.Conn, request *http.Request) {
-		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "\n", "\r\n"))
-	}
+	return raw(strings.ReplaceAll(text, "\n", "\r\n"))
 }
 
 func closing(script func(net.Conn, *http.Request)) func(net.Conn, *http.Request) {
